--- /dev/null
+++ b/crates/base/src/hex.rs
@@ -0,0 +1,25 @@
+//! Bytes as lower-case hexadecimal text.
+
+use std::fmt::Write;
+
+/// Writes `bytes` as two lower-case digits each.
+pub fn encode(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        // Writing to a String cannot fail.
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// Reads exactly `N` bytes, or `None` if the text has another length or a non-hexadecimal digit.
+pub fn decode<const N: usize>(text: &str) -> Option<[u8; N]> {
+    if text.len() != N * 2 || !text.is_ascii() {
+        return None;
+    }
+    let mut bytes = [0; N];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(text.get(index * 2..index * 2 + 2)?, 16).ok()?;
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/comfreymast/src/contract.rs
@@ -0,0 +1,117 @@
+use std::path::Path;
+
+use comfreymast_contract::Contract;
+use comfreymast_daemon::operators::{ContractSummary, ContractView, PublishReply};
+use comfreymast_net::{empty, full};
+
+use crate::api::Api;
+use crate::failure::Failure;
+use crate::flags::{Comfreymast, ContractCmd, Put};
+use crate::output::Format;
+
+/// `comfreymast contract …`.
+pub(crate) fn run(
+    flags: &Comfreymast,
+    command: &ContractCmd,
+    format: Format,
+) -> Result<(), Failure> {
+    match command {
+        ContractCmd::Check(check) => check_file(&check.file),
+        ContractCmd::Put(put) => publish(&Api::new(flags)?, put, format),
+        ContractCmd::Get(get) => print_document(&Api::new(flags)?, &get.organisation, format),
+        ContractCmd::List(_) => print_list(&Api::new(flags)?, format),
+        ContractCmd::History(history) => {
+            print_history(&Api::new(flags)?, &history.organisation, format)
+        }
+    }
+}
+
+fn read(path: &Path) -> Result<String, Failure> {
+    std::fs::read_to_string(path).map_err(|source| Failure::File { path: path.to_owned(), source })
+}
+
+fn check_file(path: &Path) -> Result<(), Failure> {
+    let contract = Contract::parse(&read(path)?)?;
+    println!("the contract of {} is good", contract.organisation);
+    Ok(())
+}
+
+fn publish(api: &Api, put: &Put, format: Format) -> Result<(), Failure> {
+    let document = read(&put.file)?;
+    let organisation = Contract::parse(&document)?.organisation;
+    let base = match put.base {
+        Some(base) => base,
+        None => revision_in_force(api, organisation.as_str())?,
+    };
+    let author = put.author.clone().unwrap_or_else(|| "operator".to_owned());
+    let mut path = format!("/contracts/{organisation}?base={base}&author={author}");
+    if let Some(operation) = &put.operation {
+        path.push_str(&format!("&operation={operation}"));
+    }
+    let reply = api.call("PUT", &path, full(document))?;
+    let reply: PublishReply = serde_json::from_slice(&reply)?;
+    let row = vec![
+        organisation.to_string(),
+        reply.revision.to_string(),
+        reply.offset.to_string(),
+        reply.accepted.to_string(),
+    ];
+    format.print(&reply, &["ORGANISATION", "REVISION", "OFFSET", "ACCEPTED"], &[row])?;
+    if reply.accepted { Ok(()) } else { Err(Failure::Lagging { lagging: reply.lagging }) }
+}
+
+fn revision_in_force(api: &Api, organisation: &str) -> Result<u64, Failure> {
+    match view(api, organisation) {
+        Ok(view) => Ok(view.revision),
+        Err(Failure::Operator(error)) if error.code == "no_contract" => Ok(0),
+        Err(failure) => Err(failure),
+    }
+}
+
+fn view(api: &Api, organisation: &str) -> Result<ContractView, Failure> {
+    let reply = api.call("GET", &format!("/contracts/{organisation}"), empty())?;
+    Ok(serde_json::from_slice(&reply)?)
+}
+
+fn print_document(api: &Api, organisation: &str, format: Format) -> Result<(), Failure> {
+    let view = view(api, organisation)?;
+    if format == Format::Table {
+        print!("{}", view.document);
+        return Ok(());
+    }
+    format.print(&view, &[], &[])
+}
+
+fn print_list(api: &Api, format: Format) -> Result<(), Failure> {
+    let reply = api.call("GET", "/contracts", empty())?;
+    let list: Vec<ContractSummary> = serde_json::from_slice(&reply)?;
+    let rows: Vec<_> = list
+        .iter()
+        .map(|summary| {
+            vec![
+                summary.organisation.clone(),
+                summary.revision.to_string(),
+                summary.enabled.to_string(),
+                summary.kinds.join(","),
+            ]
+        })
+        .collect();
+    format.print(&list, &["ORGANISATION", "REVISION", "ENABLED", "KINDS"], &rows)
+}
+
+fn print_history(api: &Api, organisation: &str, format: Format) -> Result<(), Failure> {
+    let history = view(api, organisation)?.history;
+    let rows: Vec<_> = history
+        .iter()
+        .map(|revision| {
+            vec![
+                revision.revision.to_string(),
+                revision.offset.to_string(),
+                revision.author.clone(),
+                revision.published_unix_ms.to_string(),
+                revision.operation.clone(),
+            ]
+        })
+        .collect();
+    format.print(&history, &["REVISION", "OFFSET", "AUTHOR", "UNIX_MS", "OPERATION"], &rows)
+}
--- /dev/null
+++ b/crates/comfreymast/src/daemon.rs
@@ -0,0 +1,63 @@
+use std::io::Write;
+
+use comfreymast_daemon::{Addresses, SettingSpec, Settings};
+use comfreymast_net::Spawner;
+use env_logger::Env;
+use futures_lite::StreamExt;
+
+use crate::api::setting;
+use crate::failure::Failure;
+use crate::flags::{Comfreymast, Daemon};
+
+/// `comfreymast daemon`.
+pub(crate) fn run(flags: &Comfreymast, daemon: &Daemon) -> Result<(), Failure> {
+    let settings =
+        Settings::read(|spec| setting(flag(flags, daemon, spec).as_deref(), &spec.env()))?;
+    if daemon.check {
+        println!("the settings are good");
+        return Ok(());
+    }
+    env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
+    let mut signals =
+        async_signal::Signals::new([async_signal::Signal::Term, async_signal::Signal::Int])
+            .map_err(Failure::Signals)?;
+    Spawner::run(settings.threads, |spawner| async move {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        spawner.detach(async move {
+            let _ = signals.next().await;
+            // Closing the channel drains the daemon.
+            stop.close();
+        });
+        comfreymast_daemon::run(spawner, settings, stopped, print_addresses).await
+    })?;
+    Ok(())
+}
+
+fn flag(flags: &Comfreymast, daemon: &Daemon, spec: &SettingSpec) -> Option<String> {
+    let value = match spec.flag {
+        "name" => &daemon.name,
+        "data-centre" => &daemon.data_centre,
+        "log-addr" => &daemon.log_addr,
+        "vms-addr" => &daemon.vms_addr,
+        "operator-key" => &flags.operator_key,
+        "fleet-key" => &daemon.fleet_key,
+        "callers-addr" => &daemon.callers_addr,
+        "operators-addr" => &daemon.operators_addr,
+        "peers-addr" => &daemon.peers_addr,
+        "threads" => &daemon.threads,
+        "heartbeat-interval-ms" => &daemon.heartbeat_interval_ms,
+        "vms-interval-ms" => &daemon.vms_interval_ms,
+        "load-interval-ms" => &daemon.load_interval_ms,
+        "silence-ms" => &daemon.silence_ms,
+        "max-body-bytes" => &daemon.max_body_bytes,
+        _ => &None,
+    };
+    value.clone()
+}
+
+/// The first line on standard output, for scripts that let the system choose ports.
+fn print_addresses(addresses: Addresses) {
+    let Addresses { callers, operators, peers } = addresses;
+    println!("listening on callers={callers} operators={operators} peers={peers}");
+    let _ = std::io::stdout().flush();
+}
--- /dev/null
+++ b/crates/comfreymast/src/failure.rs
@@ -0,0 +1,80 @@
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use comfreymast_contract::ContractError;
+use comfreymast_daemon::operators::OperatorError;
+use comfreymast_daemon::{SettingFault, StartError};
+use comfreymast_net::DialError;
+use derive_more::{Display, Error, From};
+
+/// Why a command failed.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum Failure {
+    /// The daemon's settings cannot be used.
+    #[display("{} setting(s) cannot be used:\n{}", _0.len(), _0.iter().map(|fault| format!("  {fault}")).collect::<Vec<_>>().join("\n"))]
+    #[error(ignore)]
+    Settings(Vec<SettingFault>),
+    /// A flag of an operators' command is missing or bad.
+    #[display("{flag}: {rule}")]
+    #[from(ignore)]
+    Usage {
+        /// The flag.
+        flag: &'static str,
+        /// The rule.
+        rule: &'static str,
+    },
+    /// The daemon did not start.
+    #[display("{_0}")]
+    Start(StartError),
+    /// A file cannot be read.
+    #[display("cannot read {}: {source}", path.display())]
+    #[from(ignore)]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the machine said.
+        source: std::io::Error,
+    },
+    /// The document is not a contract.
+    #[display("{_0}")]
+    Contract(ContractError),
+    /// The daemon did not answer.
+    #[display("{_0}")]
+    Call(DialError),
+    /// The daemon answered with an error.
+    #[display("{_0}")]
+    Operator(OperatorError),
+    /// The daemon's answer does not read.
+    #[display("the daemon's answer does not read: {_0}")]
+    Json(serde_json::Error),
+    /// Signals cannot be watched.
+    #[display("cannot watch signals: {_0}")]
+    Signals(std::io::Error),
+    /// The change is on the log, but some daemons have not confirmed it.
+    #[display("not in force everywhere yet; no word from: {}", lagging.join(", "))]
+    #[from(ignore)]
+    #[error(ignore)]
+    Lagging {
+        /// The daemons.
+        lagging: Vec<String>,
+    },
+}
+
+impl Failure {
+    /// The exit code that `--help` promises.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        const FAILED: u8 = 1;
+        const USAGE: u8 = 2;
+        const CONFLICT: u8 = 3;
+        const LAGGING: u8 = 4;
+        const UNKNOWN: u8 = 5;
+        let code = match self {
+            Self::Settings(_) | Self::Usage { .. } => USAGE,
+            Self::Operator(error) if error.code == "conflict" => CONFLICT,
+            Self::Operator(error) if error.code == "outcome_unknown" => UNKNOWN,
+            Self::Lagging { .. } => LAGGING,
+            _ => FAILED,
+        };
+        ExitCode::from(code)
+    }
+}
--- /dev/null
+++ b/crates/comfreymast/src/flags.rs
@@ -0,0 +1,87 @@
+//! The command line.
+#![allow(missing_docs, unreachable_pub, clippy::all)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Serves generations of unknown length on crowded engines.
+    ///
+    /// Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 accepted but not everywhere yet,
+    /// 5 outcome unknown.
+    cmd comfreymast {
+        /// The operators' port of any daemon, IP:PORT (or COMFREYMAST_OPERATORS).
+        optional --operators operators: String
+        /// The operator key (or COMFREYMAST_OPERATOR_KEY).
+        optional --operator-key operator_key: String
+        /// Print `table` or `json`.
+        optional --format format: String
+        /// Print the version.
+        optional --version
+
+        /// Run a daemon. Each flag has an environment variable COMFREYMAST_…; see `--help`.
+        cmd daemon {
+            /// Check the settings and exit.
+            optional --check
+            /// The name of this VM, as the VM list has it.
+            optional --name name: String
+            /// The data centre of this VM.
+            optional --data-centre data_centre: String
+            /// The platform's log service, IP:PORT.
+            optional --log-addr log_addr: String
+            /// The platform's VM list, IP:PORT.
+            optional --vms-addr vms_addr: String
+            /// The secret that daemons prove to each other, 16 bytes or more.
+            optional --fleet-key fleet_key: String
+            /// Where callers connect, IP:PORT; default 0.0.0.0:8080.
+            optional --callers-addr callers_addr: String
+            /// Where operators connect, IP:PORT; default 0.0.0.0:8081.
+            optional --operators-addr operators_addr: String
+            /// Where other daemons connect, IP:PORT; default 0.0.0.0:8082.
+            optional --peers-addr peers_addr: String
+            /// Executor threads, 1 to 256; default 4.
+            optional --threads threads: String
+            /// Time between heartbeats to peers, 20 to 10000; default 250.
+            optional --heartbeat-interval-ms heartbeat_interval_ms: String
+            /// Time between reads of the VM list, 20 to 10000; default 500.
+            optional --vms-interval-ms vms_interval_ms: String
+            /// Time between load reports of an engine, 20 to 10000; default 200.
+            optional --load-interval-ms load_interval_ms: String
+            /// How long an open stream may say nothing, 100 to 600000; default 5000.
+            optional --silence-ms silence_ms: String
+            /// The longest request body, 1024 to 268435456; default 4194304.
+            optional --max-body-bytes max_body_bytes: String
+        }
+
+        /// Publish, read and check contracts.
+        cmd contract {
+            /// Publish a contract from a TOML file.
+            cmd put {
+                /// The document.
+                required file: PathBuf
+                /// The revision it was written against; by default the one in force now.
+                optional --base base: u64
+                /// Who publishes it.
+                optional --author author: String
+                /// The operation id of an earlier try, to ask for its outcome.
+                optional --operation operation: String
+            }
+            /// Print the contract in force.
+            cmd get { required organisation: String }
+            /// List all contracts.
+            cmd list {}
+            /// Print the latest revisions of a contract.
+            cmd history { required organisation: String }
+            /// Check a document without publishing it.
+            cmd check { required file: PathBuf }
+        }
+
+        /// Show what a daemon knows of itself and the fleet.
+        cmd status {}
+
+        /// Tell a daemon to finish its requests and stop.
+        cmd drain {}
+
+        /// Show every setting with its environment variable and default.
+        cmd config {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/answer.rs
@@ -0,0 +1,77 @@
+use comfreymast_net::{Body, json};
+use derive_more::Display;
+use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use serde::Serialize;
+
+use super::call_error::CallError;
+
+/// The header that tells whether a request was run.
+pub(crate) const OUTCOME_HEADER: &str = "comfreymast-outcome";
+
+/// Whether a request was run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Outcome {
+    /// It was run, and this is its answer.
+    #[display("done")]
+    Done,
+    /// It was not run.
+    #[display("not_run")]
+    NotRun,
+    /// It may have been run.
+    #[display("unknown")]
+    Unknown,
+}
+
+/// The body of an answer that is not a success, as completion APIs shape it.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct ErrorDetail {
+    code: &'static str,
+    message: String,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl ErrorBody {
+    /// The body for `error`.
+    pub(crate) fn new(error: &CallError) -> Self {
+        let detail = ErrorDetail {
+            code: error.code(),
+            message: error.to_string(),
+            outcome: error.outcome(),
+            retry_after_ms: error.retry_after_ms(),
+        };
+        Self { error: detail }
+    }
+}
+
+/// The answer for `error`, with its outcome and when to come back.
+pub(crate) fn refuse(error: &CallError) -> Response<Body> {
+    const MS_PER_S: u64 = 1_000;
+    let mut response = Response::new(json(&ErrorBody::new(error)));
+    *response.status_mut() = error.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(retry_after_ms) = error.retry_after_ms() {
+        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
+    }
+    set_outcome(&mut response, error.outcome());
+    response
+}
+
+/// Sets the header that tells whether the request was run.
+pub(crate) fn set_outcome(response: &mut Response<Body>, outcome: Outcome) {
+    let value = match outcome {
+        Outcome::Done => HeaderValue::from_static("done"),
+        Outcome::NotRun => HeaderValue::from_static("not_run"),
+        Outcome::Unknown => HeaderValue::from_static("unknown"),
+    };
+    response.headers_mut().insert(OUTCOME_HEADER, value);
+}
--- /dev/null
+++ b/crates/daemon/src/callers/ask.rs
@@ -0,0 +1,77 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use comfreymast_contract::{Contract, Work};
+use comfreymast_net::{BodyError, collect, within};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request};
+use serde::Deserialize;
+
+use super::call_error::CallError;
+use crate::daemon::Daemon;
+
+const BODY_LIMIT_MS: u64 = 30_000;
+const KIND_HEADER: &str = "comfreymast-kind";
+
+/// The body of `POST /v1/completions`; other fields of completion APIs are ignored.
+#[derive(Clone, Debug, Deserialize)]
+struct CompletionBody {
+    model: String,
+    prompt: Arc<str>,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    stream: bool,
+}
+
+/// A completion that the caller's contract allows.
+#[derive(Clone, Debug)]
+pub(crate) struct Ask {
+    /// The contract's entry for this kind of work.
+    pub(crate) work: Work,
+    /// The caller's prompt.
+    pub(crate) prompt: Arc<str>,
+    /// The most tokens to generate.
+    pub(crate) max_tokens: u32,
+    /// True when the caller wants tokens as they come.
+    pub(crate) stream: bool,
+}
+
+impl Ask {
+    /// Reads the request and finds the work it asks for in the contract.
+    pub(crate) async fn read(
+        daemon: &Daemon,
+        contract: &Contract,
+        request: Request<Incoming>,
+    ) -> Result<Self, CallError> {
+        let kind = header(request.headers(), KIND_HEADER).map(str::to_owned);
+        let body = read_body(daemon, request.into_body()).await?;
+        let body: CompletionBody = serde_json::from_slice(&body)
+            .map_err(|error| CallError::Malformed { reason: error.to_string() })?;
+        let work = contract.work_for(kind.as_deref(), &body.model).ok_or_else(|| {
+            let kind = kind.as_deref().unwrap_or("any kind");
+            CallError::NotAllowed { what: format!("{kind} on model {}", body.model) }
+        })?;
+        let max_tokens = body.max_tokens.unwrap_or(work.max_output_tokens);
+        if max_tokens == 0 || max_tokens > work.max_output_tokens {
+            let what = format!("{max_tokens} output tokens");
+            return Err(CallError::NotAllowed { what });
+        }
+        Ok(Self { work: work.clone(), prompt: body.prompt, max_tokens, stream: body.stream })
+    }
+}
+
+/// Reads a caller's body within the bounds of length and time.
+pub(crate) async fn read_body(daemon: &Daemon, body: Incoming) -> Result<Bytes, CallError> {
+    match within(BODY_LIMIT_MS, collect(body, daemon.settings.max_body_bytes)).await {
+        Err(_) => Err(CallError::TooSlow { limit_ms: BODY_LIMIT_MS }),
+        Ok(Err(BodyError::TooLong { limit_bytes })) => Err(CallError::TooLong { limit_bytes }),
+        Ok(Err(error)) => Err(CallError::Malformed { reason: error.to_string() }),
+        Ok(Ok(body)) => Ok(body),
+    }
+}
+
+/// The text of a header, if it is there and is text.
+pub(crate) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/daemon/src/callers/call_error.rs
@@ -0,0 +1,99 @@
+use derive_more::{Display, Error};
+use hyper::StatusCode;
+
+use super::answer::Outcome;
+
+/// Every answer to a caller that is not a success.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// No key, or one that no contract lists.
+    #[display("the bearer key is missing or unknown")]
+    Unauthorized,
+    /// The contract refuses everything.
+    #[display("the contract is not enabled")]
+    Disabled,
+    /// The contract does not allow this.
+    #[display("the contract does not allow {what}")]
+    NotAllowed {
+        /// What was asked.
+        what: String,
+    },
+    /// The request does not read.
+    #[display("{reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: String,
+    },
+    /// The body is too long.
+    #[display("the body is longer than {limit_bytes} bytes")]
+    TooLong {
+        /// The most that is read.
+        limit_bytes: usize,
+    },
+    /// The body took too long to arrive.
+    #[display("the body did not arrive within {limit_ms} ms")]
+    TooSlow {
+        /// The time allowed.
+        limit_ms: u64,
+    },
+    /// The daemon is not ready, or drains.
+    #[display("this daemon takes no new work")]
+    NotReady,
+    /// No upstream can take it now.
+    #[display("no upstream can take the request now")]
+    NoUpstream {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// An upstream may have run it, and its answer is lost.
+    #[display("an upstream may have run the request, but its answer is lost")]
+    OutcomeUnknown,
+}
+
+impl CallError {
+    /// The HTTP status.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::Disabled | Self::NotAllowed { .. } => StatusCode::FORBIDDEN,
+            Self::Malformed { .. } => StatusCode::BAD_REQUEST,
+            Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+            Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// A word that programs compare.
+    pub(crate) fn code(&self) -> &'static str {
+        match self {
+            Self::Unauthorized => "unauthorized",
+            Self::Disabled => "disabled",
+            Self::NotAllowed { .. } => "not_allowed",
+            Self::Malformed { .. } => "malformed",
+            Self::TooLong { .. } => "too_long",
+            Self::TooSlow { .. } => "too_slow",
+            Self::NotReady => "not_ready",
+            Self::NoUpstream { .. } => "no_upstream",
+            Self::OutcomeUnknown => "outcome_unknown",
+        }
+    }
+
+    /// Whether the request was run.
+    pub(crate) fn outcome(&self) -> Outcome {
+        match self {
+            Self::OutcomeUnknown => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// When to come back, if that is of any use.
+    pub(crate) fn retry_after_ms(&self) -> Option<u64> {
+        const NOT_READY_RETRY_MS: u64 = 1_000;
+        match self {
+            Self::NotReady => Some(NOT_READY_RETRY_MS),
+            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/caller.rs
@@ -0,0 +1,30 @@
+use std::sync::Arc;
+
+use comfreymast_contract::{Contract, KeyHash};
+use hyper::HeaderMap;
+use hyper::header::AUTHORIZATION;
+
+use super::call_error::CallError;
+use crate::daemon::Daemon;
+
+/// Who calls, with the contract in force when the request came.
+#[derive(Clone, Debug)]
+pub(crate) struct Caller {
+    /// The contract of the caller's organisation.
+    pub(crate) contract: Arc<Contract>,
+}
+
+impl Caller {
+    /// Finds the organisation that holds the bearer key.
+    pub(crate) fn authenticate(daemon: &Daemon, headers: &HeaderMap) -> Result<Self, CallError> {
+        let header = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+        let key = header.and_then(|value| value.strip_prefix("Bearer "));
+        let hash = KeyHash::of(key.ok_or(CallError::Unauthorized)?);
+        let contracts = daemon.ledger.contracts();
+        let entry = contracts.by_key(&hash).ok_or(CallError::Unauthorized)?;
+        if !entry.contract.enabled {
+            return Err(CallError::Disabled);
+        }
+        Ok(Self { contract: entry.contract.clone() })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/callers/front.rs
@@ -0,0 +1,48 @@
+use std::sync::Arc;
+
+use comfreymast_net::Body;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+
+use super::answer::{Outcome, refuse};
+use super::call_error::CallError;
+use super::caller::Caller;
+use super::{completion, plain};
+use crate::daemon::Daemon;
+use crate::metrics::AnswerLabels;
+
+/// Answers one request on the callers' port.
+pub(crate) async fn answer(daemon: Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
+    daemon.metrics.requests_open.inc();
+    let answered = dispatch(&daemon, request).await;
+    daemon.metrics.requests_open.dec();
+    match answered {
+        Ok(response) => {
+            count(&daemon, Outcome::Done, response.status().as_u16());
+            response
+        }
+        Err(error) => {
+            count(&daemon, error.outcome(), error.status().as_u16());
+            refuse(&error)
+        }
+    }
+}
+
+async fn dispatch(
+    daemon: &Arc<Daemon>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, CallError> {
+    if !daemon.is_ready() {
+        return Err(CallError::NotReady);
+    }
+    let caller = Caller::authenticate(daemon, request.headers())?;
+    match (request.method(), request.uri().path()) {
+        (&Method::POST, "/v1/completions") => completion::run(daemon, caller, request).await,
+        _ => plain::run(daemon, caller, request).await,
+    }
+}
+
+fn count(daemon: &Daemon, outcome: Outcome, status: u16) {
+    let labels = AnswerLabels { outcome: outcome.to_string(), status: u32::from(status) };
+    daemon.metrics.answers.get_or_create(&labels).inc();
+}
--- /dev/null
+++ b/crates/daemon/src/callers/stream.rs
@@ -0,0 +1,113 @@
+//! Tokens on their way to a caller, in the shape of completion APIs.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use comfreymast_base::Model;
+use comfreymast_net::{Body, BodyError, channel, json};
+use comfreymast_wire::engine::{Finish, Token};
+use hyper::Response;
+use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use serde::Serialize;
+
+use super::answer::{ErrorBody, Outcome, set_outcome};
+use super::ask::Ask;
+use super::call_error::CallError;
+use crate::daemon::Daemon;
+use crate::upstream::{EngineStream, StreamError};
+
+/// Chunks that may wait for a slow reader; beyond them the engine's stream is not read.
+const READER_CAPACITY: usize = 64;
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+#[derive(Serialize)]
+struct CompletionChunk<'a> {
+    id: String,
+    object: &'static str,
+    model: &'a Model,
+    choices: [Choice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    text: &'a str,
+    finish_reason: Option<&'static str>,
+}
+
+fn chunk<'a>(model: &'a Model, token: &'a Token) -> CompletionChunk<'a> {
+    let finish_reason = token.finish.map(Finish::as_str);
+    CompletionChunk {
+        id: format!("cmpl-{}", token.generation),
+        object: "text_completion",
+        model,
+        choices: [Choice { index: 0, text: &token.text, finish_reason }],
+    }
+}
+
+/// Answers with server-sent events, one for each token.
+pub(crate) fn relay(daemon: &Arc<Daemon>, ask: &Ask, mut tokens: EngineStream) -> Response<Body> {
+    let (sender, body) = channel(READER_CAPACITY);
+    let model = ask.work.model.clone();
+    let daemon = daemon.clone();
+    daemon.spawner.clone().detach(async move {
+        loop {
+            let token = match tokens.next().await {
+                Ok(token) => token,
+                Err(error) => {
+                    let _ = sender.send(Ok(error_event(&error))).await;
+                    let _ = sender.send(Err(BodyError::Cut)).await;
+                    return;
+                }
+            };
+            daemon.metrics.tokens.inc();
+            // A reader that has gone ends the relay.
+            if sender.send(Ok(token_event(&model, &token))).await.is_err() {
+                return;
+            }
+            if token.finish.is_some() {
+                let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
+                return;
+            }
+        }
+    });
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    response
+}
+
+/// Answers with the whole text at once.
+pub(crate) async fn collect(
+    daemon: &Arc<Daemon>,
+    ask: &Ask,
+    mut tokens: EngineStream,
+) -> Result<Response<Body>, CallError> {
+    let mut text = String::new();
+    loop {
+        let token = tokens.next().await.map_err(|_| CallError::OutcomeUnknown)?;
+        daemon.metrics.tokens.inc();
+        text.push_str(&token.text);
+        if token.finish.is_some() {
+            let whole = Token { text: Arc::from(text), ..token };
+            let mut response = Response::new(json(&chunk(&ask.work.model, &whole)));
+            let kind = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+            set_outcome(&mut response, Outcome::Done);
+            return Ok(response);
+        }
+    }
+}
+
+fn token_event(model: &Model, token: &Token) -> Bytes {
+    let json = serde_json::to_string(&chunk(model, token)).unwrap_or_default();
+    Bytes::from(format!("id: {}-{}\ndata: {json}\n\n", token.generation, token.index))
+}
+
+fn error_event(error: &StreamError) -> Bytes {
+    log::debug!("a stream ended early: {error}");
+    let body = ErrorBody::new(&CallError::OutcomeUnknown);
+    let json = serde_json::to_string(&body).unwrap_or_default();
+    Bytes::from(format!("event: error\ndata: {json}\n\n"))
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,188 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use arc_swap::ArcSwap;
+use async_channel::Receiver;
+use async_net::TcpListener;
+use comfreymast_base::Clock;
+use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve};
+use comfreymast_platform::{LogClient, VmList};
+use derive_more::{Display, Error};
+
+use crate::directory::Directory;
+use crate::ledger_state::LedgerState;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+
+const APPEND_TIMEOUT_MS: u64 = 2_000;
+
+/// What every task of one daemon shares.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    /// What it was told at start.
+    pub(crate) settings: Settings,
+    /// Its time.
+    pub(crate) clock: Clock,
+    /// Starts its tasks.
+    pub(crate) spawner: Spawner,
+    /// The platform's log.
+    pub(crate) log: LogClient,
+    /// What it has folded from the log.
+    pub(crate) ledger: LedgerState,
+    /// The VMs it knows.
+    pub(crate) directory: ArcSwap<Directory>,
+    /// The other daemons.
+    pub(crate) peers: Peers,
+    /// What it counts.
+    pub(crate) metrics: Metrics,
+    /// Closed when it is to go.
+    pub(crate) stop: Receiver<()>,
+    ready: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl Daemon {
+    /// True once the log was read to its end, and until the daemon drains.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Acquire) && !self.is_draining()
+    }
+
+    /// True when the daemon is on its way out.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Lets callers in.
+    pub(crate) fn become_ready(&self) {
+        if !self.ready.swap(true, Ordering::AcqRel) {
+            let offset = self.ledger.next_offset();
+            events::DAEMON_READY.log(format_args!("log read up to offset {offset}"));
+        }
+    }
+
+    /// Tells the balancer and the peers that this daemon goes.
+    pub(crate) fn start_draining(&self) {
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            events::DAEMON_DRAINING.log(format_args!("requests in flight are finished"));
+            self.peers.announce();
+        }
+    }
+}
+
+/// Where a daemon listens, after the system has chosen ports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other daemons.
+    pub peers: SocketAddr,
+}
+
+/// Why a daemon did not start.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen on {addr}: {source}")]
+pub struct StartError {
+    /// The address.
+    pub addr: SocketAddr,
+    /// What the machine said.
+    pub source: std::io::Error,
+}
+
+/// Runs one daemon until `stop` closes, then finishes the requests in flight.
+///
+/// `started` is called once with the addresses, before the first request is taken.
+///
+/// # Errors
+///
+/// [`StartError`] when a port cannot be opened.
+pub async fn run(
+    spawner: Spawner,
+    settings: Settings,
+    stop: Receiver<()>,
+    started: impl FnOnce(Addresses),
+) -> Result<(), StartError> {
+    let callers = listen(settings.callers_addr).await?;
+    let operators = listen(settings.operators_addr).await?;
+    let peers = listen(settings.peers_addr).await?;
+    let addresses = Addresses {
+        callers: local_addr(&callers, settings.callers_addr)?,
+        operators: local_addr(&operators, settings.operators_addr)?,
+        peers: local_addr(&peers, settings.peers_addr)?,
+    };
+    let vm_list = VmList::new(spawner.clone(), settings.vms_addr);
+    let daemon = Arc::new(new_daemon(spawner.clone(), settings, stop.clone()));
+    started(addresses);
+    events::DAEMON_STARTED
+        .log(format_args!("{} serves callers on {}", daemon.settings.name, addresses.callers));
+
+    // Dropping these tasks at the end of this function ends them.
+    let (operators_running, operators_stop) = async_channel::bounded::<()>(1);
+    let _tasks = [
+        spawner.spawn(log_follower::follow(daemon.clone())),
+        spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
+        spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(peers::accept(daemon.clone(), peers)),
+        spawner.spawn(peers::keep_links(daemon.clone())),
+        spawner.spawn(peers::send_heartbeats(daemon.clone())),
+        spawner.spawn(serve(
+            spawner.clone(),
+            operators,
+            answer_with(&daemon, operators::front::answer),
+            ServeLimits::default(),
+            operators_stop,
+        )),
+    ];
+    let drain = daemon.clone();
+    let announce = spawner.spawn({
+        let stop = stop.clone();
+        async move {
+            let _ = stop.recv().await;
+            drain.start_draining();
+        }
+    });
+    let callers_front = answer_with(&daemon, callers::front::answer);
+    serve(spawner, callers, callers_front, ServeLimits::default(), stop).await;
+    announce.await;
+    drop(operators_running);
+    events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
+    Ok(())
+}
+
+fn new_daemon(spawner: Spawner, settings: Settings, stop: Receiver<()>) -> Daemon {
+    Daemon {
+        clock: Clock::system(),
+        log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
+        spawner,
+        ledger: LedgerState::default(),
+        directory: ArcSwap::default(),
+        peers: Peers::new(&settings),
+        metrics: Metrics::new(),
+        stop,
+        ready: AtomicBool::new(false),
+        draining: AtomicBool::new(false),
+        settings,
+    }
+}
+
+fn answer_with<F>(
+    daemon: &Arc<Daemon>,
+    answer: impl Fn(Arc<Daemon>, hyper::Request<hyper::body::Incoming>) -> F + Send + Sync + 'static,
+) -> Handler
+where
+    F: Future<Output = hyper::Response<comfreymast_net::Body>> + Send + 'static,
+{
+    let daemon = daemon.clone();
+    handler(move |request| answer(daemon.clone(), request))
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(addr).await.map_err(|source| StartError { addr, source })
+}
+
+fn local_addr(listener: &TcpListener, addr: SocketAddr) -> Result<SocketAddr, StartError> {
+    listener.local_addr().map_err(|source| StartError { addr, source })
+}
--- /dev/null
+++ b/crates/daemon/src/directory.rs
@@ -0,0 +1,121 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use arc_swap::ArcSwap;
+use comfreymast_base::{DataCentre, Model, Service, Upstream};
+use comfreymast_platform::{Vm, VmRole, VmState};
+use comfreymast_wire::engine::Load;
+
+/// The VMs this daemon knows, as the VM list had them last.
+#[derive(Debug, Default)]
+pub(crate) struct Directory {
+    /// Engines and plain servers.
+    pub(crate) upstreams: BTreeMap<Upstream, Arc<UpstreamState>>,
+    /// Daemons, this one included.
+    pub(crate) daemons: Vec<Vm>,
+}
+
+/// One upstream and what this daemon knows of it.
+#[derive(Debug)]
+pub(crate) struct UpstreamState {
+    /// Its name.
+    pub(crate) name: Upstream,
+    /// Where it listens.
+    pub(crate) addr: SocketAddr,
+    /// Where it runs.
+    pub(crate) data_centre: DataCentre,
+    /// The models it has loaded; empty for a plain server.
+    pub(crate) models: Vec<Model>,
+    /// The service it belongs to; `None` for an engine.
+    pub(crate) service: Option<Service>,
+    /// True when it gets no new work.
+    pub(crate) leaving: bool,
+    /// Shared with later versions of this entry.
+    pub(crate) live: Arc<UpstreamLive>,
+}
+
+/// The part of an upstream's state that changes with each request.
+#[derive(Debug, Default)]
+pub(crate) struct UpstreamLive {
+    /// Requests this daemon has on it.
+    pub(crate) outstanding: AtomicU32,
+    /// Its last load report.
+    pub(crate) load: ArcSwap<Load>,
+    /// When that report came, in this daemon's time; 0 for never.
+    pub(crate) load_at_ms: AtomicU64,
+}
+
+impl Directory {
+    /// The directory after a new VM list, keeping the live state of upstreams that stay.
+    pub(crate) fn updated(&self, vms: Vec<Vm>) -> Self {
+        let (daemons, others): (Vec<_>, Vec<_>) =
+            vms.into_iter().partition(|vm| vm.role == VmRole::Daemon);
+        let upstreams = others.into_iter().map(|vm| {
+            let state = self.upstream_state(vm);
+            (state.name.clone(), Arc::new(state))
+        });
+        Self { upstreams: upstreams.collect(), daemons }
+    }
+
+    fn upstream_state(&self, vm: Vm) -> UpstreamState {
+        let name = Upstream::from(vm.name);
+        // A VM at another address is another VM, even under the same name.
+        let known = self.upstreams.get(&name).filter(|known| known.addr == vm.addr);
+        UpstreamState {
+            live: known.map(|known| known.live.clone()).unwrap_or_default(),
+            name,
+            addr: vm.addr,
+            data_centre: vm.data_centre,
+            models: vm.models,
+            service: vm.service,
+            leaving: vm.state == VmState::Leaving,
+        }
+    }
+
+    /// Engines with a model loaded that take new work.
+    pub(crate) fn engines<'a>(
+        &'a self,
+        model: &'a Model,
+    ) -> impl Iterator<Item = &'a Arc<UpstreamState>> {
+        self.upstreams.values().filter(move |up| !up.leaving && up.models.contains(model))
+    }
+
+    /// Servers of a service that take new work.
+    pub(crate) fn servers<'a>(
+        &'a self,
+        service: &'a Service,
+    ) -> impl Iterator<Item = &'a Arc<UpstreamState>> {
+        self.upstreams
+            .values()
+            .filter(move |up| !up.leaving && up.service.as_ref() == Some(service))
+    }
+}
+
+impl UpstreamState {
+    /// Counts one request on this upstream until the guard is dropped.
+    pub(crate) fn begin(self: &Arc<Self>) -> Outstanding {
+        self.live.outstanding.fetch_add(1, Ordering::AcqRel);
+        Outstanding { upstream: self.clone() }
+    }
+}
+
+/// One request on an upstream.
+#[derive(Debug)]
+pub(crate) struct Outstanding {
+    upstream: Arc<UpstreamState>,
+}
+
+impl Outstanding {
+    /// The upstream that runs it.
+    pub(crate) fn upstream(&self) -> &Arc<UpstreamState> {
+        &self.upstream
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.upstream.live.outstanding.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/events.rs
@@ -0,0 +1,58 @@
+//! The numbered events a daemon logs. `docs/EVENTS.md` is their catalogue.
+//!
+//! Numbers are never used again for another meaning. Prompts, keys and answers are never logged.
+
+use std::fmt;
+
+use log::Level;
+
+/// One numbered event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventCode {
+    /// Its number, shown as `E0101`.
+    pub number: u16,
+    /// How much it matters.
+    pub level: Level,
+    /// What happened, in a few words.
+    pub title: &'static str,
+}
+
+impl EventCode {
+    /// Logs this event with its details.
+    pub fn log(&self, details: fmt::Arguments<'_>) {
+        log::log!(target: "comfreymast", self.level, "E{:04} {}: {details}", self.number, self.title);
+    }
+}
+
+macro_rules! events {
+    ($($name:ident = $number:literal $level:ident $title:literal;)*) => {
+        $(
+            #[doc = concat!("E", stringify!($number), ": ", $title, ".")]
+            pub const $name: EventCode =
+                EventCode { number: $number, level: Level::$level, title: $title };
+        )*
+
+        /// Every event, by number.
+        pub const ALL: &[EventCode] = &[$($name),*];
+    };
+}
+
+events! {
+    DAEMON_STARTED = 101 Info "daemon started";
+    DAEMON_DRAINING = 102 Info "daemon drains";
+    DAEMON_STOPPED = 103 Info "daemon stopped";
+    DAEMON_READY = 104 Info "daemon is ready";
+    LOG_UNAVAILABLE = 201 Warn "log service unavailable";
+    LOG_RESTORED = 202 Info "log service answers again";
+    RECORD_SKIPPED = 203 Warn "bad record skipped";
+    CONTRACT_IN_FORCE = 301 Info "contract in force";
+    CONTRACT_CONFLICT = 302 Info "contract change lost a race";
+    VM_LIST_UNAVAILABLE = 401 Warn "VM list unavailable";
+    VM_LIST_RESTORED = 402 Info "VM list answers again";
+    UPSTREAM_LEAVING = 403 Info "upstream leaves";
+    PEER_CONNECTED = 501 Info "peer connected";
+    PEER_REFUSED = 502 Warn "peer refused";
+    PEER_LINK_LOST = 503 Info "link to peer lost";
+    ATTEMPT_FAILED = 601 Warn "attempt on an upstream failed";
+    FOREIGN_TOKEN = 602 Error "token of another generation dropped";
+}
--- /dev/null
+++ b/crates/daemon/src/ledger_state.rs
@@ -0,0 +1,61 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use comfreymast_ledger::{Applied, Contracts, Ledger};
+use event_listener::Event;
+
+/// The ledger of this daemon, and what requests read of it without a lock.
+#[derive(Debug, Default)]
+pub(crate) struct LedgerState {
+    ledger: Mutex<Ledger>,
+    contracts: ArcSwap<Contracts>,
+    next_offset: AtomicU64,
+    changed: Event,
+}
+
+impl LedgerState {
+    /// The contracts in force.
+    pub(crate) fn contracts(&self) -> Arc<Contracts> {
+        self.contracts.load_full()
+    }
+
+    /// The first offset that is not yet in force here.
+    pub(crate) fn next_offset(&self) -> u64 {
+        self.next_offset.load(Ordering::Acquire)
+    }
+
+    /// The fold itself. Requests do not take this lock.
+    pub(crate) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Folds `entries` in order, then puts the result in force at once.
+    pub(crate) fn apply(&self, entries: &[(u64, Bytes)]) -> Vec<(u64, Applied)> {
+        let mut ledger = self.ledger();
+        let applied: Vec<_> = entries
+            .iter()
+            .map(|(offset, record)| (*offset, ledger.apply(*offset, record)))
+            .collect();
+        if applied.iter().any(|(_, applied)| matches!(applied, Applied::Contract { .. })) {
+            self.contracts.store(Arc::new(ledger.contracts().clone()));
+        }
+        self.next_offset.store(ledger.next_offset(), Ordering::Release);
+        drop(ledger);
+        self.changed.notify(usize::MAX);
+        applied
+    }
+
+    /// Waits until `find` has found something in the fold.
+    pub(crate) async fn wait_for<T>(&self, find: impl Fn(&Ledger) -> Option<T>) -> T {
+        loop {
+            let changed = self.changed.listen();
+            let found = find(&self.ledger());
+            if let Some(found) = found {
+                return found;
+            }
+            changed.await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,25 @@
+//! The daemon: sockets, timers and tasks around the pure crates.
+//!
+//! * [`Settings`] — everything a daemon is told at start, checked whole.
+//! * [`run`] — runs one daemon until its stop channel closes, then drains.
+//! * [`events`] — the numbered events it logs.
+//! * [`operators`] — the JSON of the operators' port, which the command line reads.
+//!
+//! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
+
+mod callers;
+mod daemon;
+mod directory;
+pub mod events;
+mod ledger_state;
+mod load_watch;
+mod log_follower;
+mod metrics;
+pub mod operators;
+mod peers;
+mod settings;
+mod upstream;
+mod vm_watch;
+
+pub use daemon::{Addresses, StartError, run};
+pub use settings::{SETTINGS, SettingFault, SettingSpec, Settings};
--- /dev/null
+++ b/crates/daemon/src/peers/inbound.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+
+use async_net::{TcpListener, TcpStream};
+use comfreymast_base::DaemonName;
+use comfreymast_decide::membership::PeerState;
+use comfreymast_net::{Elapsed, sleep_ms, within};
+use comfreymast_wire::frames::{FrameError, PeerFrames};
+use comfreymast_wire::peer::{Challenge, Heartbeat, PeerMessage, peer_message};
+use derive_more::{Display, Error, From};
+
+use super::links::heartbeat;
+use super::proof::is_proven;
+use crate::daemon::Daemon;
+use crate::events;
+
+const HELLO_TIMEOUT_MS: u64 = 2_000;
+/// A link without a word for this long is closed; its dialler opens a new one.
+const SILENT_LINK_MS: u64 = 20_000;
+const ACCEPT_PAUSE_MS: u64 = 20;
+const NONCE_BYTES: usize = 32;
+
+/// Why an accepted link ended.
+#[derive(Debug, Display, Error, From)]
+enum InboundError {
+    /// The peer took too long.
+    #[display("{_0}")]
+    Timeout(Elapsed),
+    /// The stream failed.
+    #[display("{_0}")]
+    Frames(FrameError),
+    /// The peer did not say who it is.
+    #[display("the peer sent no hello")]
+    NoHello,
+    /// The peer does not know the fleet key.
+    #[display("the peer did not prove the fleet key")]
+    NotProven,
+}
+
+/// Accepts links from peers, until this daemon ends.
+pub(crate) async fn accept(daemon: Arc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, addr)) => {
+                let daemon = daemon.clone();
+                daemon.spawner.clone().detach(async move {
+                    match read_link(&daemon, stream).await {
+                        Err(error @ (InboundError::NoHello | InboundError::NotProven)) => {
+                            events::PEER_REFUSED.log(format_args!("{addr}: {error}"));
+                        }
+                        Err(error) => log::debug!("link from {addr} ended: {error}"),
+                        Ok(()) => {}
+                    }
+                });
+            }
+            Err(_) => sleep_ms(ACCEPT_PAUSE_MS).await,
+        }
+    }
+}
+
+async fn read_link(daemon: &Daemon, stream: TcpStream) -> Result<(), InboundError> {
+    let mut frames = PeerFrames::new(stream);
+    let nonce: [u8; NONCE_BYTES] = rand::random();
+    let challenge = Challenge { nonce: nonce.to_vec().into() };
+    let challenge = PeerMessage { body: Some(peer_message::Body::Challenge(challenge)) };
+    within(HELLO_TIMEOUT_MS, frames.write(&challenge)).await??;
+    let hello = within(HELLO_TIMEOUT_MS, frames.read()).await??;
+    let Some(peer_message::Body::Hello(hello)) = hello.body else {
+        return Err(InboundError::NoHello);
+    };
+    if !is_proven(&daemon.settings.fleet_key, &nonce, &hello) {
+        return Err(InboundError::NotProven);
+    }
+    let from = DaemonName::from(hello.daemon);
+    // A peer that has just started learns at once how far this daemon is.
+    daemon.peers.send(&from, peer_message::Body::Heartbeat(heartbeat(daemon)));
+    loop {
+        let message = within(SILENT_LINK_MS, frames.read()).await??;
+        if let Some(body) = message.body {
+            take(daemon, &from, body);
+        }
+    }
+}
+
+/// Takes in one message of a proven peer.
+fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
+    match body {
+        peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
+        other => log::debug!("{from} sent a message this version does not use: {other:?}"),
+    }
+}
+
+fn take_heartbeat(daemon: &Daemon, heartbeat: Heartbeat) {
+    let state = PeerState {
+        incarnation: heartbeat.incarnation,
+        sequence: heartbeat.sequence,
+        next_offset: heartbeat.next_offset,
+        leaving: heartbeat.leaving,
+        heard_ms: daemon.clock.now_ms(),
+    };
+    daemon.peers.table().heard(DaemonName::from(heartbeat.daemon), state);
+    daemon.peers.notify_heard();
+}
--- /dev/null
+++ b/crates/daemon/src/peers/links.rs
@@ -0,0 +1,136 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use async_net::TcpStream;
+use comfreymast_base::DaemonName;
+use comfreymast_net::{Elapsed, sleep_ms, within};
+use comfreymast_wire::frames::{FrameError, PeerFrames};
+use comfreymast_wire::peer::{Heartbeat, Hello, PeerMessage, peer_message};
+use derive_more::{Display, Error, From};
+use futures_lite::future;
+
+use super::proof::prove;
+use crate::daemon::Daemon;
+use crate::events;
+
+const LINK_CAPACITY: usize = 256;
+const LINK_TIMEOUT_MS: u64 = 2_000;
+const REDIAL_PAUSE_MS: u64 = 200;
+const LINK_CHECK_MS: u64 = 100;
+
+/// Why a link ended.
+#[derive(Debug, Display, Error, From)]
+enum LinkError {
+    /// The connection could not be opened.
+    #[display("cannot connect: {_0}")]
+    Connect(std::io::Error),
+    /// The peer took too long.
+    #[display("{_0}")]
+    Timeout(Elapsed),
+    /// The stream failed.
+    #[display("{_0}")]
+    Frames(FrameError),
+    /// The peer did not begin with a challenge.
+    #[display("the peer sent no challenge")]
+    NoChallenge,
+}
+
+/// Sends a heartbeat to every peer at each interval and at each announcement.
+pub(crate) async fn send_heartbeats(daemon: Arc<Daemon>) {
+    loop {
+        let announced = daemon.peers.announced();
+        let body = peer_message::Body::Heartbeat(heartbeat(&daemon));
+        daemon.peers.broadcast(&body);
+        future::or(announced, sleep_ms(daemon.settings.heartbeat_interval_ms)).await;
+    }
+}
+
+/// What this daemon says of itself now.
+pub(super) fn heartbeat(daemon: &Daemon) -> Heartbeat {
+    Heartbeat {
+        daemon: daemon.settings.name.to_string(),
+        incarnation: daemon.peers.incarnation,
+        sequence: daemon.peers.next_sequence(),
+        next_offset: daemon.ledger.next_offset(),
+        leaving: daemon.is_draining(),
+        relayed: Vec::new(),
+    }
+}
+
+/// Keeps one link to every daemon on the VM list, until this daemon ends.
+pub(crate) async fn keep_links(daemon: Arc<Daemon>) {
+    loop {
+        update_links(&daemon);
+        sleep_ms(LINK_CHECK_MS).await;
+    }
+}
+
+fn update_links(daemon: &Arc<Daemon>) {
+    let directory = daemon.directory.load();
+    let wanted: Vec<_> = directory
+        .daemons
+        .iter()
+        .filter(|vm| vm.name != daemon.settings.name.as_str())
+        .filter_map(|vm| Some((DaemonName::from(vm.name.as_str()), vm.peers_addr?)))
+        .collect();
+    let mut links = daemon.peers.links();
+    // Dropping the sender ends the link's task.
+    links.retain(|name, _| wanted.iter().any(|(wanted, _)| wanted == name));
+    for (name, addr) in wanted {
+        links.entry(name.clone()).or_insert_with(|| {
+            let (sender, messages) = async_channel::bounded(LINK_CAPACITY);
+            daemon.spawner.detach(keep_link(daemon.clone(), name, addr, messages));
+            sender
+        });
+    }
+}
+
+async fn keep_link(
+    daemon: Arc<Daemon>,
+    name: DaemonName,
+    addr: SocketAddr,
+    messages: Receiver<PeerMessage>,
+) {
+    let mut connected = false;
+    while !messages.is_closed() {
+        let ended = write_link(&daemon, &name, addr, &messages, &mut connected).await;
+        if let Err(error) = ended
+            && std::mem::take(&mut connected)
+        {
+            events::PEER_LINK_LOST.log(format_args!("{name}: {error}"));
+        }
+        sleep_ms(REDIAL_PAUSE_MS).await;
+    }
+}
+
+async fn write_link(
+    daemon: &Daemon,
+    name: &DaemonName,
+    addr: SocketAddr,
+    messages: &Receiver<PeerMessage>,
+    connected: &mut bool,
+) -> Result<(), LinkError> {
+    let stream = within(LINK_TIMEOUT_MS, TcpStream::connect(addr)).await??;
+    stream.set_nodelay(true)?;
+    let mut frames = PeerFrames::new(stream);
+    let challenge = within(LINK_TIMEOUT_MS, frames.read()).await??;
+    let Some(peer_message::Body::Challenge(challenge)) = challenge.body else {
+        return Err(LinkError::NoChallenge);
+    };
+    let mut hello = Hello {
+        daemon: daemon.settings.name.to_string(),
+        incarnation: daemon.peers.incarnation,
+        data_centre: daemon.settings.data_centre.to_string(),
+        proof: Default::default(),
+    };
+    hello.proof = prove(&daemon.settings.fleet_key, &challenge.nonce, &hello).into();
+    let hello = PeerMessage { body: Some(peer_message::Body::Hello(hello)) };
+    within(LINK_TIMEOUT_MS, frames.write(&hello)).await??;
+    *connected = true;
+    events::PEER_CONNECTED.log(format_args!("{name} at {addr}"));
+    while let Ok(message) = messages.recv().await {
+        within(LINK_TIMEOUT_MS, frames.write(&message)).await??;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,13 @@
+//! Links to the other daemons.
+//!
+//! Each daemon dials every peer and only writes on the connections it dialled; it only reads on
+//! those it accepted. An answer travels on the answering daemon's own link.
+
+mod inbound;
+mod links;
+mod proof;
+mod state;
+
+pub(crate) use inbound::accept;
+pub(crate) use links::{keep_links, send_heartbeats};
+pub(crate) use state::Peers;
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,233 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use comfreymast_base::{DaemonName, DataCentre};
+use derive_more::{Display, Error};
+
+/// One setting: a flag of `comfreymast daemon` and an environment variable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SettingSpec {
+    /// The flag without its dashes, such as `log-addr`.
+    pub flag: &'static str,
+    /// The value used where none is given; `None` where one must be.
+    pub default: Option<&'static str>,
+    /// What it means, with its unit.
+    pub help: &'static str,
+}
+
+impl SettingSpec {
+    /// The environment variable, such as `COMFREYMAST_LOG_ADDR`.
+    #[must_use]
+    pub fn env(&self) -> String {
+        format!("COMFREYMAST_{}", self.flag.replace('-', "_").to_uppercase())
+    }
+}
+
+const fn required(flag: &'static str, help: &'static str) -> SettingSpec {
+    SettingSpec { flag, default: None, help }
+}
+
+const fn optional(flag: &'static str, default: &'static str, help: &'static str) -> SettingSpec {
+    SettingSpec { flag, default: Some(default), help }
+}
+
+/// Every setting, in the order of the help text.
+pub const SETTINGS: [SettingSpec; 15] = [
+    required("name", "The name of this VM, as the VM list has it"),
+    required("data-centre", "The data centre of this VM"),
+    required("log-addr", "The platform's log service, IP:PORT"),
+    required("vms-addr", "The platform's VM list, IP:PORT"),
+    required("operator-key", "The bearer key of the operators' port, 16 bytes or more"),
+    required("fleet-key", "The secret that daemons prove to each other, 16 bytes or more"),
+    optional("callers-addr", "0.0.0.0:8080", "Where callers connect, IP:PORT"),
+    optional("operators-addr", "0.0.0.0:8081", "Where operators connect, IP:PORT"),
+    optional("peers-addr", "0.0.0.0:8082", "Where other daemons connect, IP:PORT"),
+    optional("threads", "4", "Executor threads, 1 to 256"),
+    optional("heartbeat-interval-ms", "250", "Time between heartbeats to peers, 20 to 10000"),
+    optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
+    optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
+    optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
+    optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
+];
+
+/// Everything a daemon is told at start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The name of this VM, as the VM list has it.
+    pub name: DaemonName,
+    /// The data centre of this VM.
+    pub data_centre: DataCentre,
+    /// The platform's log service.
+    pub log_addr: SocketAddr,
+    /// The platform's VM list.
+    pub vms_addr: SocketAddr,
+    /// The bearer key of the operators' port.
+    pub operator_key: Secret,
+    /// The secret that daemons prove to each other, which also seals readers' cursors.
+    pub fleet_key: Secret,
+    /// Where callers connect.
+    pub callers_addr: SocketAddr,
+    /// Where operators connect.
+    pub operators_addr: SocketAddr,
+    /// Where other daemons connect.
+    pub peers_addr: SocketAddr,
+    /// Executor threads.
+    pub threads: usize,
+    /// Time between heartbeats to peers.
+    pub heartbeat_interval_ms: u64,
+    /// Time between reads of the VM list.
+    pub vms_interval_ms: u64,
+    /// Time between load reports of an engine.
+    pub load_interval_ms: u64,
+    /// How long an open stream may say nothing.
+    pub silence_ms: u64,
+    /// The longest request body.
+    pub max_body_bytes: usize,
+}
+
+/// A secret text that debug output does not show.
+#[derive(Clone, PartialEq, Eq)]
+pub struct Secret(String);
+
+impl Secret {
+    /// The secret itself.
+    #[must_use]
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret(..)")
+    }
+}
+
+/// One setting that cannot be used.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("--{flag} (or {env}): {rule}{}", found.as_ref().map(|found| format!(", found {found:?}")).unwrap_or_default())]
+pub struct SettingFault {
+    /// The flag.
+    pub flag: &'static str,
+    /// Its environment variable.
+    pub env: String,
+    /// The rule that is broken.
+    pub rule: String,
+    /// The value found; `None` where there is none or it is a secret.
+    pub found: Option<String>,
+}
+
+impl Settings {
+    /// Reads every setting from `lookup`, which is asked with the flag's name.
+    ///
+    /// # Errors
+    ///
+    /// Every fault, not only the first.
+    pub fn read(
+        lookup: impl Fn(&SettingSpec) -> Option<String>,
+    ) -> Result<Self, Vec<SettingFault>> {
+        let mut reader = Reader { lookup: &lookup, faults: Vec::new() };
+        let settings = reader.settings();
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(reader.faults),
+        }
+    }
+}
+
+const MIN_SECRET_BYTES: usize = 16;
+const INTERVAL_MS: std::ops::RangeInclusive<u64> = 20..=10_000;
+
+struct Reader<'a> {
+    lookup: &'a dyn Fn(&SettingSpec) -> Option<String>,
+    faults: Vec<SettingFault>,
+}
+
+impl Reader<'_> {
+    fn settings(&mut self) -> Option<Settings> {
+        // Each is read before any is used, so that all faults are found.
+        let name = self.name("name");
+        let data_centre = self.name("data-centre");
+        let log_addr = self.addr("log-addr");
+        let vms_addr = self.addr("vms-addr");
+        let operator_key = self.secret("operator-key");
+        let fleet_key = self.secret("fleet-key");
+        let callers_addr = self.addr("callers-addr");
+        let operators_addr = self.addr("operators-addr");
+        let peers_addr = self.addr("peers-addr");
+        let threads = self.number("threads", 1..=256);
+        let heartbeat_interval_ms = self.number("heartbeat-interval-ms", INTERVAL_MS);
+        let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
+        let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
+        let silence_ms = self.number("silence-ms", 100..=600_000);
+        let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
+        Some(Settings {
+            name: DaemonName::from(name?),
+            data_centre: DataCentre::from(data_centre?),
+            log_addr: log_addr?,
+            vms_addr: vms_addr?,
+            operator_key: operator_key?,
+            fleet_key: fleet_key?,
+            callers_addr: callers_addr?,
+            operators_addr: operators_addr?,
+            peers_addr: peers_addr?,
+            threads: usize::try_from(threads?).ok()?,
+            heartbeat_interval_ms: heartbeat_interval_ms?,
+            vms_interval_ms: vms_interval_ms?,
+            load_interval_ms: load_interval_ms?,
+            silence_ms: silence_ms?,
+            max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
+        })
+    }
+
+    fn text(&mut self, flag: &'static str) -> Option<(SettingSpec, String)> {
+        let spec = *SETTINGS.iter().find(|spec| spec.flag == flag)?;
+        let given = (self.lookup)(&spec).or_else(|| spec.default.map(str::to_owned));
+        if given.is_none() {
+            self.fault(spec, "is required".to_owned(), None);
+        }
+        given.map(|text| (spec, text))
+    }
+
+    fn fault(&mut self, spec: SettingSpec, rule: String, found: Option<String>) {
+        self.faults.push(SettingFault { flag: spec.flag, env: spec.env(), rule, found });
+    }
+
+    fn name(&mut self, flag: &'static str) -> Option<String> {
+        let (spec, text) = self.text(flag)?;
+        if text.is_empty() || text.contains(char::is_whitespace) {
+            self.fault(spec, "must be a name without spaces".to_owned(), Some(text));
+            return None;
+        }
+        Some(text)
+    }
+
+    fn secret(&mut self, flag: &'static str) -> Option<Secret> {
+        let (spec, text) = self.text(flag)?;
+        if text.len() < MIN_SECRET_BYTES {
+            self.fault(spec, format!("must have at least {MIN_SECRET_BYTES} bytes"), None);
+            return None;
+        }
+        Some(Secret(text))
+    }
+
+    fn addr(&mut self, flag: &'static str) -> Option<SocketAddr> {
+        let (spec, text) = self.text(flag)?;
+        let addr = SocketAddr::from_str(&text);
+        if addr.is_err() {
+            self.fault(spec, "must be IP:PORT".to_owned(), Some(text));
+        }
+        addr.ok()
+    }
+
+    fn number(&mut self, flag: &'static str, range: std::ops::RangeInclusive<u64>) -> Option<u64> {
+        let (spec, text) = self.text(flag)?;
+        let number = text.parse().ok().filter(|number| range.contains(number));
+        if number.is_none() {
+            let rule = format!("must be a number from {} to {}", range.start(), range.end());
+            self.fault(spec, rule, Some(text));
+        }
+        number
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -0,0 +1,143 @@
+use std::pin::Pin;
+use std::sync::Arc;
+
+use comfreymast_base::GenerationId;
+use comfreymast_net::{DialError, Elapsed, dial, json, request, within};
+use comfreymast_wire::engine::{StartGeneration, Token};
+use derive_more::{Display, Error, From};
+use eventsource_stream::{EventStreamError, Eventsource};
+use futures_lite::{Stream, StreamExt};
+use http_body_util::BodyDataStream;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use crate::daemon::Daemon;
+use crate::directory::{Outstanding, UpstreamState};
+use crate::events;
+
+const DIAL_LIMIT_MS: u64 = 1_000;
+
+/// Why a generation did not start.
+#[derive(Debug, Display, Error)]
+pub(crate) enum StartError {
+    /// No byte of the request reached the engine, or the engine refused it.
+    #[display("the engine did not run it: {reason}")]
+    NotRun {
+        /// What happened.
+        reason: StartFailure,
+    },
+    /// The engine may be running it.
+    #[display("the engine may be running it: {reason}")]
+    Unknown {
+        /// What happened.
+        reason: StartFailure,
+    },
+}
+
+/// What happened to the request that starts a generation.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StartFailure {
+    /// The exchange failed.
+    #[display("{_0}")]
+    Exchange(DialError),
+    /// The engine said nothing.
+    #[display("{_0}")]
+    Silent(Elapsed),
+    /// The engine answered with another status.
+    #[display("the engine answered {_0}")]
+    #[error(ignore)]
+    Status(StatusCode),
+}
+
+/// Why a stream of tokens ended before its end.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StreamError {
+    /// The connection failed, or an event does not read.
+    #[display("{_0}")]
+    Events(EventStreamError<hyper::Error>),
+    /// An event is not a token.
+    #[display("an event does not read as a token: {_0}")]
+    Json(serde_json::Error),
+    /// The engine closed the stream before the end of the generation.
+    #[display("the engine closed the stream early")]
+    Ended,
+    /// Nothing came for too long.
+    #[display("{_0}")]
+    Silent(Elapsed),
+    /// A token of another generation, another attempt or another place came.
+    #[display("the engine sent a token that does not belong here")]
+    Foreign,
+}
+
+type EngineEvents = Pin<
+    Box<
+        dyn Stream<Item = Result<eventsource_stream::Event, EventStreamError<hyper::Error>>> + Send,
+    >,
+>;
+
+/// The tokens of one attempt, each checked against generation, fence and index.
+pub(crate) struct EngineStream {
+    events: EngineEvents,
+    generation: GenerationId,
+    fence: u64,
+    next_index: u32,
+    silence_ms: u64,
+    running: Outstanding,
+}
+
+impl EngineStream {
+    /// Starts a generation on a connection of its own.
+    pub(crate) async fn start(
+        daemon: &Daemon,
+        engine: &Arc<UpstreamState>,
+        start: &StartGeneration,
+    ) -> Result<Self, StartError> {
+        let running = engine.begin();
+        let mut connection = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS)
+            .await
+            .map_err(|error| StartError::NotRun { reason: error.into() })?;
+        let request = request(engine.addr, "POST", "/v1/completions", json(start));
+        let silence_ms = daemon.settings.silence_ms;
+        let reply = within(silence_ms, connection.send(request))
+            .await
+            .map_err(|elapsed| StartError::Unknown { reason: elapsed.into() })?
+            .map_err(|error| StartError::Unknown { reason: error.into() })?;
+        match reply.status() {
+            status if status.is_success() => {}
+            // An engine answers these before it runs anything.
+            status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
+                return Err(StartError::NotRun { reason: status.into() });
+            }
+            status => return Err(StartError::Unknown { reason: status.into() }),
+        }
+        Ok(Self {
+            events: events(reply.into_body()),
+            generation: start.generation,
+            fence: start.fence,
+            next_index: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
+            silence_ms,
+            running,
+        })
+    }
+
+    /// The next token, or the end of the generation.
+    pub(crate) async fn next(&mut self) -> Result<Token, StreamError> {
+        let event = within(self.silence_ms, self.events.next()).await?;
+        let event = event.ok_or(StreamError::Ended)??;
+        let token: Token = serde_json::from_str(&event.data)?;
+        let belongs = token.generation == self.generation
+            && token.fence == self.fence
+            && token.index == self.next_index;
+        if !belongs {
+            let engine = &self.running.upstream().name;
+            events::FOREIGN_TOKEN.log(format_args!("{engine}, generation {}", self.generation));
+            return Err(StreamError::Foreign);
+        }
+        self.next_index += u32::from(token.finish.is_none());
+        Ok(token)
+    }
+}
+
+fn events(body: Incoming) -> EngineEvents {
+    Box::pin(BodyDataStream::new(body).eventsource())
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,7 @@
+//! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
+//!
+//! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`routing`] — which upstream gets a request.
+
+pub mod membership;
+pub mod routing;
--- /dev/null
+++ b/crates/fakes/src/engine/text.rs
@@ -0,0 +1,40 @@
+//! The words a fake engine writes.
+//!
+//! Each fresh generation draws a mark, and every token is `mark.index `. A reader who sees two
+//! marks saw two generations. A resumed generation takes the mark of the tokens it continues.
+
+use std::sync::Arc;
+
+/// The token at `index` of the generation with this mark.
+#[must_use]
+pub fn token(mark: &str, index: u32) -> Arc<str> {
+    Arc::from(format!("{mark}.{index} "))
+}
+
+/// The mark of a token, or `None` if it is not one of ours.
+#[must_use]
+pub fn mark(token: &str) -> Option<&str> {
+    Some(token.split_once('.')?.0)
+}
+
+/// How many tokens a prompt asks for: the number after `tokens=`, or 16.
+#[must_use]
+pub fn output_tokens(prompt: &str) -> u32 {
+    const DEFAULT_TOKENS: u32 = 16;
+    let Some((_, rest)) = prompt.split_once("tokens=") else { return DEFAULT_TOKENS };
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().unwrap_or(DEFAULT_TOKENS)
+}
+
+/// How many tokens a prompt takes in memory: one for each four bytes.
+#[must_use]
+pub fn prompt_tokens(prompt: &str) -> u32 {
+    const BYTES_PER_TOKEN: usize = 4;
+    u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+}
+
+/// True when the engine that runs this prompt crashes.
+#[must_use]
+pub fn crashes(prompt: &str) -> bool {
+    prompt.contains("crash-the-engine")
+}
--- /dev/null
+++ b/crates/fakes/src/history.rs
@@ -0,0 +1,119 @@
+//! Events of a run, one JSON line each, which checkers read afterwards.
+
+use std::fs::File;
+use std::io::Write;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+
+use comfreymast_base::{Clock, GenerationId};
+use serde::{Deserialize, Serialize};
+
+/// One line of a history.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// When, in milliseconds since the Unix epoch. All processes of a run share one machine.
+    pub at_unix_ms: u64,
+    /// The process that saw it.
+    pub source: Arc<str>,
+    /// What happened.
+    pub event: Event,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// An engine began to run a generation.
+    GenerationStart {
+        /// Which one.
+        generation: GenerationId,
+        /// Which attempt.
+        fence: u64,
+        /// What was asked.
+        prompt: Arc<str>,
+        /// Where it continues.
+        resume_tokens: u32,
+    },
+    /// An engine ended a generation.
+    GenerationEnd {
+        /// Which one.
+        generation: GenerationId,
+        /// Which attempt.
+        fence: u64,
+        /// Tokens in all.
+        tokens: u32,
+        /// False when it was cancelled.
+        whole: bool,
+    },
+    /// A plain service began to run a call.
+    CallStart {
+        /// The method and path.
+        call: String,
+        /// The body.
+        body: String,
+    },
+    /// A plain service ended a call.
+    CallEnd {
+        /// The method and path.
+        call: String,
+        /// The body.
+        body: String,
+    },
+    /// A client sent a request.
+    Sent {
+        /// The client's own number for it.
+        request: u64,
+        /// What was asked.
+        what: String,
+    },
+    /// A client got a token.
+    TokenRead {
+        /// The client's own number for the request.
+        request: u64,
+        /// The text.
+        text: String,
+    },
+    /// A client got its final answer.
+    Answered {
+        /// The client's own number for the request.
+        request: u64,
+        /// The HTTP status; 0 when the connection broke.
+        status: u16,
+        /// The `comfreymast-outcome` header.
+        outcome: String,
+        /// The body of an answer that was not streamed.
+        body: String,
+    },
+}
+
+/// Writes a history. Without a file it writes nothing.
+#[derive(Clone, Debug)]
+pub struct History {
+    source: Arc<str>,
+    clock: Clock,
+    file: Option<Arc<Mutex<File>>>,
+}
+
+impl History {
+    /// Appends to the file at `path`.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be opened.
+    pub fn open(source: &str, path: Option<&Path>) -> std::io::Result<Self> {
+        let file = path.map(|path| File::options().create(true).append(true).open(path));
+        let file = file.transpose()?.map(|file| Arc::new(Mutex::new(file)));
+        Ok(Self { source: Arc::from(source), clock: Clock::system(), file })
+    }
+
+    /// Writes one event. A line is one write, so processes may share a file.
+    pub fn record(&self, event: Event) {
+        let Some(file) = &self.file else { return };
+        let line = Line { at_unix_ms: self.clock.unix_ms(), source: self.source.clone(), event };
+        let Ok(mut text) = serde_json::to_vec(&line) else { return };
+        text.push(b'\n');
+        if let Ok(mut file) = file.lock() {
+            let _ = file.write_all(&text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/reply.rs
@@ -0,0 +1,26 @@
+//! Short ways to answer.
+
+use comfreymast_net::{Body, BodyError, channel, empty, full, json};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+pub(crate) fn status(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
+pub(crate) fn bytes(bytes: Vec<u8>) -> Response<Body> {
+    Response::new(full(bytes))
+}
+
+pub(crate) fn value(value: &impl Serialize) -> Response<Body> {
+    Response::new(json(value))
+}
+
+/// An answer whose body breaks off before its first byte, as when a reply is lost.
+pub(crate) fn lost() -> Response<Body> {
+    let (sender, body) = channel(1);
+    let _ = sender.try_send(Err(BodyError::Cut));
+    Response::new(body)
+}
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,19 @@
+//! Pure state folded from the platform's log. Nothing else writes it.
+//!
+//! Every daemon folds the same records in the same order, so every daemon holds the same state at
+//! the same offset. A record that does not decode or breaks a rule is skipped on all of them.
+//!
+//! * [`Ledger`] — the fold; [`Ledger::apply`] takes one record.
+//! * [`Contracts`] — the contracts in force, cheap to share with requests.
+//! * [`ContractEntry`] — one contract with its revision and history.
+//! * [`Applied`] — what one record did; [`Skip`] — why a record did nothing.
+
+mod applied;
+mod contract_entry;
+mod contracts;
+mod ledger;
+
+pub use applied::{Applied, Skip};
+pub use contract_entry::{ContractEntry, Revision};
+pub use contracts::Contracts;
+pub use ledger::Ledger;
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,79 @@
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use futures_lite::StreamExt;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::Frame;
+use serde::Serialize;
+
+/// The one body type of requests sent and answers given.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why a body could not be read whole.
+#[derive(Debug, Display, Error, From)]
+pub enum BodyError {
+    /// The connection failed before the body ended.
+    #[display("the body broke off: {_0}")]
+    Broken(hyper::Error),
+    /// The sender of a streamed body gave up before its end.
+    #[display("the body was cut by its sender")]
+    #[from(ignore)]
+    Cut,
+    /// The body is longer than allowed.
+    #[display("the body is longer than {limit_bytes} bytes")]
+    #[from(ignore)]
+    TooLong {
+        /// The most that is read.
+        limit_bytes: usize,
+    },
+}
+
+/// A body without bytes.
+pub fn empty() -> Body {
+    full(Bytes::new())
+}
+
+/// A body of known length.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// A body holding `value` as JSON.
+///
+/// Types whose JSON cannot be written give an empty body; none of ours do.
+pub fn json(value: &impl Serialize) -> Body {
+    full(serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// A streamed body and its sender, which waits while `capacity` chunks are unread.
+///
+/// Dropping the sender ends the body; sending an error cuts it so that the reader notices.
+pub fn channel(capacity: usize) -> (Sender<Result<Bytes, BodyError>>, Body) {
+    let (sender, receiver) = async_channel::bounded(capacity);
+    (sender, stream(receiver))
+}
+
+fn stream(receiver: Receiver<Result<Bytes, BodyError>>) -> Body {
+    BodyExt::boxed_unsync(StreamBody::new(receiver.map(|chunk| chunk.map(Frame::data))))
+}
+
+/// Reads a whole body of at most `limit_bytes`.
+///
+/// # Errors
+///
+/// [`BodyError::TooLong`] past the limit, [`BodyError::Broken`] when the connection fails.
+pub async fn collect<B>(body: B, limit_bytes: usize) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLong { limit_bytes }),
+        Err(error) => match error.downcast::<hyper::Error>() {
+            Ok(error) => Err(BodyError::Broken(*error)),
+            Err(_) => Err(BodyError::Cut),
+        },
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,24 @@
+//! Messages that leave the process, and the framing between daemons.
+//!
+//! The types in [`log`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
+//! committed, so a build needs no generator.
+//!
+//! * [`log`] — records on the platform's log and the log service's messages.
+//! * [`peer`] — messages between daemons.
+//! * [`engine`] — JSON messages of the model engines.
+//! * [`frames`] — length-prefixed frames over one TCP stream.
+
+pub mod engine;
+pub mod frames;
+
+/// Records on the platform's log and the log service's messages.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/comfreymast.log.rs"]
+pub mod log;
+
+/// Messages between daemons.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/comfreymast.peer.rs"]
+pub mod peer;
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,30 @@
+//! Maintainers' chores. `cargo run -p xtask` writes the prost types of `crates/wire/proto` anew.
+
+use std::path::Path;
+
+use derive_more::{Display, Error, From};
+
+const PROTO_DIR: &str = "crates/wire/proto";
+const GENERATED_DIR: &str = "crates/wire/src/generated";
+const PROTO_FILES: [&str; 2] = ["log.proto", "peer.proto"];
+
+/// Why the types could not be written.
+#[derive(Debug, Display, Error, From)]
+enum XtaskError {
+    /// A definition does not compile.
+    #[display("the definitions do not compile: {_0}")]
+    Definitions(protox::Error),
+    /// A generated file could not be written.
+    #[display("the generated files could not be written: {_0}")]
+    Output(std::io::Error),
+}
+
+fn main() -> Result<(), XtaskError> {
+    let descriptors = protox::compile(PROTO_FILES, [PROTO_DIR])?;
+    std::fs::create_dir_all(GENERATED_DIR)?;
+    let mut config = prost_build::Config::new();
+    config.bytes(["."]);
+    config.out_dir(Path::new(GENERATED_DIR));
+    config.compile_fds(descriptors)?;
+    Ok(())
+}
