--- a/crates/comfreymast/src/contract.rs
+++ b/crates/comfreymast/src/contract.rs
@@ -1,12 +1,13 @@
 use std::path::Path;
 
+use comfreymast_base::OperationId;
 use comfreymast_contract::Contract;
 use comfreymast_daemon::operators::{ContractSummary, ContractView, PublishReply};
-use comfreymast_net::{empty, full};
+use comfreymast_net::{Query, empty, full};
 
 use crate::api::Api;
 use crate::failure::Failure;
-use crate::flags::{Comfreymast, ContractCmd, Put};
+use crate::flags::{Comfreymast, ContractCmd, Get, Put};
 use crate::output::Format;
 
 /// `comfreymast contract …`.
@@ -18,8 +19,8 @@
     match command {
         ContractCmd::Check(check) => check_file(&check.file),
         ContractCmd::Put(put) => publish(&Api::new(flags)?, put, format),
-        ContractCmd::Get(get) => print_document(&Api::new(flags)?, &get.organisation, format),
-        ContractCmd::List(_) => print_list(&Api::new(flags)?, format),
+        ContractCmd::Get(get) => print_document(&Api::new(flags)?, get, format),
+        ContractCmd::List(list) => print_list(&Api::new(flags)?, list.fresh, format),
         ContractCmd::History(history) => {
             print_history(&Api::new(flags)?, &history.organisation, format)
         }
@@ -43,38 +44,59 @@
         Some(base) => base,
         None => revision_in_force(api, organisation.as_str())?,
     };
-    let author = put.author.clone().unwrap_or_else(|| "operator".to_owned());
-    let mut path = format!("/contracts/{organisation}?base={base}&author={author}");
-    if let Some(operation) = &put.operation {
-        path.push_str(&format!("&operation={operation}"));
-    }
-    let reply = api.call("PUT", &path, full(document))?;
+    let operation = match &put.operation {
+        Some(text) => text.parse().map_err(|_| Failure::Usage {
+            flag: "--operation",
+            rule: "must be the 32 hexadecimal digits of an earlier try",
+        })?,
+        None => OperationId::random(),
+    };
+    let query = Query::default()
+        .with("base", &base.to_string())
+        .with("author", put.author.as_deref().unwrap_or("operator"))
+        .with("operation", &operation.to_string())
+        .with("first", if put.operation.is_none() { "true" } else { "false" });
+    let path = format!("/contracts/{organisation}?{query}");
+    let reply = api.call("PUT", &path, full(document)).map_err(|failure| match failure {
+        // The daemon may have appended the change before its answer was lost.
+        Failure::Call(reason) if !reason.is_unsent() => {
+            Failure::PublishUnknown { reason, operation, base }
+        }
+        other => other,
+    })?;
     let reply: PublishReply = serde_json::from_slice(&reply)?;
     let row = vec![
         organisation.to_string(),
         reply.revision.to_string(),
         reply.offset.to_string(),
         reply.accepted.to_string(),
+        reply.operation.clone(),
     ];
-    format.print(&reply, &["ORGANISATION", "REVISION", "OFFSET", "ACCEPTED"], &[row])?;
+    let header = ["ORGANISATION", "REVISION", "OFFSET", "ACCEPTED", "OPERATION"];
+    format.print(&reply, &header, &[row])?;
     if reply.accepted { Ok(()) } else { Err(Failure::Lagging { lagging: reply.lagging }) }
 }
 
 fn revision_in_force(api: &Api, organisation: &str) -> Result<u64, Failure> {
-    match view(api, organisation) {
+    match view(api, organisation, false) {
         Ok(view) => Ok(view.revision),
         Err(Failure::Operator(error)) if error.code == "no_contract" => Ok(0),
         Err(failure) => Err(failure),
     }
 }
 
-fn view(api: &Api, organisation: &str) -> Result<ContractView, Failure> {
-    let reply = api.call("GET", &format!("/contracts/{organisation}"), empty())?;
+fn view(api: &Api, organisation: &str, fresh: bool) -> Result<ContractView, Failure> {
+    let reply =
+        api.call("GET", &format!("/contracts/{organisation}{}", freshness(fresh)), empty())?;
     Ok(serde_json::from_slice(&reply)?)
 }
 
-fn print_document(api: &Api, organisation: &str, format: Format) -> Result<(), Failure> {
-    let view = view(api, organisation)?;
+fn freshness(fresh: bool) -> &'static str {
+    if fresh { "?fresh=true" } else { "" }
+}
+
+fn print_document(api: &Api, get: &Get, format: Format) -> Result<(), Failure> {
+    let view = view(api, &get.organisation, get.fresh)?;
     if format == Format::Table {
         print!("{}", view.document);
         return Ok(());
@@ -82,8 +104,8 @@
     format.print(&view, &[], &[])
 }
 
-fn print_list(api: &Api, format: Format) -> Result<(), Failure> {
-    let reply = api.call("GET", "/contracts", empty())?;
+fn print_list(api: &Api, fresh: bool, format: Format) -> Result<(), Failure> {
+    let reply = api.call("GET", &format!("/contracts{}", freshness(fresh)), empty())?;
     let list: Vec<ContractSummary> = serde_json::from_slice(&reply)?;
     let rows: Vec<_> = list
         .iter()
@@ -100,7 +122,7 @@
 }
 
 fn print_history(api: &Api, organisation: &str, format: Format) -> Result<(), Failure> {
-    let history = view(api, organisation)?.history;
+    let history = view(api, organisation, false)?.history;
     let rows: Vec<_> = history
         .iter()
         .map(|revision| {
--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -47,6 +47,8 @@
         "threads" => &daemon.threads,
         "heartbeat-interval-ms" => &daemon.heartbeat_interval_ms,
         "vms-interval-ms" => &daemon.vms_interval_ms,
+        "snapshot-interval-ms" => &daemon.snapshot_interval_ms,
+        "snapshot-records" => &daemon.snapshot_records,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
         "max-body-bytes" => &daemon.max_body_bytes,
--- a/crates/comfreymast/src/failure.rs
+++ b/crates/comfreymast/src/failure.rs
@@ -1,6 +1,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use comfreymast_base::OperationId;
 use comfreymast_contract::ContractError;
 use comfreymast_daemon::operators::OperatorError;
 use comfreymast_daemon::{SettingFault, StartError};
@@ -41,8 +42,21 @@
     /// The daemon did not answer.
     #[display("{_0}")]
     Call(DialError),
+    /// The daemon did not answer a publication that it may have made.
+    #[display(
+        "the outcome is unknown: {reason}; run the same command again, through any daemon, with --base {base} --operation {operation}"
+    )]
+    #[from(ignore)]
+    PublishUnknown {
+        /// What happened.
+        reason: DialError,
+        /// The operation, to ask with.
+        operation: OperationId,
+        /// The revision it was written against.
+        base: u64,
+    },
     /// The daemon answered with an error.
-    #[display("{_0}")]
+    #[display("{_0}{}", _0.operation.as_ref().map(|id| format!(" (operation {id})")).unwrap_or_default())]
     Operator(OperatorError),
     /// The daemon's answer does not read.
     #[display("the daemon's answer does not read: {_0}")]
@@ -51,7 +65,7 @@
     #[display("cannot watch signals: {_0}")]
     Signals(std::io::Error),
     /// The change is on the log, but some daemons have not confirmed it.
-    #[display("not in force everywhere yet; no word from: {}", lagging.join(", "))]
+    #[display("published, but not confirmed everywhere yet; no word from: {}", lagging.join(", "))]
     #[from(ignore)]
     #[error(ignore)]
     Lagging {
@@ -72,6 +86,7 @@
             Self::Settings(_) | Self::Usage { .. } => USAGE,
             Self::Operator(error) if error.code == "conflict" => CONFLICT,
             Self::Operator(error) if error.code == "outcome_unknown" => UNKNOWN,
+            Self::PublishUnknown { .. } => UNKNOWN,
             Self::Lagging { .. } => LAGGING,
             _ => FAILED,
         };
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -44,6 +44,10 @@
             optional --heartbeat-interval-ms heartbeat_interval_ms: String
             /// Time between reads of the VM list, 20 to 10000; default 500.
             optional --vms-interval-ms vms_interval_ms: String
+            /// Time between snapshots on the log, 100 to 604800000; default 3600000.
+            optional --snapshot-interval-ms snapshot_interval_ms: String
+            /// Records between snapshots on the log, 10 to 100000000; default 100000.
+            optional --snapshot-records snapshot_records: String
             /// Time between load reports of an engine, 20 to 10000; default 200.
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
@@ -62,13 +66,20 @@
                 optional --base base: u64
                 /// Who publishes it.
                 optional --author author: String
-                /// The operation id of an earlier try, to ask for its outcome.
+                /// The operation id of an earlier try, to ask for its outcome; give the same --base.
                 optional --operation operation: String
             }
             /// Print the contract in force.
-            cmd get { required organisation: String }
+            cmd get {
+                required organisation: String
+                /// Read the log to its end first, so that no earlier change is missed.
+                optional --fresh
+            }
             /// List all contracts.
-            cmd list {}
+            cmd list {
+                /// Read the log to its end first, so that no earlier change is missed.
+                optional --fresh
+            }
             /// Print the latest revisions of a contract.
             cmd history { required organisation: String }
             /// Check a document without publishing it.
--- a/crates/comfreymast/src/fleet.rs
+++ b/crates/comfreymast/src/fleet.rs
@@ -15,8 +15,10 @@
     let rows = [
         ("daemon", status.daemon.clone()),
         ("ready", status.ready.to_string()),
+        ("current", status.current.to_string()),
         ("draining", status.draining.to_string()),
         ("next offset", status.next_offset.to_string()),
+        ("snapshot offset", status.snapshot_offset.to_string()),
         ("contracts", status.contracts.to_string()),
         ("skipped records", status.skipped_records.to_string()),
         ("live peers", status.live_peers.join(" ")),
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -39,6 +39,9 @@
     /// The daemon is not ready, or drains.
     #[display("this daemon takes no new work")]
     NotReady,
+    /// The daemon may hold contracts that were replaced.
+    #[display("this daemon has no word from the log or its peers, so its contracts may be old")]
+    NotCurrent,
     /// No upstream can take it now.
     #[display("no upstream can take the request now")]
     NoUpstream {
@@ -59,7 +62,9 @@
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NotCurrent | Self::NoUpstream { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
     }
@@ -74,6 +79,7 @@
             Self::TooLong { .. } => "too_long",
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
+            Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
             Self::OutcomeUnknown => "outcome_unknown",
         }
@@ -91,7 +97,7 @@
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_MS),
+            Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
             Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
             _ => None,
         }
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -35,6 +35,9 @@
     if !daemon.is_ready() {
         return Err(CallError::NotReady);
     }
+    if !daemon.is_current() {
+        return Err(CallError::NotCurrent);
+    }
     let caller = Caller::authenticate(daemon, request.headers())?;
     match (request.method(), request.uri().path()) {
         (&Method::POST, "/v1/completions") => completion::run(daemon, caller, request).await,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
@@ -10,11 +10,15 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::currency::Currency;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+use crate::{
+    Settings, callers, events, load_watch, log_follower, operators, peers, snapshot_writer,
+    vm_watch,
+};
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
@@ -31,6 +35,10 @@
     pub(crate) log: LogClient,
     /// What it has folded from the log.
     pub(crate) ledger: LedgerState,
+    /// The oldest offset that the log still keeps.
+    pub(crate) log_start_offset: AtomicU64,
+    /// Whether its contracts are up to date.
+    pub(crate) currency: Currency,
     /// The VMs it knows.
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
@@ -49,6 +57,16 @@
         self.ready.load(Ordering::Acquire) && !self.is_draining()
     }
 
+    /// True while its contracts are up to date, so that it may serve.
+    pub(crate) fn is_current(&self) -> bool {
+        self.currency.is_current(self.clock.now_ms())
+    }
+
+    /// True once the fold was up to date for the first time; before that it says nothing.
+    pub(crate) fn has_folded(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
     /// True when the daemon is on its way out.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -123,6 +141,8 @@
     let (operators_running, operators_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
         spawner.spawn(log_follower::follow(daemon.clone())),
+        spawner.spawn(snapshot_writer::write(daemon.clone())),
+        spawner.spawn(peers::catch_up(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
@@ -158,6 +178,8 @@
         log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
         spawner,
         ledger: LedgerState::default(),
+        log_start_offset: AtomicU64::new(0),
+        currency: Currency::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
         metrics: Metrics::new(),
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -1,10 +1,10 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
-use comfreymast_base::{DataCentre, Model, Service, Upstream};
+use comfreymast_base::{DaemonName, DataCentre, Model, Service, Upstream};
 use comfreymast_platform::{Vm, VmRole, VmState};
 use comfreymast_wire::engine::Load;
 
@@ -15,6 +15,10 @@
     pub(crate) upstreams: BTreeMap<Upstream, Arc<UpstreamState>>,
     /// Daemons, this one included.
     pub(crate) daemons: Vec<Vm>,
+    /// True once the VM list was read and named any VM.
+    pub(crate) is_known: bool,
+    /// Every VM, as the list had it last.
+    vms: Vec<Vm>,
 }
 
 /// One upstream and what this daemon knows of it.
@@ -51,12 +55,28 @@
     /// The directory after a new VM list, keeping the live state of upstreams that stay.
     pub(crate) fn updated(&self, vms: Vec<Vm>) -> Self {
         let (daemons, others): (Vec<_>, Vec<_>) =
-            vms.into_iter().partition(|vm| vm.role == VmRole::Daemon);
+            vms.iter().cloned().partition(|vm| vm.role == VmRole::Daemon);
         let upstreams = others.into_iter().map(|vm| {
             let state = self.upstream_state(vm);
             (state.name.clone(), Arc::new(state))
         });
-        Self { upstreams: upstreams.collect(), daemons }
+        Self { upstreams: upstreams.collect(), daemons, is_known: !vms.is_empty(), vms }
+    }
+
+    /// How many VMs are known.
+    pub(crate) fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// The known VMs that `list` lacks.
+    pub(crate) fn missing_from(&self, list: &[Vm]) -> Vec<Vm> {
+        let listed: BTreeSet<_> = list.iter().map(|vm| vm.name.as_str()).collect();
+        self.vms.iter().filter(|vm| !listed.contains(vm.name.as_str())).cloned().collect()
+    }
+
+    /// True when each of `names` is a daemon on the list.
+    pub(crate) fn lists_daemons<const N: usize>(&self, names: [&DaemonName; N]) -> bool {
+        names.iter().all(|name| self.daemons.iter().any(|vm| vm.name == name.as_str()))
     }
 
     fn upstream_state(&self, vm: Vm) -> UpstreamState {
--- a/crates/daemon/src/ledger_state.rs
+++ b/crates/daemon/src/ledger_state.rs
@@ -3,15 +3,19 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use comfreymast_ledger::{Applied, Contracts, Ledger};
+use comfreymast_ledger::{Applied, Contracts, Ledger, SnapshotError};
+use comfreymast_wire::log::Snapshot;
 use event_listener::Event;
 
+use crate::recent_entries::RecentEntries;
+
 /// The ledger of this daemon, and what requests read of it without a lock.
 #[derive(Debug, Default)]
 pub(crate) struct LedgerState {
     ledger: Mutex<Ledger>,
     contracts: ArcSwap<Contracts>,
     next_offset: AtomicU64,
+    recent: Mutex<RecentEntries>,
     changed: Event,
 }
 
@@ -34,10 +38,13 @@
     /// Folds `entries` in order, then puts the result in force at once.
     pub(crate) fn apply(&self, entries: &[(u64, Bytes)]) -> Vec<(u64, Applied)> {
         let mut ledger = self.ledger();
+        let first_new = ledger.next_offset();
         let applied: Vec<_> = entries
             .iter()
             .map(|(offset, record)| (*offset, ledger.apply(*offset, record)))
             .collect();
+        let folded = first_new..ledger.next_offset();
+        self.recent().extend(entries.iter().filter(|(offset, _)| folded.contains(offset)));
         if applied.iter().any(|(_, applied)| matches!(applied, Applied::Contract { .. })) {
             self.contracts.store(Arc::new(ledger.contracts().clone()));
         }
@@ -47,6 +54,30 @@
         applied
     }
 
+    /// Puts a snapshot in force if it holds more than the fold; returns whether it did.
+    pub(crate) fn install(&self, snapshot: &Snapshot) -> Result<bool, SnapshotError> {
+        if snapshot.upto_offset <= self.next_offset() {
+            return Ok(false);
+        }
+        let restored = Ledger::restore(snapshot)?;
+        let mut ledger = self.ledger();
+        if restored.next_offset() <= ledger.next_offset() {
+            return Ok(false);
+        }
+        *ledger = restored;
+        self.recent().clear();
+        self.contracts.store(Arc::new(ledger.contracts().clone()));
+        self.next_offset.store(ledger.next_offset(), Ordering::Release);
+        drop(ledger);
+        self.changed.notify(usize::MAX);
+        Ok(true)
+    }
+
+    /// The latest records folded here, for peers that cannot read the log.
+    pub(crate) fn recent(&self) -> MutexGuard<'_, RecentEntries> {
+        self.recent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until `find` has found something in the fold.
     pub(crate) async fn wait_for<T>(&self, find: impl Fn(&Ledger) -> Option<T>) -> T {
         loop {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
 mod callers;
+mod currency;
 mod daemon;
 mod directory;
 pub mod events;
@@ -17,7 +18,9 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod recent_entries;
 mod settings;
+mod snapshot_writer;
 mod upstream;
 mod vm_watch;
 
--- a/crates/daemon/src/operators/contracts.rs
+++ b/crates/daemon/src/operators/contracts.rs
@@ -1,20 +1,27 @@
 use comfreymast_ledger::{ContractEntry, Revision};
-use comfreymast_net::Body;
+use comfreymast_net::{Body, Query};
 use hyper::{Response, StatusCode};
 
 use super::front::{error, reply};
+use super::publish::read_to_end;
 use super::{ContractSummary, ContractView, RevisionView};
 use crate::daemon::Daemon;
 
-/// `GET /contracts`.
-pub(super) fn list(daemon: &Daemon) -> Response<Body> {
+/// `GET /contracts?fresh=true`.
+pub(super) async fn list(daemon: &Daemon, query: &Query) -> Response<Body> {
+    if let Err(refusal) = make_fresh(daemon, query).await {
+        return refusal;
+    }
     let contracts = daemon.ledger.contracts();
     let summaries: Vec<_> = contracts.iter().map(|(_, entry)| summary(entry)).collect();
     reply(StatusCode::OK, &summaries)
 }
 
-/// `GET /contracts/{organisation}`.
-pub(super) fn get(daemon: &Daemon, organisation: &str) -> Response<Body> {
+/// `GET /contracts/{organisation}?fresh=true`.
+pub(super) async fn get(daemon: &Daemon, organisation: &str, query: &Query) -> Response<Body> {
+    if let Err(refusal) = make_fresh(daemon, query).await {
+        return refusal;
+    }
     match daemon.ledger.contracts().get(organisation) {
         Some(entry) => reply(StatusCode::OK, &view(entry)),
         None => {
@@ -24,6 +31,21 @@
     }
 }
 
+/// With `fresh=true`, waits for all that is on the log now. Without, what is in force here will
+/// do, but never the nothing of a daemon that has just started.
+async fn make_fresh(daemon: &Daemon, query: &Query) -> Result<(), Response<Body>> {
+    let unavailable = |code, message: &str| error(StatusCode::SERVICE_UNAVAILABLE, code, message);
+    if query.get("fresh") == Some("true") {
+        let read = read_to_end(daemon).await;
+        read.map_err(|reason| unavailable("log_unavailable", &reason.to_string()))?;
+    }
+    if !daemon.has_folded() {
+        let message = "this daemon has read neither the log nor a peer to the end yet";
+        return Err(unavailable("not_ready", message));
+    }
+    Ok(())
+}
+
 fn summary(entry: &ContractEntry) -> ContractSummary {
     ContractSummary {
         organisation: entry.contract.organisation.to_string(),
--- a/crates/daemon/src/operators/front.rs
+++ b/crates/daemon/src/operators/front.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::DaemonName;
-use comfreymast_net::{Body, empty, full, json};
+use comfreymast_net::{Body, Query, empty, full, json};
 use hyper::body::Incoming;
 use hyper::header::AUTHORIZATION;
 use hyper::{Method, Request, Response, StatusCode};
@@ -16,13 +16,14 @@
     let path = request.uri().path().to_owned();
     match path.as_str() {
         "/healthz" => return status(StatusCode::OK),
-        "/readyz" if daemon.is_ready() => return status(StatusCode::OK),
+        "/readyz" if daemon.is_ready() && daemon.is_current() => return status(StatusCode::OK),
         "/readyz" => return status(StatusCode::SERVICE_UNAVAILABLE),
         _ => {}
     }
     if !is_operator(&daemon, &request) {
         return error(StatusCode::UNAUTHORIZED, "unauthorized", "the operator key is required");
     }
+    let query = Query::parse(request.uri().query().unwrap_or_default());
     let segments: Vec<_> = path.trim_matches('/').split('/').collect();
     match (request.method(), segments.as_slice()) {
         (&Method::GET, ["metrics"]) => Response::new(full(daemon.metrics.text())),
@@ -31,8 +32,10 @@
             daemon.stop.close();
             status(StatusCode::ACCEPTED)
         }
-        (&Method::GET, ["contracts"]) => contracts::list(&daemon),
-        (&Method::GET, ["contracts", organisation]) => contracts::get(&daemon, organisation),
+        (&Method::GET, ["contracts"]) => contracts::list(&daemon, &query).await,
+        (&Method::GET, ["contracts", organisation]) => {
+            contracts::get(&daemon, organisation, &query).await
+        }
         (&Method::PUT, ["contracts", organisation]) => {
             let organisation = (*organisation).to_owned();
             publish::put(&daemon, &organisation, request).await
@@ -56,15 +59,21 @@
         .filter(|name| *name != daemon.settings.name)
         .partition(|name| table.live(name, now_ms).is_some());
     drop(table);
+    let (snapshot_offset, skipped_records) = {
+        let ledger = daemon.ledger.ledger();
+        (ledger.snapshot_offset(), ledger.skipped_records())
+    };
     let leaving = directory.upstreams.values().filter(|up| up.leaving);
     let leaving: Vec<_> = leaving.map(|up| up.name.to_string()).collect();
     StatusReply {
         daemon: daemon.settings.name.to_string(),
         ready: daemon.is_ready(),
+        current: daemon.is_current(),
         draining: daemon.is_draining(),
         next_offset: daemon.ledger.next_offset(),
+        snapshot_offset,
         contracts: daemon.ledger.contracts().len() as u64,
-        skipped_records: daemon.ledger.ledger().skipped_records(),
+        skipped_records,
         live_peers: live.iter().map(ToString::to_string).collect(),
         silent_peers: silent.iter().map(ToString::to_string).collect(),
         upstreams: (directory.upstreams.len() - leaving.len()) as u64,
--- a/crates/daemon/src/operators/publish.rs
+++ b/crates/daemon/src/operators/publish.rs
@@ -1,8 +1,10 @@
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use comfreymast_base::{DaemonName, OperationId};
 use comfreymast_contract::Contract;
-use comfreymast_ledger::{Applied, Ledger, Skip};
-use comfreymast_net::{Body, collect, within};
+use comfreymast_ledger::{Applied, FoldedOperation, Ledger, Skip, request_digest};
+use comfreymast_net::{Body, Elapsed, Query, collect, within};
 use comfreymast_platform::{LogError, VmState};
 use comfreymast_wire::log::{ContractChange, Record, record};
 use derive_more::{Display, Error, From};
@@ -19,6 +21,8 @@
 const FOLD_LIMIT_MS: u64 = 5_000;
 /// How long the other daemons may take to put it in force.
 const CONFIRM_LIMIT_MS: u64 = 5_000;
+/// What a last heartbeat may have spent on its way, beyond the age of the evidence behind it.
+const HEARD_MARGIN_MS: u64 = 500;
 
 /// Why a contract was not published.
 #[derive(Debug, Display, Error, From)]
@@ -39,6 +43,10 @@
     /// Nothing was published.
     #[display("nothing was published: {_0}")]
     Log(LogError),
+    /// The operation was used for another change.
+    #[display("the operation was used for another change; use a new one")]
+    #[from(ignore)]
+    Reused,
     /// It may have been published: ask again with the same operation.
     #[display(
         "the log does not tell whether the change took effect; publish again with the same operation"
@@ -47,33 +55,59 @@
     Unknown,
 }
 
-/// `PUT /contracts/{organisation}?base=N&author=A&operation=ID` with the document as its body.
+/// What the query of a publication says.
+struct Publication {
+    base_revision: u64,
+    author: String,
+    operation: OperationId,
+    /// True when an earlier try with this operation may have taken effect.
+    is_retry: bool,
+}
+
+impl Publication {
+    fn read(query: &Query) -> Result<Self, PublishError> {
+        let base = query.get("base").and_then(|base| base.parse().ok());
+        let operation = match query.get("operation") {
+            None => None,
+            Some(text) => Some(text.parse().map_err(|_| PublishError::Request {
+                reason: "operation=ID must be 32 hexadecimal digits",
+            })?),
+        };
+        Ok(Self {
+            base_revision: base
+                .ok_or(PublishError::Request { reason: "base=REVISION is required" })?,
+            author: query.get("author").unwrap_or("operator").to_owned(),
+            operation: operation.unwrap_or_else(OperationId::random),
+            is_retry: operation.is_some() && query.get("first") != Some("true"),
+        })
+    }
+}
+
+/// `PUT /contracts/{organisation}?base=N&author=A&operation=ID&first=true` with the document as
+/// its body. `first=true` promises that no earlier try used the operation.
 pub(super) async fn put(
     daemon: &Daemon,
     organisation: &str,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let query = request.uri().query().unwrap_or_default().to_owned();
-    let operation = parameter(&query, "operation").and_then(|id| id.parse().ok());
-    let operation = operation.unwrap_or_else(OperationId::random);
-    match publish(daemon, organisation, &query, operation, request).await {
+    let query = Query::parse(request.uri().query().unwrap_or_default());
+    let publication = match Publication::read(&query) {
+        Ok(publication) => publication,
+        Err(error) => return refuse(&error, None),
+    };
+    match publish(daemon, organisation, &publication, request).await {
         Ok(published) if published.accepted => reply(StatusCode::OK, &published),
         Ok(published) => reply(StatusCode::ACCEPTED, &published),
-        Err(error) => refuse(&error, operation),
+        Err(error) => refuse(&error, Some(publication.operation)),
     }
 }
 
 async fn publish(
     daemon: &Daemon,
     organisation: &str,
-    query: &str,
-    operation: OperationId,
+    publication: &Publication,
     request: Request<Incoming>,
 ) -> Result<PublishReply, PublishError> {
-    let base = parameter(query, "base").and_then(|base| base.parse().ok());
-    let base_revision =
-        base.ok_or(PublishError::Request { reason: "base=REVISION is required" })?;
-    let author = parameter(query, "author").unwrap_or("operator").to_owned();
     let body = collect(request.into_body(), MAX_DOCUMENT_BYTES).await;
     let body = body.map_err(|_| PublishError::Request { reason: "the document is too long" })?;
     let document = std::str::from_utf8(&body)
@@ -84,53 +118,83 @@
     }
     let change = ContractChange {
         organisation: organisation.to_owned(),
-        base_revision,
+        base_revision: publication.base_revision,
         document: document.to_owned(),
-        author,
+        author: publication.author.clone(),
         published_unix_ms: daemon.clock.unix_ms(),
     };
-    append(daemon, operation, change).await?;
-    let (offset, revision) = folded(daemon, operation).await?;
-    let lagging = confirm(daemon, offset).await;
+    let asked = request_digest(&change);
+    append(daemon, publication, change).await?;
+    let folded = folded(daemon, publication.operation).await?;
+    if folded.request_digest != asked {
+        return Err(PublishError::Reused);
+    }
+    let revision = match folded.applied {
+        Applied::Contract { revision, .. } => revision,
+        Applied::Skipped(skip) => return Err(skip.into()),
+        _ => return Err(PublishError::Unknown),
+    };
+    let lagging = confirm(daemon, folded.offset).await;
+    let fleet_known = daemon.directory.load().is_known;
     Ok(PublishReply {
         revision,
-        operation: operation.to_string(),
-        offset,
-        accepted: lagging.is_empty(),
+        operation: publication.operation.to_string(),
+        offset: folded.offset,
+        accepted: lagging.is_empty() && fleet_known,
         lagging,
+        fleet_known,
     })
 }
 
+/// Appends the change, unless the log holds the operation already.
 async fn append(
     daemon: &Daemon,
-    operation: OperationId,
+    publication: &Publication,
     change: ContractChange,
 ) -> Result<(), PublishError> {
-    // An operation that is folded already is not appended again.
-    if daemon.ledger.ledger().operation(operation).is_some() {
+    if publication.is_retry {
+        // What an earlier try appended is read back before anything is appended again.
+        read_to_end(daemon).await.map_err(|_| PublishError::Unknown)?;
+    }
+    if daemon.ledger.ledger().operation(publication.operation).is_some() {
         return Ok(());
     }
     let record = Record {
-        operation_id: operation.to_vec().into(),
+        operation_id: publication.operation.to_vec().into(),
         body: Some(record::Body::Contract(change)),
     };
     match daemon.log.append(vec![Bytes::from(record.encode_to_vec())]).await {
+        // With the reply lost, the fold tells whether the record is there.
         Ok(_) | Err(LogError::Unknown { .. } | LogError::Malformed { .. }) => Ok(()),
+        Err(_) if publication.is_retry => Err(PublishError::Unknown),
         Err(error) => Err(error.into()),
     }
 }
 
-/// Waits until the fold has met the operation; returns its offset and the revision it made.
-async fn folded(daemon: &Daemon, operation: OperationId) -> Result<(u64, u64), PublishError> {
+/// Waits until everything that was on the log at the time of the call is folded.
+pub(super) async fn read_to_end(daemon: &Daemon) -> Result<(), ReadToEndError> {
+    let end_offset = daemon.log.read(daemon.ledger.next_offset(), 1, 0).await?.end_offset;
+    let folding =
+        daemon.ledger.wait_for(|ledger| (ledger.next_offset() >= end_offset).then_some(()));
+    Ok(within(FOLD_LIMIT_MS, folding).await?)
+}
+
+/// Why the log could not be read to its end.
+#[derive(Debug, Display, Error, From)]
+pub(super) enum ReadToEndError {
+    /// The log gave no answer.
+    #[display("{_0}")]
+    Log(LogError),
+    /// The fold did not get there in time.
+    #[display("the log's end was not folded: {_0}")]
+    Fold(Elapsed),
+}
+
+/// Waits until the fold has met the operation.
+async fn folded(daemon: &Daemon, operation: OperationId) -> Result<FoldedOperation, PublishError> {
     let find = |ledger: &Ledger| ledger.operation(operation).cloned();
     let folding = daemon.ledger.wait_for(find);
-    let (offset, applied) =
-        within(FOLD_LIMIT_MS, folding).await.map_err(|_| PublishError::Unknown)?;
-    match applied {
-        Applied::Contract { revision, .. } => Ok((offset, revision)),
-        Applied::Skipped(skip) => Err(skip.into()),
-        Applied::Duplicate | Applied::Ignored => Err(PublishError::Unknown),
-    }
+    within(FOLD_LIMIT_MS, folding).await.map_err(|_| PublishError::Unknown)
 }
 
 /// Waits until every live daemon has `offset` in force; returns those that have not.
@@ -148,39 +212,41 @@
     lagging(daemon, offset)
 }
 
+/// The daemons that may still serve without `offset` in force.
+///
+/// Those are the live ones on the VM list, and every other that was heard so lately that it may
+/// still hold itself for current, as when a paused daemon vanished from the list.
 fn lagging(daemon: &Daemon, offset: u64) -> Vec<String> {
     let directory = daemon.directory.load();
     let now_ms = daemon.clock.now_ms();
     let table = daemon.peers.table();
-    let others = directory
-        .daemons
-        .iter()
-        .filter(|vm| vm.state == VmState::Live && vm.name != daemon.settings.name.as_str());
-    let behind = others.filter(|vm| {
-        let peer = table.live(&DaemonName::from(vm.name.as_str()), now_ms);
-        peer.is_none_or(|peer| peer.next_offset <= offset)
+    let listed = directory.daemons.iter().filter(|vm| vm.state == VmState::Live);
+    let listed = listed.map(|vm| DaemonName::from(vm.name.as_str()));
+    let may_serve_ms = daemon.currency.max_age_ms() + HEARD_MARGIN_MS;
+    let heard = table.heard_within(may_serve_ms, now_ms).map(|(name, _)| name.clone());
+    let required: BTreeSet<_> = listed.chain(heard).collect();
+    let others = required.into_iter().filter(|name| *name != daemon.settings.name);
+    let behind = others.filter(|name| {
+        let said = table.last(name);
+        said.is_none_or(|said| said.next_offset <= offset)
     });
-    behind.map(|vm| vm.name.clone()).collect()
-}
-
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    Some(pairs.find(|(key, _)| *key == name)?.1)
+    behind.map(|name| name.to_string()).collect()
 }
 
-fn refuse(error: &PublishError, operation: OperationId) -> Response<Body> {
+fn refuse(error: &PublishError, operation: Option<OperationId>) -> Response<Body> {
     let (status, code) = match error {
         PublishError::Request { .. } => (StatusCode::BAD_REQUEST, "bad_request"),
         PublishError::Contract(_) => (StatusCode::UNPROCESSABLE_ENTITY, "invalid_contract"),
         PublishError::Refused(Skip::Conflict { .. }) => (StatusCode::CONFLICT, "conflict"),
         PublishError::Refused(_) => (StatusCode::UNPROCESSABLE_ENTITY, "refused"),
+        PublishError::Reused => (StatusCode::UNPROCESSABLE_ENTITY, "operation_reused"),
         PublishError::Log(_) => (StatusCode::SERVICE_UNAVAILABLE, "log_unavailable"),
         PublishError::Unknown => (StatusCode::GATEWAY_TIMEOUT, "outcome_unknown"),
     };
     let error = OperatorError {
         code: code.to_owned(),
         message: error.to_string(),
-        operation: Some(operation.to_string()),
+        operation: operation.map(|operation| operation.to_string()),
     };
     reply(status, &error)
 }
--- a/crates/daemon/src/operators/replies.rs
+++ b/crates/daemon/src/operators/replies.rs
@@ -53,8 +53,10 @@
     pub offset: u64,
     /// True when every live daemon has it in force.
     pub accepted: bool,
-    /// Daemons on the VM list that have not confirmed it.
+    /// Daemons that may still serve and have not confirmed it.
     pub lagging: Vec<String>,
+    /// False when this daemon has not seen the VM list yet and cannot tell who has to confirm.
+    pub fleet_known: bool,
 }
 
 /// `GET /status`.
@@ -64,10 +66,14 @@
     pub daemon: String,
     /// True when callers are let in.
     pub ready: bool,
+    /// True while its contracts are known to be up to date.
+    pub current: bool,
     /// True when it is on its way out.
     pub draining: bool,
     /// The first log offset not yet in force here.
     pub next_offset: u64,
+    /// The log offset up to which the latest snapshot holds everything.
+    pub snapshot_offset: u64,
     /// Contracts in force.
     pub contracts: u64,
     /// Bad records skipped.
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -2,14 +2,17 @@
 
 use async_net::{TcpListener, TcpStream};
 use comfreymast_base::DaemonName;
+use comfreymast_decide::currency::PeerEvidence;
 use comfreymast_decide::membership::PeerState;
 use comfreymast_net::{Elapsed, sleep_ms, within};
 use comfreymast_wire::frames::{FrameError, PeerFrames};
 use comfreymast_wire::peer::{Challenge, Heartbeat, PeerMessage, peer_message};
 use derive_more::{Display, Error, From};
 
-use super::links::heartbeat;
+use super::catch_up::{send_entries, take_entries};
+use super::links::greet;
 use super::proof::is_proven;
+use super::state::Echo;
 use crate::daemon::Daemon;
 use crate::events;
 
@@ -72,7 +75,7 @@
     }
     let from = DaemonName::from(hello.daemon);
     // A peer that has just started learns at once how far this daemon is.
-    daemon.peers.send(&from, peer_message::Body::Heartbeat(heartbeat(daemon)));
+    greet(daemon, &from);
     loop {
         let message = within(SILENT_LINK_MS, frames.read()).await??;
         if let Some(body) = message.body {
@@ -85,18 +88,39 @@
 fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
     match body {
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
+        peer_message::Body::FetchEntries(fetch) => send_entries(daemon, from, fetch.from_offset),
+        peer_message::Body::Entries(entries) => take_entries(daemon, from, entries),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
 
 fn take_heartbeat(daemon: &Daemon, heartbeat: Heartbeat) {
+    let now_ms = daemon.clock.now_ms();
     let state = PeerState {
         incarnation: heartbeat.incarnation,
         sequence: heartbeat.sequence,
         next_offset: heartbeat.next_offset,
         leaving: heartbeat.leaving,
-        heard_ms: daemon.clock.now_ms(),
+        heard_ms: now_ms,
     };
-    daemon.peers.table().heard(DaemonName::from(heartbeat.daemon), state);
+    let echo = Echo { incarnation: heartbeat.echo_incarnation, sequence: heartbeat.echo_sequence };
+    let name = DaemonName::from(heartbeat.daemon);
+    let known_offset = {
+        let mut table = daemon.peers.table();
+        table.heard(name.clone(), state);
+        table.most_advanced(now_ms).map_or(0, |(_, next_offset)| next_offset)
+    };
+    let evidence = PeerEvidence {
+        peer_is_current: heartbeat.current,
+        peer_next_offset: heartbeat.next_offset,
+        asked_ms: daemon.peers.sent_ms(echo),
+        both_listed: daemon.directory.load().lists_daemons([&daemon.settings.name, &name]),
+    };
+    if let Some(at_ms) = evidence.proves(daemon.ledger.next_offset(), known_offset) {
+        daemon.currency.peer_agreed(at_ms);
+        if daemon.is_current() {
+            daemon.become_ready();
+        }
+    }
     daemon.peers.notify_heard();
 }
--- a/crates/daemon/src/peers/links.rs
+++ b/crates/daemon/src/peers/links.rs
@@ -40,24 +40,46 @@
 pub(crate) async fn send_heartbeats(daemon: Arc<Daemon>) {
     loop {
         let announced = daemon.peers.announced();
-        let body = peer_message::Body::Heartbeat(heartbeat(&daemon));
-        daemon.peers.broadcast(&body);
+        let heartbeat = heartbeat(&daemon);
+        let peers: Vec<_> = daemon.peers.links().keys().cloned().collect();
+        for peer in peers {
+            let body = addressed(&daemon, heartbeat.clone(), &peer);
+            daemon.peers.send(&peer, peer_message::Body::Heartbeat(body));
+        }
         future::or(announced, sleep_ms(daemon.settings.heartbeat_interval_ms)).await;
     }
 }
 
 /// What this daemon says of itself now.
-pub(super) fn heartbeat(daemon: &Daemon) -> Heartbeat {
+fn heartbeat(daemon: &Daemon) -> Heartbeat {
     Heartbeat {
         daemon: daemon.settings.name.to_string(),
         incarnation: daemon.peers.incarnation,
-        sequence: daemon.peers.next_sequence(),
+        sequence: daemon.peers.next_sequence(daemon.clock.now_ms()),
         next_offset: daemon.ledger.next_offset(),
         leaving: daemon.is_draining(),
-        relayed: Vec::new(),
+        current: daemon.is_current(),
+        ..Heartbeat::default()
     }
 }
 
+/// A heartbeat that tells `peer` which of its own was heard last.
+fn addressed(daemon: &Daemon, heartbeat: Heartbeat, peer: &DaemonName) -> Heartbeat {
+    let table = daemon.peers.table();
+    let last = table.last(peer);
+    Heartbeat {
+        echo_incarnation: last.map_or(0, |state| state.incarnation),
+        echo_sequence: last.map_or(0, |state| state.sequence),
+        ..heartbeat
+    }
+}
+
+/// Sends a heartbeat to one peer.
+pub(super) fn greet(daemon: &Daemon, peer: &DaemonName) {
+    let body = addressed(daemon, heartbeat(daemon), peer);
+    daemon.peers.send(peer, peer_message::Body::Heartbeat(body));
+}
+
 /// Keeps one link to every daemon on the VM list, until this daemon ends.
 pub(crate) async fn keep_links(daemon: Arc<Daemon>) {
     loop {
--- a/crates/daemon/src/peers/state.rs
+++ b/crates/daemon/src/peers/state.rs
@@ -1,5 +1,5 @@
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::Sender;
@@ -10,14 +10,27 @@
 
 use crate::Settings;
 
+/// How many of its own heartbeats a daemon remembers the time of.
+const MAX_SENT: usize = 256;
+
+/// The latest heartbeat of this daemon that a peer had heard when it sent its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Echo {
+    pub(crate) incarnation: u64,
+    pub(crate) sequence: u64,
+}
+
 /// What this daemon knows of the others, and its links to them.
 #[derive(Debug)]
 pub(crate) struct Peers {
     /// This run of this daemon. A later run has a higher number.
     pub(crate) incarnation: u64,
     sequence: AtomicU64,
+    /// When each of the latest heartbeats was made, by its sequence.
+    sent: Mutex<VecDeque<(u64, u64)>>,
     table: Mutex<PeerTable>,
     links: Mutex<BTreeMap<DaemonName, Sender<PeerMessage>>>,
+    was_current: AtomicBool,
     announced: Event,
     heard: Event,
 }
@@ -27,9 +40,12 @@
     pub(crate) fn new(_settings: &Settings) -> Self {
         Self {
             incarnation: Clock::system().unix_ms(),
-            sequence: AtomicU64::new(0),
+            // A sequence of 0 stands for none.
+            sequence: AtomicU64::new(1),
+            sent: Mutex::default(),
             table: Mutex::new(PeerTable::new(MembershipOptions::default())),
             links: Mutex::default(),
+            was_current: AtomicBool::new(true),
             announced: Event::new(),
             heard: Event::new(),
         }
@@ -45,9 +61,33 @@
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The number of the next heartbeat.
-    pub(crate) fn next_sequence(&self) -> u64 {
-        self.sequence.fetch_add(1, Ordering::AcqRel)
+    /// The number of the next heartbeat, made at `now_ms`.
+    pub(crate) fn next_sequence(&self, now_ms: u64) -> u64 {
+        let sequence = self.sequence.fetch_add(1, Ordering::AcqRel);
+        let mut sent = self.sent();
+        sent.push_back((sequence, now_ms));
+        if sent.len() > MAX_SENT {
+            sent.pop_front();
+        }
+        sequence
+    }
+
+    /// When this daemon made the heartbeat that a peer echoes.
+    pub(crate) fn sent_ms(&self, echo: Echo) -> Option<u64> {
+        if echo.incarnation != self.incarnation {
+            return None;
+        }
+        let sent = self.sent();
+        sent.iter().find(|(sequence, _)| *sequence == echo.sequence).map(|(_, at_ms)| *at_ms)
+    }
+
+    fn sent(&self) -> MutexGuard<'_, VecDeque<(u64, u64)>> {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes whether this daemon is current; returns what was noted before.
+    pub(crate) fn swap_current(&self, current: bool) -> bool {
+        self.was_current.swap(current, Ordering::AcqRel)
     }
 
     /// Sends a heartbeat now instead of at the next interval.
@@ -80,6 +120,7 @@
     }
 
     /// Sends to every peer that this daemon has a link to.
+    #[allow(dead_code, reason = "heartbeats differ by peer; other messages are the same for all")]
     pub(crate) fn broadcast(&self, body: &peer_message::Body) {
         for link in self.links().values() {
             let _ = link.try_send(PeerMessage { body: Some(body.clone()) });
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 15] = [
+pub const SETTINGS: [SettingSpec; 17] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -46,6 +46,12 @@
     optional("threads", "4", "Executor threads, 1 to 256"),
     optional("heartbeat-interval-ms", "250", "Time between heartbeats to peers, 20 to 10000"),
     optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
+    optional(
+        "snapshot-interval-ms",
+        "3600000",
+        "Time between snapshots on the log, 100 to 604800000; at most a third of its retention",
+    ),
+    optional("snapshot-records", "100000", "Records between snapshots, 10 to 100000000"),
     optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
     optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
@@ -78,6 +84,10 @@
     pub heartbeat_interval_ms: u64,
     /// Time between reads of the VM list.
     pub vms_interval_ms: u64,
+    /// Time between snapshots on the log.
+    pub snapshot_interval_ms: u64,
+    /// Records between snapshots on the log.
+    pub snapshot_records: u64,
     /// Time between load reports of an engine.
     pub load_interval_ms: u64,
     /// How long an open stream may say nothing.
@@ -159,6 +169,8 @@
         let threads = self.number("threads", 1..=256);
         let heartbeat_interval_ms = self.number("heartbeat-interval-ms", INTERVAL_MS);
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
+        let snapshot_interval_ms = self.number("snapshot-interval-ms", 100..=604_800_000);
+        let snapshot_records = self.number("snapshot-records", 10..=100_000_000);
         let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
         let silence_ms = self.number("silence-ms", 100..=600_000);
         let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
@@ -175,6 +187,8 @@
             threads: usize::try_from(threads?).ok()?,
             heartbeat_interval_ms: heartbeat_interval_ms?,
             vms_interval_ms: vms_interval_ms?,
+            snapshot_interval_ms: snapshot_interval_ms?,
+            snapshot_records: snapshot_records?,
             load_interval_ms: load_interval_ms?,
             silence_ms: silence_ms?,
             max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
--- a/crates/daemon/src/vm_watch.rs
+++ b/crates/daemon/src/vm_watch.rs
@@ -1,7 +1,8 @@
 use std::sync::Arc;
 
+use comfreymast_decide::list_guard::{ListGuard, ListVerdict};
 use comfreymast_net::sleep_ms;
-use comfreymast_platform::VmList;
+use comfreymast_platform::{Vm, VmList};
 
 use crate::daemon::Daemon;
 use crate::directory::Directory;
@@ -10,17 +11,17 @@
 /// Reads the VM list again and again, until the daemon ends. A failed read keeps the last list.
 pub(crate) async fn watch(daemon: Arc<Daemon>, list: VmList) {
     let mut available = true;
+    let mut guard = ListGuard::default();
+    let mut held = false;
     loop {
+        let asked_ms = daemon.clock.now_ms();
         match list.read().await {
             Ok(vms) => {
                 if !available {
                     events::VM_LIST_RESTORED.log(format_args!("{} VMs", vms.len()));
                 }
                 available = true;
-                let known = daemon.directory.load_full();
-                let updated = known.updated(vms);
-                log_leaving(&known, &updated);
-                daemon.directory.store(Arc::new(updated));
+                held = take_list(&daemon, &mut guard, vms, held);
             }
             Err(error) => {
                 if available {
@@ -29,15 +30,42 @@
                 available = false;
             }
         }
+        daemon.currency.vm_list_tried(asked_ms);
         sleep_ms(daemon.settings.vms_interval_ms).await;
     }
 }
 
-fn log_leaving(known: &Directory, updated: &Directory) {
+/// Takes a new list, with the VMs it lacks if too many are missing to believe it.
+///
+/// Returns whether VMs were kept; `held` says whether that was so before.
+fn take_list(daemon: &Daemon, guard: &mut ListGuard, mut vms: Vec<Vm>, held: bool) -> bool {
+    let known = daemon.directory.load_full();
+    let missing = known.missing_from(&vms);
+    let verdict = guard.judge(known.len(), missing.len(), vms.len(), daemon.clock.now_ms());
+    let holds = verdict == ListVerdict::Hold;
+    if holds && !held {
+        let (missing, known) = (missing.len(), known.len());
+        events::VM_LIST_HELD.log(format_args!("{missing} of {known} VMs are missing"));
+    }
+    if holds {
+        vms.extend(missing);
+    }
+    let updated = known.updated(vms);
+    log_changes(&known, &updated);
+    daemon.directory.store(Arc::new(updated));
+    holds
+}
+
+fn log_changes(known: &Directory, updated: &Directory) {
     for (name, state) in &updated.upstreams {
         let stayed = known.upstreams.get(name).is_some_and(|known| !known.leaving);
         if state.leaving && stayed {
             events::UPSTREAM_LEAVING.log(format_args!("{name}"));
         }
     }
+    for (name, state) in &known.upstreams {
+        if !state.leaving && !updated.upstreams.contains_key(name) {
+            events::UPSTREAM_GONE.log(format_args!("{name}"));
+        }
+    }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,7 +1,11 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
+//! * [`currency`] — whether a daemon may serve on the contracts it holds.
+//! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
 //! * [`routing`] — which upstream gets a request.
 
+pub mod currency;
+pub mod list_guard;
 pub mod membership;
 pub mod routing;
--- a/crates/decide/src/membership.rs
+++ b/crates/decide/src/membership.rs
@@ -63,6 +63,31 @@
         (now_ms.saturating_sub(state.heard_ms) <= self.options.lost_after_ms).then_some(state)
     }
 
+    /// What a daemon last said, however long ago.
+    #[must_use]
+    pub fn last(&self, daemon: &DaemonName) -> Option<&PeerState> {
+        self.peers.get(daemon)
+    }
+
+    /// Daemons heard within `within_ms` that did not say that they leave.
+    pub fn heard_within(
+        &self,
+        within_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&DaemonName, &PeerState)> {
+        self.peers.iter().filter(move |(_, state)| {
+            !state.leaving && now_ms.saturating_sub(state.heard_ms) <= within_ms
+        })
+    }
+
+    /// The live daemon that has folded most, and its next offset.
+    #[must_use]
+    pub fn most_advanced(&self, now_ms: u64) -> Option<(&DaemonName, u64)> {
+        self.heard_within(self.options.lost_after_ms, now_ms)
+            .map(|(name, state)| (name, state.next_offset))
+            .max_by_key(|(_, next_offset)| *next_offset)
+    }
+
     /// Forgets daemons that have been silent for ten times as long as it takes to be lost.
     pub fn forget_lost(&mut self, now_ms: u64) {
         const FORGET_FACTOR: u64 = 10;
--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -18,6 +18,8 @@
 
 const MAX_APPEND_BYTES: usize = 32 * 1024 * 1024;
 const POLL_MS: u64 = 2;
+/// A reply holds fewer records than asked for once they have this many bytes.
+const MAX_READ_BYTES: usize = 8 * 1024 * 1024;
 
 /// What goes wrong from now on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -29,6 +31,8 @@
     pub hang: bool,
     /// Delays every append by this much, before it takes effect.
     pub append_delay_ms: u64,
+    /// Delays every read's answer by this much, after its records were taken.
+    pub read_delay_ms: u64,
     /// The next appends take effect, but their replies are lost.
     pub lose_append_replies: u32,
     /// How many records are kept; 0 keeps all.
@@ -79,7 +83,12 @@
     fn read(&self, from: u64, max: usize) -> ReadReply {
         let from = from.max(self.start_offset);
         let skip = usize::try_from(from - self.start_offset).unwrap_or(usize::MAX);
-        let kept = self.records.iter().skip(skip).take(max);
+        let mut read_bytes = 0;
+        let kept = self.records.iter().skip(skip).take(max).take_while(|record| {
+            let fits = read_bytes < MAX_READ_BYTES;
+            read_bytes += record.len();
+            fits
+        });
         let entries =
             kept.zip(from..).map(|(record, offset)| Entry { offset, record: record.clone() });
         ReadReply {
@@ -174,9 +183,14 @@
         while self.state().end_offset() <= from && clock.now_ms() < wait_ms {
             sleep_ms(POLL_MS).await;
         }
-        let mut state = self.state();
-        state.stats.reads += 1;
-        reply::bytes(state.read(from, usize::try_from(max).unwrap_or(usize::MAX)).encode_to_vec())
+        let (read, delay_ms) = {
+            let mut state = self.state();
+            state.stats.reads += 1;
+            let read = state.read(from, usize::try_from(max).unwrap_or(usize::MAX));
+            (read, state.faults.read_delay_ms)
+        };
+        sleep_ms(delay_ms).await;
+        reply::bytes(read.encode_to_vec())
     }
 }
 
--- a/crates/ledger/src/applied.rs
+++ b/crates/ledger/src/applied.rs
@@ -13,12 +13,35 @@
     },
     /// The record's operation was folded before; appending twice does no harm.
     Duplicate,
+    /// Records before this one are missing, so it was not folded.
+    Gap {
+        /// The offset that has to come first.
+        next_offset: u64,
+    },
+    /// The record is a snapshot of everything below an offset.
+    Snapshot {
+        /// That offset.
+        upto_offset: u64,
+        /// Whether it was made from the records folded here.
+        check: SnapshotCheck,
+    },
     /// A record of a kind that this fold does not use.
     Ignored,
     /// The record did nothing.
     Skipped(Skip),
 }
 
+/// How a snapshot on the log compares with the records folded here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SnapshotCheck {
+    /// It was made from the same records.
+    Agrees,
+    /// It was made from other records: the daemon that wrote it, or this one, is at fault.
+    Differs,
+    /// Its offset is too long ago to tell.
+    TooOld,
+}
+
 /// Why a record did nothing. Every daemon skips it for the same reason.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum Skip {
@@ -42,4 +65,7 @@
         /// The revision in force.
         revision: u64,
     },
+    /// The snapshot's bytes are not those its digest was made of.
+    #[display("the snapshot's digest does not match its bytes")]
+    BadSnapshot,
 }
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -1,24 +1,33 @@
-use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use comfreymast_base::OperationId;
 use comfreymast_contract::{Contract, ContractError};
-use comfreymast_wire::log::{ContractChange, Record, record};
+use comfreymast_wire::log::{ContractChange, Record, Snapshot, record};
 use prost::Message;
+use sha2::{Digest, Sha256};
 
-use crate::{Applied, ContractEntry, Contracts, Revision, Skip};
+use crate::chain::Chain;
+use crate::operations::Operations;
+use crate::snapshot::is_intact;
+use crate::{
+    Applied, ChainDigest, ContractEntry, Contracts, FoldedOperation, RequestDigest, Revision, Skip,
+    SnapshotCheck,
+};
 
 const MAX_HISTORY: usize = 16;
-const MAX_OPERATIONS: usize = 4_096;
 
 /// State folded from all records below [`Ledger::next_offset`].
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    next_offset: u64,
-    contracts: Contracts,
-    skipped_records: u64,
-    operations: HashMap<OperationId, (u64, Applied)>,
-    operation_order: VecDeque<OperationId>,
+    pub(crate) next_offset: u64,
+    pub(crate) contracts: Contracts,
+    pub(crate) skipped_records: u64,
+    /// Kept apart from the other operations, which are many more.
+    pub(crate) contract_operations: Operations,
+    pub(crate) other_operations: Operations,
+    pub(crate) chain: Chain,
+    pub(crate) snapshot_offset: u64,
+    pub(crate) snapshot_taken_unix_ms: u64,
 }
 
 impl Ledger {
@@ -40,19 +49,45 @@
         self.skipped_records
     }
 
-    /// The offset and effect of one of the latest operations.
+    /// What one of the latest operations did.
     #[must_use]
-    pub fn operation(&self, operation: OperationId) -> Option<&(u64, Applied)> {
-        self.operations.get(&operation)
+    pub fn operation(&self, operation: OperationId) -> Option<&FoldedOperation> {
+        self.contract_operations.get(operation).or_else(|| self.other_operations.get(operation))
     }
 
-    /// Folds the record at `offset`. An offset folded before changes nothing, so nothing reverts.
+    /// A digest of all records folded.
+    #[must_use]
+    pub fn chain(&self) -> ChainDigest {
+        self.chain.head()
+    }
+
+    /// The offset up to which the latest snapshot on the log holds everything; 0 for none.
+    #[must_use]
+    pub fn snapshot_offset(&self) -> u64 {
+        self.snapshot_offset
+    }
+
+    /// When the latest snapshot on the log was taken, by its writer's clock.
+    #[must_use]
+    pub fn snapshot_taken_unix_ms(&self) -> u64 {
+        self.snapshot_taken_unix_ms
+    }
+
+    /// Folds the record at `offset`.
+    ///
+    /// An offset folded before changes nothing, so nothing reverts. An offset with records
+    /// missing before it changes nothing either; [`Applied::Gap`] says which comes first.
     pub fn apply(&mut self, offset: u64, record: &[u8]) -> Applied {
         if offset < self.next_offset {
             return Applied::Duplicate;
         }
-        self.next_offset = offset + 1;
+        if offset > self.next_offset {
+            return Applied::Gap { next_offset: self.next_offset };
+        }
+        // Folded first: a snapshot is compared with the chain below it.
         let applied = self.fold(offset, record).unwrap_or_else(Applied::Skipped);
+        self.chain.push(offset, record);
+        self.next_offset = offset + 1;
         if let Applied::Skipped(skip) = &applied
             && !matches!(skip, Skip::Conflict { .. })
         {
@@ -65,13 +100,22 @@
         let record = Record::decode(bytes).map_err(|_| Skip::Undecodable)?;
         let operation =
             OperationId::try_from(&record.operation_id[..]).map_err(|_| Skip::NoOperation)?;
-        if self.operations.contains_key(&operation) {
+        if self.operation(operation).is_some() {
             return Ok(Applied::Duplicate);
         }
-        let applied = self.fold_body(offset, operation, record.body);
-        let effect = applied.clone().unwrap_or_else(Applied::Skipped);
-        self.remember(offset, operation, effect);
-        applied
+        let request_digest = match &record.body {
+            Some(record::Body::Contract(change)) => Some(request_digest(change)),
+            _ => None,
+        };
+        let folded = self.fold_body(offset, operation, record.body);
+        let applied = folded.clone().unwrap_or_else(Applied::Skipped);
+        let operations = match request_digest {
+            Some(_) => &mut self.contract_operations,
+            None => &mut self.other_operations,
+        };
+        let request_digest = request_digest.unwrap_or_default();
+        operations.remember(operation, FoldedOperation { offset, applied, request_digest });
+        folded
     }
 
     fn fold_body(
@@ -82,19 +126,32 @@
     ) -> Result<Applied, Skip> {
         match body {
             Some(record::Body::Contract(change)) => self.change_contract(offset, operation, change),
+            Some(record::Body::Snapshot(snapshot)) => self.take_snapshot(&snapshot),
             Some(_) => Ok(Applied::Ignored),
             None => Err(Skip::Undecodable),
         }
     }
 
-    fn remember(&mut self, offset: u64, operation: OperationId, effect: Applied) {
-        self.operations.insert(operation, (offset, effect));
-        self.operation_order.push_back(operation);
-        if self.operation_order.len() > MAX_OPERATIONS
-            && let Some(oldest) = self.operation_order.pop_front()
-        {
-            self.operations.remove(&oldest);
+    fn take_snapshot(&mut self, snapshot: &Snapshot) -> Result<Applied, Skip> {
+        let upto_offset = snapshot.upto_offset;
+        if !is_intact(snapshot) || upto_offset > self.next_offset {
+            return Err(Skip::BadSnapshot);
+        }
+        let own = if upto_offset == self.next_offset {
+            Some(self.chain.head())
+        } else {
+            self.chain.below(upto_offset)
+        };
+        let check = match own {
+            Some(own) if own[..] == snapshot.chain[..] => SnapshotCheck::Agrees,
+            Some(_) => SnapshotCheck::Differs,
+            None => SnapshotCheck::TooOld,
+        };
+        if check != SnapshotCheck::Differs && upto_offset > self.snapshot_offset {
+            self.snapshot_offset = upto_offset;
+            self.snapshot_taken_unix_ms = snapshot.taken_unix_ms;
         }
+        Ok(Applied::Snapshot { upto_offset, check })
     }
 
     fn change_contract(
@@ -152,6 +209,20 @@
     }
 }
 
+/// What a change asks for. A retry has another time and may have another author.
+#[must_use]
+pub fn request_digest(change: &ContractChange) -> RequestDigest {
+    let mut hasher = Sha256::new();
+    hasher.update(change.organisation.as_bytes());
+    hasher.update([0]);
+    hasher.update(change.base_revision.to_be_bytes());
+    hasher.update(change.document.as_bytes());
+    let mut digest = RequestDigest::default();
+    let length = digest.len();
+    digest.copy_from_slice(&hasher.finalize()[..length]);
+    digest
+}
+
 fn invalid(error: ContractError) -> Skip {
     Skip::Invalid { reason: error.to_string() }
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -7,13 +7,21 @@
 //! * [`Contracts`] — the contracts in force, cheap to share with requests.
 //! * [`ContractEntry`] — one contract with its revision and history.
 //! * [`Applied`] — what one record did; [`Skip`] — why a record did nothing.
+//! * [`FoldedOperation`] — what an operation did, for asking again.
+//! * [`Ledger::snapshot`] and [`Ledger::restore`] — a fold as bytes and back.
 
 mod applied;
+mod chain;
 mod contract_entry;
 mod contracts;
 mod ledger;
+mod operations;
+mod snapshot;
 
-pub use applied::{Applied, Skip};
+pub use applied::{Applied, Skip, SnapshotCheck};
+pub use chain::ChainDigest;
 pub use contract_entry::{ContractEntry, Revision};
 pub use contracts::Contracts;
-pub use ledger::Ledger;
+pub use ledger::{Ledger, request_digest};
+pub use operations::{FoldedOperation, RequestDigest};
+pub use snapshot::{SnapshotError, is_intact};
--- /dev/null
+++ b/crates/ledger/src/snapshot.rs
@@ -0,0 +1,184 @@
+//! A fold as bytes: for the log, before older records expire, and for peers.
+
+use std::sync::Arc;
+
+use comfreymast_base::{OperationId, Organisation, ParseIdError};
+use comfreymast_contract::{Contract, ContractError};
+use comfreymast_wire::log::{
+    ContractState, OperationEnd, OperationState, RevisionState, Snapshot, SnapshotState,
+};
+use derive_more::{Display, Error, From};
+use prost::Message;
+use sha2::{Digest, Sha256};
+
+use crate::chain::Chain;
+use crate::operations::Operations;
+use crate::{Applied, ContractEntry, Contracts, FoldedOperation, Ledger, Revision, Skip};
+
+/// Why a snapshot cannot be used.
+#[derive(Debug, Display, Error, From)]
+pub enum SnapshotError {
+    /// The bytes are not those the digest was made of.
+    #[display("the snapshot's digest does not match its bytes")]
+    Digest,
+    /// The state does not decode.
+    #[display("the snapshot does not decode: {_0}")]
+    Decode(prost::DecodeError),
+    /// The state holds a document that is not a contract.
+    #[display("the snapshot holds a bad contract: {_0}")]
+    Contract(ContractError),
+    /// The state holds a bad operation id.
+    #[display("the snapshot holds a bad operation id: {_0}")]
+    Operation(ParseIdError),
+    /// The chain digest has another length than 32 bytes, or the offsets differ.
+    #[display("the snapshot's head does not match its state")]
+    Head,
+}
+
+/// True when the digest of `snapshot` was made of its state.
+#[must_use]
+pub fn is_intact(snapshot: &Snapshot) -> bool {
+    Sha256::digest(&snapshot.state)[..] == snapshot.digest[..]
+}
+
+impl Ledger {
+    /// Everything folded so far, as taken at `taken_unix_ms`.
+    #[must_use]
+    pub fn snapshot(&self, taken_unix_ms: u64) -> Snapshot {
+        let state = SnapshotState {
+            next_offset: self.next_offset,
+            skipped_records: self.skipped_records,
+            contracts: self.contracts.iter().map(|(_, entry)| contract_state(entry)).collect(),
+            operations: self
+                .contract_operations
+                .iter()
+                .filter_map(|(id, operation)| operation_state(id, operation))
+                .collect(),
+        };
+        let state = state.encode_to_vec();
+        Snapshot {
+            upto_offset: self.next_offset,
+            digest: Sha256::digest(&state).to_vec().into(),
+            state: state.into(),
+            chain: self.chain.head().to_vec().into(),
+            taken_unix_ms,
+        }
+    }
+
+    /// The fold that `snapshot` was made of.
+    ///
+    /// # Errors
+    ///
+    /// Any [`SnapshotError`].
+    pub fn restore(snapshot: &Snapshot) -> Result<Self, SnapshotError> {
+        if !is_intact(snapshot) {
+            return Err(SnapshotError::Digest);
+        }
+        let state = SnapshotState::decode(snapshot.state.clone())?;
+        let head = snapshot.chain[..].try_into().map_err(|_| SnapshotError::Head)?;
+        if state.next_offset != snapshot.upto_offset {
+            return Err(SnapshotError::Head);
+        }
+        let mut contracts = Contracts::default();
+        for contract in state.contracts {
+            contracts.insert(contract_entry(contract)?);
+        }
+        let mut operations = Operations::default();
+        for operation in state.operations {
+            let id = OperationId::try_from(&operation.operation_id[..])?;
+            operations.remember(id, folded_operation(operation)?);
+        }
+        Ok(Self {
+            next_offset: state.next_offset,
+            skipped_records: state.skipped_records,
+            contracts,
+            contract_operations: operations,
+            chain: Chain::from_head(head),
+            snapshot_offset: snapshot.upto_offset,
+            snapshot_taken_unix_ms: snapshot.taken_unix_ms,
+            ..Self::default()
+        })
+    }
+}
+
+fn contract_state(entry: &ContractEntry) -> ContractState {
+    ContractState {
+        revision: entry.revision,
+        document: entry.document.to_string(),
+        history: entry.history.iter().map(revision_state).collect(),
+    }
+}
+
+fn revision_state(revision: &Revision) -> RevisionState {
+    RevisionState {
+        revision: revision.revision,
+        operation_id: revision.operation.to_vec().into(),
+        offset: revision.offset,
+        author: revision.author.to_string(),
+        published_unix_ms: revision.published_unix_ms,
+    }
+}
+
+fn contract_entry(state: ContractState) -> Result<ContractEntry, SnapshotError> {
+    let contract = Contract::parse(&state.document)?;
+    let history = state.history.into_iter().map(|past| {
+        Ok(Revision {
+            revision: past.revision,
+            operation: OperationId::try_from(&past.operation_id[..])?,
+            offset: past.offset,
+            author: Arc::from(past.author),
+            published_unix_ms: past.published_unix_ms,
+        })
+    });
+    Ok(ContractEntry {
+        revision: state.revision,
+        document: Arc::from(state.document),
+        contract: Arc::new(contract),
+        history: history.collect::<Result<_, SnapshotError>>()?,
+    })
+}
+
+fn operation_state(id: OperationId, operation: &FoldedOperation) -> Option<OperationState> {
+    let mut state = OperationState {
+        operation_id: id.to_vec().into(),
+        offset: operation.offset,
+        request_digest: operation.request_digest.to_vec().into(),
+        ..OperationState::default()
+    };
+    match &operation.applied {
+        Applied::Contract { organisation, revision } => {
+            state.set_end(OperationEnd::InForce);
+            state.organisation = organisation.to_string();
+            state.revision = *revision;
+        }
+        Applied::Skipped(Skip::Conflict { base_revision, revision }) => {
+            state.set_end(OperationEnd::Conflict);
+            state.base_revision = *base_revision;
+            state.revision = *revision;
+        }
+        Applied::Skipped(Skip::Invalid { reason }) => {
+            state.set_end(OperationEnd::Invalid);
+            state.reason = reason.clone();
+        }
+        _ => return None,
+    }
+    Some(state)
+}
+
+fn folded_operation(state: OperationState) -> Result<FoldedOperation, SnapshotError> {
+    let applied = match state.end() {
+        OperationEnd::InForce => Applied::Contract {
+            organisation: Organisation::from(state.organisation.as_str()),
+            revision: state.revision,
+        },
+        OperationEnd::Conflict => Applied::Skipped(Skip::Conflict {
+            base_revision: state.base_revision,
+            revision: state.revision,
+        }),
+        OperationEnd::Invalid | OperationEnd::Unspecified => {
+            Applied::Skipped(Skip::Invalid { reason: state.reason.clone() })
+        }
+    };
+    let request_digest = state.request_digest[..].try_into().map_err(|_| ParseIdError)?;
+    Ok(FoldedOperation { offset: state.offset, applied, request_digest })
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,16 +7,18 @@
 //! * [`Body`] — the one body type, whole or streamed.
 //! * [`serve`] — an HTTP/1.1 and HTTP/2 server that drains when its stop channel closes.
 //! * [`dial`] — one client connection, [`call`] — one request on a fresh one.
-//! * [`request`] — a request with its address filled in.
+//! * [`request`] — a request with its address filled in; [`Query`] — its parameters.
 
 mod body;
 mod client;
+mod query;
 mod server;
 mod spawner;
 mod timeout;
 
 pub use body::{Body, BodyError, channel, collect, empty, full, json};
 pub use client::{Connection, DialError, call, dial, request};
+pub use query::Query;
 pub use server::{Handler, ServeLimits, handler, serve};
 pub use spawner::{Spawner, sleep_ms};
 pub use timeout::{Elapsed, within};
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -67,6 +67,12 @@
         self.vm.addr
     }
 
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.vm.operators_addr.unwrap_or(self.vm.addr)
+    }
+
     /// The command line against this daemon.
     #[must_use]
     pub fn cli(&self) -> Cli {
@@ -173,9 +179,22 @@
     ///
     /// Any [`ProofError`].
     pub fn start_daemon(&self, name: &str) -> Result<DaemonProcess, ProofError> {
+        self.start_daemon_with_log(name, self.log.listening())
+    }
+
+    /// Starts one daemon with a log of its own at `log_addr`, without listing it.
+    ///
+    /// # Errors
+    ///
+    /// Any [`ProofError`].
+    pub fn start_daemon_with_log(
+        &self,
+        name: &str,
+        log_addr: &str,
+    ) -> Result<DaemonProcess, ProofError> {
         let mut command = Command::new(program("comfreymast"));
         command.args(["daemon", "--name", name, "--data-centre", "dc1"]);
-        command.args(["--log-addr", self.log.listening(), "--vms-addr", self.vms.listening()]);
+        command.args(["--log-addr", log_addr, "--vms-addr", self.vms.listening()]);
         for flag in ["--callers-addr", "--operators-addr", "--peers-addr"] {
             command.args([flag, "127.0.0.1:0"]);
         }
@@ -233,6 +252,27 @@
         Ok(())
     }
 
+    /// Waits until `seen` gives true; unlike [`Fleet::wait_for`] it may call the fleet.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::NotSeen`].
+    pub async fn wait_until<F: Future<Output = bool>>(
+        &self,
+        what: &str,
+        mut seen: impl FnMut() -> F,
+    ) -> Result<(), ProofError> {
+        let clock = comfreymast_base::Clock::system();
+        while !seen().await {
+            if clock.now_ms() > WAIT_LIMIT_MS {
+                let what = what.to_owned();
+                return Err(ProofError::NotSeen { what, limit_ms: WAIT_LIMIT_MS });
+            }
+            sleep_ms(POLL_MS).await;
+        }
+        Ok(())
+    }
+
     /// Waits until `seen` returns true.
     ///
     /// # Errors
