--- a/crates/proof/tests/contract_register.rs
+++ b/crates/proof/tests/contract_register.rs
@@ -97,11 +97,15 @@
         let Ok(answer) = operator.put(daemon, change, attempt == 0).await else { continue };
         let body = answer.json();
         match (answer.status, body["code"].as_str()) {
-            (200 | 202, _) => return PutTold::InForce(body["revision"].as_u64().unwrap()),
+            (200 | 202, _) => {
+                return PutTold::InForce(body["revision"].as_u64().expect("a revision"));
+            }
             (409, _) => {
-                let message = body["message"].as_str().unwrap();
+                let message = body["message"].as_str().expect("a message");
                 let revision = message.split_whitespace().rev().nth(3);
-                return PutTold::Conflict(revision.unwrap().parse().unwrap());
+                return PutTold::Conflict(
+                    revision.and_then(|text| text.parse().ok()).expect("the revision that won"),
+                );
             }
             (503, Some("log_unavailable")) => return PutTold::NotPublished,
             _ => {}
