--- /dev/null
+++ b/crates/proof/tests/common/mod.rs
@@ -0,0 +1,95 @@
+//! What the proofs of contracts share.
+#![allow(dead_code, reason = "each proof uses a part")]
+
+use comfreymast_base::OperationId;
+use comfreymast_proof::{Change, DaemonProcess, Fleet, FleetOptions, Operator};
+
+/// The organisation of [`contract`].
+pub(crate) const ORGANISATION: &str = "estudio-norte";
+/// Its bearer key.
+pub(crate) const KEY: &str = "key-of-estudio-norte";
+
+/// A contract that lets [`KEY`] look drawings up, if it is enabled.
+pub(crate) fn contract(enabled: bool) -> String {
+    format!(
+        r#"
+organisation = "{ORGANISATION}"
+enabled = {enabled}
+
+[[keys]]
+name = "site"
+sha256 = "4c87c44e5ac0537924acfa2d882f1803b5300e6b28a05909f2cb5b70ed84d713"
+
+[[work]]
+kind = "report"
+model = "m"
+priority = 7
+max_output_tokens = 20000
+repeatable = true
+
+[[routes]]
+prefix = "/drawings"
+service = "s"
+methods = ["GET"]
+repeatable = true
+"#
+    )
+}
+
+/// A change of [`ORGANISATION`]'s contract.
+pub(crate) fn change(base: u64, enabled: bool) -> Change {
+    Change {
+        organisation: ORGANISATION.to_owned(),
+        base,
+        document: contract(enabled),
+        operation: OperationId::random(),
+    }
+}
+
+/// A change of another organisation's contract, for filling the log.
+pub(crate) fn filler(organisation: &str, base: u64) -> Change {
+    Change {
+        organisation: organisation.to_owned(),
+        base,
+        document: format!("organisation = \"{organisation}\"\n"),
+        operation: OperationId::random(),
+    }
+}
+
+/// A fleet without engines whose daemons write a snapshot often.
+pub(crate) fn options() -> FleetOptions {
+    let mut options = FleetOptions { engines: 0, ..FleetOptions::default() };
+    let snapshots = ["--snapshot-records", "10", "--snapshot-interval-ms", "1000"];
+    options.daemon_flags.extend(snapshots.map(str::to_owned));
+    options
+}
+
+/// Publishes through one daemon and expects it to be accepted everywhere.
+pub(crate) async fn accepted(operator: &Operator, daemon: &DaemonProcess, change: &Change) -> u64 {
+    let answer = operator.put(daemon.operators(), change, true).await.expect("an answer");
+    let body = answer.json();
+    assert_eq!(answer.status, 200, "{body}");
+    body["revision"].as_u64().expect("a revision")
+}
+
+/// Every contract of a daemon, with its history.
+pub(crate) async fn contracts(
+    operator: &Operator,
+    daemon: &DaemonProcess,
+) -> Vec<serde_json::Value> {
+    let list = operator.get(daemon.operators(), "/contracts").await;
+    let list = list.map(|answer| answer.json()).unwrap_or_default();
+    let mut views = Vec::new();
+    for summary in list.as_array().cloned().unwrap_or_default() {
+        let path = format!("/contracts/{}", summary["organisation"].as_str().unwrap_or_default());
+        let view = operator.get(daemon.operators(), &path).await;
+        views.push(view.map(|answer| answer.json()).unwrap_or_default());
+    }
+    views
+}
+
+/// Waits until a daemon logs the numbered event.
+pub(crate) async fn logged(fleet: &Fleet, daemon: &str, event: &str) {
+    let file = format!("{daemon}.err");
+    fleet.wait_for(event, || fleet.read(&file).contains(event)).await.expect("the event");
+}
--- /dev/null
+++ b/crates/proof/tests/contract_in_force.rs
@@ -0,0 +1,202 @@
+//! An accepted contract is in force on every daemon that serves, and never reverts.
+
+mod common;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use comfreymast_fakes::log_service::LogFaults;
+use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_proof::{Answer, Client, DaemonProcess, Fleet, Operator};
+
+use common::{KEY, ORGANISATION, accepted, change, options};
+
+/// One lookup through a daemon.
+async fn look_up(client: &Client, daemon: &DaemonProcess) -> Answer {
+    client.call(daemon.callers(), "GET", "/drawings/7", &[], "").await.expect("an answer")
+}
+
+/// Asks again until the answer has this code; returns the codes of all others.
+async fn refused_until(client: &Client, daemon: &DaemonProcess, code: &str) -> Vec<String> {
+    const MAX_TRIES: usize = 1_000;
+    let mut codes = Vec::new();
+    for _ in 0..MAX_TRIES {
+        let answer = look_up(client, daemon).await;
+        let found = answer.json()["error"]["code"].as_str().unwrap_or("served").to_owned();
+        if found == code {
+            return codes;
+        }
+        codes.push(found);
+        sleep_ms(10).await;
+    }
+    panic!("never {code}, but {codes:?}");
+}
+
+#[test]
+fn a_lagging_daemon_is_named_and_confirms_when_it_wakes() {
+    Spawner::run(4, |spawner| async move {
+        let fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let operator = Operator::new(&spawner);
+        fleet.daemons[2].process.signal("STOP").unwrap();
+        let first = change(0, true);
+        let answer = operator.put(fleet.daemons[0].operators(), &first, true).await.unwrap();
+        assert_eq!(answer.status, 202);
+        assert_eq!(answer.json()["accepted"], false);
+        assert_eq!(answer.json()["lagging"], serde_json::json!(["d2"]));
+
+        fleet.daemons[2].process.signal("CONT").unwrap();
+        let again = operator.put(fleet.daemons[1].operators(), &first, false).await.unwrap();
+        assert_eq!((again.status, again.json()["revision"].as_u64()), (200, Some(1)));
+        assert_eq!(operator.revision(&fleet.daemons[2], ORGANISATION).await, 1);
+    });
+}
+
+#[test]
+fn a_daemon_that_was_frozen_and_dropped_serves_nothing_on_its_old_contract() {
+    Spawner::run(4, |spawner| async move {
+        let mut fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let (operator, client) = (Operator::new(&spawner), Client::new(&spawner, KEY));
+        accepted(&operator, &fleet.daemons[0], &change(0, true)).await;
+        let frozen = fleet.daemons.remove(2);
+        assert_eq!(look_up(&client, &frozen).await.status, 200);
+
+        frozen.process.signal("STOP").unwrap();
+        fleet.publish_vms().await.unwrap();
+        accepted(&operator, &fleet.daemons[0], &change(1, false)).await;
+        // The log answers late, so the woken daemon learns of the change only after a while.
+        let slow = LogFaults { read_delay_ms: 300, ..Default::default() };
+        fleet.set_faults(&fleet.log, &slow).await.unwrap();
+        // Waits in the frozen daemon's socket.
+        let (caller, addr) = (client.clone(), frozen.callers());
+        let waiting =
+            spawner.spawn(async move { caller.call(addr, "GET", "/drawings/7", &[], "").await });
+        sleep_ms(50).await;
+        frozen.process.signal("CONT").unwrap();
+
+        let codes = refused_until(&client, &frozen, "disabled").await;
+        assert!(codes.iter().all(|code| code == "not_current"), "{codes:?}");
+        let waited = waiting.await.unwrap();
+        assert_ne!(waited.status, 200);
+        assert_eq!(waited.outcome, "not_run");
+    });
+}
+
+#[test]
+fn a_frozen_and_dropped_daemon_is_not_misled_by_an_outage_of_the_log() {
+    const REFUSALS: usize = 50;
+    Spawner::run(4, |spawner| async move {
+        let mut fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let (operator, client) = (Operator::new(&spawner), Client::new(&spawner, KEY));
+        accepted(&operator, &fleet.daemons[0], &change(0, true)).await;
+        let frozen = fleet.daemons.remove(2);
+        frozen.process.signal("STOP").unwrap();
+        fleet.publish_vms().await.unwrap();
+        accepted(&operator, &fleet.daemons[0], &change(1, false)).await;
+        let down = LogFaults { down: true, ..Default::default() };
+        fleet.set_faults(&fleet.log, &down).await.unwrap();
+        frozen.process.signal("CONT").unwrap();
+
+        for _ in 0..REFUSALS {
+            let answer = look_up(&client, &frozen).await;
+            assert_eq!(answer.json()["error"]["code"], "not_current");
+            assert_eq!((answer.status, answer.outcome.as_str()), (503, "not_run"));
+            assert!(answer.headers.contains_key("retry-after"));
+        }
+        // Back on the list, it takes the records from its peers, with the log still down.
+        fleet.daemons.push(frozen);
+        fleet.publish_vms().await.unwrap();
+        let codes = refused_until(&client, &fleet.daemons[2], "disabled").await;
+        assert!(codes.iter().all(|code| code == "not_current"), "{codes:?}");
+    });
+}
+
+#[test]
+fn the_fleet_keeps_serving_through_an_outage_of_the_log() {
+    Spawner::run(4, |spawner| async move {
+        let fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let (operator, client) = (Operator::new(&spawner), Client::new(&spawner, KEY));
+        accepted(&operator, &fleet.daemons[0], &change(0, true)).await;
+        let down = LogFaults { down: true, ..Default::default() };
+        fleet.set_faults(&fleet.log, &down).await.unwrap();
+        // Longer than evidence from the log counts.
+        let clock = comfreymast_base::Clock::system();
+        while clock.now_ms() < 6_000 {
+            for daemon in &fleet.daemons {
+                let answer = look_up(&client, daemon).await;
+                assert_eq!(answer.status, 200, "{:?}", answer.body);
+            }
+            sleep_ms(50).await;
+        }
+    });
+}
+
+/// Reads a daemon's revision again and again; it may never fall, nor be below what was accepted
+/// before the read began.
+async fn watch_revision(
+    operator: Operator,
+    addr: std::net::SocketAddr,
+    floor: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+) -> u64 {
+    let mut highest = 0;
+    while !stop.load(Ordering::Acquire) {
+        let accepted = floor.load(Ordering::Acquire);
+        let read = operator.get(addr, &format!("/contracts/{ORGANISATION}")).await;
+        // A daemon that is gone, or not ready, says nothing.
+        if let Ok(answer) = read
+            && answer.status != 503
+        {
+            let revision = answer.json()["revision"].as_u64().unwrap_or(0);
+            assert!(revision >= highest.max(accepted), "{revision} after {highest}, {accepted}");
+            highest = revision;
+        }
+        sleep_ms(5).await;
+    }
+    highest
+}
+
+#[test]
+fn nothing_reverts_while_all_daemons_are_replaced_and_the_log_expires() {
+    const REPLACED: usize = 3;
+    const CHANGES_EACH: u64 = 8;
+    Spawner::run(4, |spawner| async move {
+        let mut fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let operator = Operator::new(&spawner);
+        let expiring = LogFaults { retention_records: 16, ..Default::default() };
+        fleet.set_faults(&fleet.log, &expiring).await.unwrap();
+        let (floor, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+        let watch = |addr| {
+            let watching = watch_revision(operator.clone(), addr, floor.clone(), stop.clone());
+            spawner.spawn(watching)
+        };
+        let mut watches: Vec<_> =
+            fleet.daemons.iter().map(|daemon| watch(daemon.operators())).collect();
+        let mut revision = 0;
+        for replaced in 0..REPLACED {
+            for round in 0..CHANGES_EACH {
+                let change = change(revision, round % 2 == 0);
+                revision = accepted(&operator, &fleet.daemons[0], &change).await;
+                floor.store(revision, Ordering::Release);
+            }
+            let new = fleet.start_daemon(&format!("n{replaced}")).unwrap();
+            watches.push(watch(new.operators()));
+            fleet.daemons.push(new);
+            fleet.publish_vms().await.unwrap();
+            fleet.wait_until_settled().await.unwrap();
+            let mut old = fleet.daemons.remove(0);
+            fleet.publish_vms().await.unwrap();
+            old.process.kill();
+        }
+        let last = accepted(&operator, &fleet.daemons[0], &change(revision, true)).await;
+        assert_eq!(last, CHANGES_EACH * REPLACED as u64 + 1);
+        for daemon in &fleet.daemons {
+            assert_eq!(operator.revision(daemon, ORGANISATION).await, last);
+        }
+        stop.store(true, Ordering::Release);
+        for watch in watches {
+            watch.await;
+        }
+        let start = fleet.read("n2.err");
+        assert!(start.contains("E0207"), "the last daemon started from a snapshot: {start}");
+    });
+}
