Lease an organisation's slots from a rendezvous owner

Cause: a contract's limits were not enforced at all.

Ruled out: a static split (refuses while capacity is free when callers keep to one daemon); gossip of usage (a burst through several daemons at once overshoots by what each admits between two rounds). A lease counted from the grant's arrival was ruled out too: a grant of a frozen owner would start a fresh lease when it wakes, so it counts from when the report was sent.

Change: decide/limits (owner, grants, share, rate meter) and the shell in daemon/limits. A new owner only renews until it has heard every live daemon or the older leases have ended. The rates of the contract are spread over the slots.

First tries were flaky (4 or 5 of 6 served in the first burst): a waiting request asked its owner once only, and a report sent before the owner saw the new membership was lost. Requests now ask again, and daemons report to all three times after a change.

--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -14,6 +14,12 @@
     }
 }
 
+/// SHA-256 of a key as a contract lists it.
+#[must_use]
+pub fn sha256_hex(key: &str) -> String {
+    hex::encode(&KeyHash::of(key).0)
+}
+
 /// One bearer key of an organisation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/contract/src/lib.rs
+++ b/crates/contract/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! * [`Contract`] — the checked contract; [`Contract::parse`] reads a document.
 //! * [`Work`] — one kind of generation; [`Route`] — one family of plain calls.
+//! * [`sha256_hex`] — a key as a contract lists it.
 //! * [`Limits`], [`ServiceLevel`], [`ApiKey`] — the parts they are made of.
 //! * [`Violation`] — one broken rule, with the field, the value and the rule.
 
@@ -15,7 +16,7 @@
 mod violation;
 mod work;
 
-pub use api_key::{ApiKey, KeyHash};
+pub use api_key::{ApiKey, KeyHash, sha256_hex};
 pub use contract::Contract;
 pub use limits::Limits;
 pub use route::Route;
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -39,6 +39,14 @@
     /// The daemon is not ready, or drains.
     #[display("this daemon takes no new work")]
     NotReady,
+    /// The organisation has all that its contract allows.
+    #[display("the contract's limit {limit} is reached")]
+    LimitReached {
+        /// The field of the contract's limits.
+        limit: &'static str,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
     /// No upstream can take it now.
     #[display("no upstream can take the request now")]
     NoUpstream {
@@ -59,6 +67,7 @@
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
+            Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
@@ -74,6 +83,7 @@
             Self::TooLong { .. } => "too_long",
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
+            Self::LimitReached { .. } => "limit_reached",
             Self::NoUpstream { .. } => "no_upstream",
             Self::OutcomeUnknown => "outcome_unknown",
         }
@@ -92,7 +102,9 @@
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_MS),
-            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            Self::LimitReached { retry_after_ms, .. } | Self::NoUpstream { retry_after_ms } => {
+                Some(*retry_after_ms)
+            }
             _ => None,
         }
     }
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -46,9 +46,9 @@
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, &ask, tokens))
+        Ok(stream::relay(daemon, &caller, &ask, tokens))
     } else {
-        stream::collect(daemon, &ask, tokens).await
+        stream::collect(daemon, &caller, &ask, tokens).await
     }
 }
 
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_net::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response};
 
@@ -9,6 +10,7 @@
 use super::caller::Caller;
 use super::{completion, plain};
 use crate::daemon::Daemon;
+use crate::limits::LimitPermit;
 use crate::metrics::AnswerLabels;
 
 /// Answers one request on the callers' port.
@@ -35,11 +37,22 @@
     if !daemon.is_ready() {
         return Err(CallError::NotReady);
     }
-    let caller = Caller::authenticate(daemon, request.headers())?;
-    match (request.method(), request.uri().path()) {
+    let caller = Caller::admit(daemon, request.headers()).await?;
+    let permit = caller.permit.clone();
+    let response = match (request.method(), request.uri().path()) {
         (&Method::POST, "/v1/completions") => completion::run(daemon, caller, request).await,
         _ => plain::run(daemon, caller, request).await,
-    }
+    }?;
+    Ok(response.map(|body| hold_until_read(body, permit)))
+}
+
+/// Keeps the slot until the answer is read or its reader has gone.
+fn hold_until_read(body: Body, permit: Arc<LimitPermit>) -> Body {
+    let held = body.map_frame(move |frame| {
+        let _permit = &permit;
+        frame
+    });
+    held.boxed_unsync()
 }
 
 fn count(daemon: &Daemon, outcome: Outcome, status: u16) {
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -13,3 +13,5 @@
 pub(crate) mod front;
 mod plain;
 mod stream;
+
+pub(crate) use call_error::CallError;
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -13,6 +13,7 @@
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::ask::Ask;
 use super::call_error::CallError;
+use super::caller::Caller;
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
 
@@ -46,10 +47,16 @@
 }
 
 /// Answers with server-sent events, one for each token.
-pub(crate) fn relay(daemon: &Arc<Daemon>, ask: &Ask, mut tokens: EngineStream) -> Response<Body> {
+pub(crate) fn relay(
+    daemon: &Arc<Daemon>,
+    caller: &Caller,
+    ask: &Ask,
+    mut tokens: EngineStream,
+) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
     let daemon = daemon.clone();
+    let permit = caller.permit.clone();
     daemon.spawner.clone().detach(async move {
         loop {
             let token = match tokens.next().await {
@@ -61,6 +68,7 @@
                 }
             };
             daemon.metrics.tokens.inc();
+            permit.charge_tokens(1, daemon.clock.now_ms());
             // A reader that has gone ends the relay.
             if sender.send(Ok(token_event(&model, &token))).await.is_err() {
                 return;
@@ -81,6 +89,7 @@
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
 ) -> Result<Response<Body>, CallError> {
@@ -88,6 +97,7 @@
     loop {
         let token = tokens.next().await.map_err(|_| CallError::OutcomeUnknown)?;
         daemon.metrics.tokens.inc();
+        caller.permit.charge_tokens(1, daemon.clock.now_ms());
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -5,16 +6,19 @@
 use arc_swap::ArcSwap;
 use async_channel::Receiver;
 use async_net::TcpListener;
-use comfreymast_base::Clock;
+use comfreymast_base::{Clock, DaemonName};
 use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve};
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+use crate::{
+    Settings, callers, events, limits, load_watch, log_follower, operators, peers, vm_watch,
+};
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
@@ -35,6 +39,8 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// What it may use of organisations' limits.
+    pub(crate) limits: Limits,
     /// What it counts.
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
@@ -54,6 +60,16 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Daemons on the VM list that were heard lately, this one included.
+    pub(crate) fn live_daemons(&self) -> BTreeSet<DaemonName> {
+        let directory = self.directory.load();
+        let now_ms = self.clock.now_ms();
+        let table = self.peers.table();
+        let listed = directory.daemons.iter().map(|vm| DaemonName::from(vm.name.as_str()));
+        let others = listed.filter(|name| table.live(name, now_ms).is_some());
+        others.chain([self.settings.name.clone()]).collect()
+    }
+
     /// Lets callers in.
     pub(crate) fn become_ready(&self) {
         if !self.ready.swap(true, Ordering::AcqRel) {
@@ -128,6 +144,7 @@
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
         spawner.spawn(peers::send_heartbeats(daemon.clone())),
+        spawner.spawn(limits::report_forever(daemon.clone())),
         spawner.spawn(serve(
             spawner.clone(),
             operators,
@@ -160,6 +177,7 @@
         ledger: LedgerState::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        limits: Limits::default(),
         metrics: Metrics::new(),
         stop,
         ready: AtomicBool::new(false),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod directory;
 pub mod events;
 mod ledger_state;
+mod limits;
 mod load_watch;
 mod log_follower;
 mod metrics;
--- /dev/null
+++ b/crates/daemon/src/limits/organisation_limit.rs
@@ -0,0 +1,49 @@
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+use comfreymast_contract::Limits as ContractLimits;
+use comfreymast_decide::limits::{Rate, RateMeter, Share};
+use event_listener::Event;
+
+const BURST_MS: u64 = 1_000;
+/// How often requests that wait for a slot may ask the owner, together.
+pub(crate) const ASK_INTERVAL_MS: u64 = 20;
+
+/// What this daemon may use of one organisation's limits.
+#[derive(Debug, Default)]
+pub(crate) struct OrganisationLimit {
+    /// The slots leased to this daemon.
+    pub(crate) share: Share,
+    /// Requests started.
+    pub(crate) requests: RateMeter,
+    /// Tokens made.
+    pub(crate) tokens: RateMeter,
+    /// Notified at each grant.
+    pub(crate) granted: Event,
+    floor_slots: AtomicU32,
+    asked_ms: AtomicU64,
+}
+
+impl OrganisationLimit {
+    /// Slots that need no lease.
+    pub(crate) fn floor_slots(&self) -> u32 {
+        self.floor_slots.load(Ordering::Acquire)
+    }
+
+    /// Sets the slots that need no lease.
+    pub(crate) fn set_floor_slots(&self, slots: u32) {
+        self.floor_slots.store(slots, Ordering::Release);
+    }
+
+    /// True for one caller in each [`ASK_INTERVAL_MS`]: that one asks the owner for all.
+    pub(crate) fn may_ask(&self, now_ms: u64) -> bool {
+        let is_due = |asked_ms: u64| (now_ms >= asked_ms + ASK_INTERVAL_MS).then_some(now_ms);
+        self.asked_ms.fetch_update(Ordering::AcqRel, Ordering::Acquire, is_due).is_ok()
+    }
+
+    /// This daemon's part of a rate of the contract: the part of the slots it has.
+    pub(crate) fn part_of(&self, limits: &ContractLimits, per_s: u64, now_ms: u64) -> Rate {
+        let slots = self.floor_slots() + self.share.leased(now_ms);
+        let part = f64::from(slots.max(1)) / f64::from(limits.concurrent_requests.max(1));
+        Rate { per_s: per_s as f64 * part, burst_ms: BURST_MS }
+    }
+}
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -11,7 +11,7 @@
 use super::links::heartbeat;
 use super::proof::is_proven;
 use crate::daemon::Daemon;
-use crate::events;
+use crate::{events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -85,6 +85,8 @@
 fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
     match body {
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
+        peer_message::Body::LimitReport(report) => limits::take_report(daemon, from, &report),
+        peer_message::Body::LimitGrant(grant) => limits::take_grant(daemon, &grant),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,7 +1,9 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
+//! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`membership`] — which daemons live, from their heartbeats.
 //! * [`routing`] — which upstream gets a request.
 
+pub mod limits;
 pub mod membership;
 pub mod routing;
--- a/crates/fakes/src/engine/process.rs
+++ b/crates/fakes/src/engine/process.rs
@@ -307,11 +307,12 @@
         for id in step.finished {
             if let Some(running) = state.generations.get_mut(&id) {
                 running.ended = true;
-                running.publish_end(id);
                 let tokens = u32::try_from(running.tokens.len()).unwrap_or(u32::MAX);
                 let fence = running.fence;
+                // Recorded first: what the reader does next must come later in the history.
                 let event = Event::GenerationEnd { generation: id, fence, tokens, whole: true };
                 self.history.record(event);
+                running.publish_end(id);
             }
         }
         step.duration_us
--- /dev/null
+++ b/crates/proof/tests/limits.rs
@@ -0,0 +1,115 @@
+//! Limits of an organisation hold over all daemons, also while the owner of its slots dies.
+
+use std::collections::HashSet;
+
+use comfreymast_base::GenerationId;
+use comfreymast_fakes::history::{Event, Line};
+use comfreymast_net::Spawner;
+use comfreymast_proof::{Client, Fleet, FleetOptions};
+
+const LIMIT: usize = 6;
+const CALLERS_PER_DAEMON: usize = 5;
+const MOST_BURSTS: usize = 4;
+
+fn contract() -> String {
+    let hash = comfreymast_contract::sha256_hex("key-of-estudio-norte");
+    format!(
+        r#"
+organisation = "estudio-norte"
+
+[limits]
+concurrent_requests = {LIMIT}
+requests_per_s = 1000
+tokens_per_s = 1000000
+
+[[keys]]
+name = "site"
+sha256 = "{hash}"
+
+[[work]]
+kind = "report"
+model = "m"
+priority = 7
+max_output_tokens = 20000
+repeatable = true
+"#
+    )
+}
+
+/// The most generations that ran at once, by the engines' history.
+fn most_at_once(history: &str) -> usize {
+    let mut running: HashSet<GenerationId> = HashSet::new();
+    let mut most = 0;
+    for line in history.lines() {
+        let line: Line = serde_json::from_str(line).unwrap();
+        match line.event {
+            Event::GenerationStart { generation, .. } => {
+                running.insert(generation);
+            }
+            Event::GenerationEnd { generation, .. } => {
+                running.remove(&generation);
+            }
+            _ => {}
+        }
+        most = most.max(running.len());
+    }
+    most
+}
+
+/// Calls every daemon at once; returns how many were served. The rest were refused honestly.
+async fn burst(spawner: &Spawner, fleet: &Fleet) -> usize {
+    let mut calls = Vec::new();
+    for daemon in &fleet.daemons {
+        for _ in 0..CALLERS_PER_DAEMON {
+            let client = Client::new(spawner, "key-of-estudio-norte");
+            let callers = daemon.callers();
+            calls.push(spawner.spawn(async move {
+                client.complete(callers, "m", "a room, tokens=150", &[]).await.unwrap()
+            }));
+        }
+    }
+    let mut served = 0;
+    for call in calls {
+        let answer = call.await;
+        match answer.status {
+            200 => served += 1,
+            status => {
+                assert_eq!((status, answer.outcome.as_str()), (429, "not_run"));
+                assert!(answer.headers.contains_key("retry-after"));
+                assert_eq!(answer.json()["error"]["code"], "limit_reached");
+            }
+        }
+    }
+    served
+}
+
+#[test]
+fn slots_are_never_exceeded_while_daemons_die() {
+    Spawner::run(4, |spawner| async move {
+        let options = FleetOptions { daemons: 4, ..FleetOptions::default() };
+        let mut fleet = Fleet::start(&spawner, options).await.unwrap();
+        assert_eq!(fleet.put_contract(0, &contract(), &[]).unwrap().code, 0);
+        // While daemons hear each other for the first time, an owner grants little.
+        let mut served = 0;
+        for _ in 0..MOST_BURSTS {
+            served = served.max(burst(&spawner, &fleet).await);
+        }
+        assert!(served >= LIMIT, "served {served}");
+        // One of the daemons owns the organisation's slots, so its owner dies at some point.
+        while fleet.daemons.len() > 1 {
+            fleet.daemons.remove(0).process.kill();
+            burst(&spawner, &fleet).await;
+        }
+        fleet.publish_vms().await.unwrap();
+        fleet.wait_until_settled().await.unwrap();
+        let last = fleet.daemons[0].callers();
+        let client = Client::new(&spawner, "key-of-estudio-norte");
+        let mut answer = client.complete(last, "m", "tokens=5", &[]).await.unwrap();
+        while answer.status == 429 {
+            answer = client.complete(last, "m", "tokens=5", &[]).await.unwrap();
+        }
+        assert_eq!(answer.status, 200);
+        let most = most_at_once(&fleet.read("history"));
+        assert!(most <= LIMIT, "{most} at once");
+    });
+}
