--- a/crates/proof/tests/limits.rs
+++ b/crates/proof/tests/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of an organisation hold over all daemons, also while the owner of its slots dies.
 
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use std::collections::HashSet;
 
 use comfreymast_base::GenerationId;
