--- /dev/null
+++ b/crates/daemon/tests/events_catalogue.rs
@@ -0,0 +1,58 @@
+//! The catalogue of events in docs/EVENTS.md, held against the code.
+
+use std::collections::BTreeSet;
+
+use comfreymast_daemon::events::ALL;
+
+const CATALOGUE: &str = include_str!("../../../docs/EVENTS.md");
+
+/// The cells of each row that begins with an event's number.
+fn rows(catalogue: &str) -> Vec<Vec<&str>> {
+    let rows = catalogue.lines().filter(|line| line.starts_with("| E"));
+    rows.map(|row| row.trim_matches('|').split('|').map(str::trim).collect()).collect()
+}
+
+/// What differs between a catalogue and the code.
+fn faults(catalogue: &str) -> Vec<String> {
+    let listed: Vec<_> = rows(catalogue);
+    let mut faults = Vec::new();
+    let mut numbers = BTreeSet::new();
+    for row in &listed {
+        if row.len() != 5 || row.iter().any(|cell| cell.is_empty()) {
+            faults.push(format!("a cell is missing: {row:?}"));
+        }
+        if !numbers.insert(row[0]) {
+            faults.push(format!("listed twice: {}", row[0]));
+        }
+    }
+    let code: BTreeSet<_> = ALL
+        .iter()
+        .map(|event| (format!("E{:04}", event.number), event.level.to_string(), event.title))
+        .collect();
+    let page: BTreeSet<_> =
+        listed.iter().map(|row| (row[0].to_owned(), row[1].to_owned(), row[2])).collect();
+    faults.extend(code.difference(&page).map(|event| format!("not in the catalogue: {event:?}")));
+    faults.extend(page.difference(&code).map(|event| format!("not in the code: {event:?}")));
+    faults
+}
+
+#[test]
+fn the_catalogue_and_the_code_agree() {
+    assert_eq!(faults(CATALOGUE), Vec::<String>::new());
+}
+
+#[test]
+fn numbers_are_unique() {
+    let numbers: BTreeSet<_> = ALL.iter().map(|event| event.number).collect();
+    assert_eq!(numbers.len(), ALL.len());
+}
+
+#[test]
+fn a_wrong_catalogue_is_noticed() {
+    let missing = CATALOGUE.replacen("| E0104 |", "| X |", 1);
+    assert_eq!(faults(&missing).len(), 1);
+    let other_level = CATALOGUE.replacen("| E0201 | WARN |", "| E0201 | INFO |", 1);
+    assert_eq!(faults(&other_level).len(), 2);
+    let twice = format!("{CATALOGUE}| E0101 | INFO | daemon started | a | b |\n");
+    assert_eq!(faults(&twice).len(), 1);
+}
