Report service-level burn over all daemons; settle the command line

Cause: operators could not see what contracts promise and what is kept, and the command line had no promises that a test holds. Ruled out: a lock around a histogram on the request's path (each token would take it), and histograms sent as encoded blobs (the serializer of the library pulls in a decoder that we need nowhere else; buckets as pairs merge without loss). Change: crates/burn (pure), crates/daemon/src/burn (samples go through a bounded channel), BurnQuery/BurnReply between peers, report burn as table, JSON and page; help by command, failures as JSON, ports that clash and secrets that no header can carry are named, a closed standard output is no panic.

--- a/crates/comfreymast/src/api.rs
+++ b/crates/comfreymast/src/api.rs
@@ -62,5 +62,7 @@
 
 /// A flag, or the environment variable that stands for it.
 pub(crate) fn setting(flag: Option<&str>, variable: &str) -> Option<String> {
-    flag.map(str::to_owned).or_else(|| std::env::var(variable).ok())
+    let from_environment =
+        || std::env::var_os(variable).map(|value| value.to_string_lossy().into_owned());
+    flag.map(str::to_owned).or_else(from_environment)
 }
--- a/crates/comfreymast/src/contract.rs
+++ b/crates/comfreymast/src/contract.rs
@@ -7,7 +7,7 @@
 use crate::api::Api;
 use crate::failure::Failure;
 use crate::flags::{Comfreymast, ContractCmd, Put};
-use crate::output::Format;
+use crate::output::{Format, write_line};
 
 /// `comfreymast contract …`.
 pub(crate) fn run(
@@ -16,7 +16,7 @@
     format: Format,
 ) -> Result<(), Failure> {
     match command {
-        ContractCmd::Check(check) => check_file(&check.file),
+        ContractCmd::Check(check) => check_file(&check.file, format),
         ContractCmd::Put(put) => publish(&Api::new(flags)?, put, format),
         ContractCmd::Get(get) => print_document(&Api::new(flags)?, &get.organisation, format),
         ContractCmd::List(_) => print_list(&Api::new(flags)?, format),
@@ -30,10 +30,9 @@
     std::fs::read_to_string(path).map_err(|source| Failure::File { path: path.to_owned(), source })
 }
 
-fn check_file(path: &Path) -> Result<(), Failure> {
+fn check_file(path: &Path, format: Format) -> Result<(), Failure> {
     let contract = Contract::parse(&read(path)?)?;
-    println!("the contract of {} is good", contract.organisation);
-    Ok(())
+    format.print_done(&format!("the contract of {} is good", contract.organisation))
 }
 
 fn publish(api: &Api, put: &Put, format: Format) -> Result<(), Failure> {
@@ -76,8 +75,7 @@
 fn print_document(api: &Api, organisation: &str, format: Format) -> Result<(), Failure> {
     let view = view(api, organisation)?;
     if format == Format::Table {
-        print!("{}", view.document);
-        return Ok(());
+        return write_line(view.document.trim_end());
     }
     format.print(&view, &[], &[])
 }
--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -8,14 +8,14 @@
 use crate::api::setting;
 use crate::failure::Failure;
 use crate::flags::{Comfreymast, Daemon};
+use crate::output::Format;
 
 /// `comfreymast daemon`.
-pub(crate) fn run(flags: &Comfreymast, daemon: &Daemon) -> Result<(), Failure> {
+pub(crate) fn run(flags: &Comfreymast, daemon: &Daemon, format: Format) -> Result<(), Failure> {
     let settings =
         Settings::read(|spec| setting(flag(flags, daemon, spec).as_deref(), &spec.env()))?;
     if daemon.check {
-        println!("the settings are good");
-        return Ok(());
+        return format.print_done("the settings are good");
     }
     env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
     let mut signals =
--- a/crates/comfreymast/src/failure.rs
+++ b/crates/comfreymast/src/failure.rs
@@ -1,6 +1,6 @@
 use std::path::PathBuf;
-use std::process::ExitCode;
 
+use comfreymast_burn::PlotError;
 use comfreymast_contract::ContractError;
 use comfreymast_daemon::operators::OperatorError;
 use comfreymast_daemon::{SettingFault, StartError};
@@ -35,6 +35,26 @@
         /// What the machine said.
         source: std::io::Error,
     },
+    /// A file cannot be written.
+    #[display("cannot write {}: {source}", path.display())]
+    #[from(ignore)]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What the machine said.
+        source: std::io::Error,
+    },
+    /// A report could not be drawn.
+    #[display("{_0}")]
+    Plot(PlotError),
+    /// Some daemons are in no figure of a report.
+    #[display("the report is incomplete; no word from: {}", missing.join(", "))]
+    #[from(ignore)]
+    #[error(ignore)]
+    Missing {
+        /// The daemons.
+        missing: Vec<String>,
+    },
     /// The document is not a contract.
     #[display("{_0}")]
     Contract(ContractError),
@@ -47,6 +67,10 @@
     /// The daemon's answer does not read.
     #[display("the daemon's answer does not read: {_0}")]
     Json(serde_json::Error),
+    /// Standard output cannot be written.
+    #[display("cannot write to standard output: {_0}")]
+    #[from(ignore)]
+    Output(std::io::Error),
     /// Signals cannot be watched.
     #[display("cannot watch signals: {_0}")]
     Signals(std::io::Error),
@@ -62,19 +86,18 @@
 
 impl Failure {
     /// The exit code that `--help` promises.
-    pub(crate) fn exit_code(&self) -> ExitCode {
+    pub(crate) fn code(&self) -> u8 {
         const FAILED: u8 = 1;
         const USAGE: u8 = 2;
         const CONFLICT: u8 = 3;
-        const LAGGING: u8 = 4;
+        const INCOMPLETE: u8 = 4;
         const UNKNOWN: u8 = 5;
-        let code = match self {
+        match self {
             Self::Settings(_) | Self::Usage { .. } => USAGE,
             Self::Operator(error) if error.code == "conflict" => CONFLICT,
             Self::Operator(error) if error.code == "outcome_unknown" => UNKNOWN,
-            Self::Lagging { .. } => LAGGING,
+            Self::Lagging { .. } | Self::Missing { .. } => INCOMPLETE,
             _ => FAILED,
-        };
-        ExitCode::from(code)
+        }
     }
 }
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -6,8 +6,9 @@
 xflags::xflags! {
     /// Serves generations of unknown length on crowded engines.
     ///
-    /// Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 accepted but not everywhere yet,
-    /// 5 outcome unknown.
+    /// Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 conflict with another change,
+    /// 4 done but some daemons have not answered, 5 outcome unknown. A failure is told on standard
+    /// error, as JSON with `--format json`.
     cmd comfreymast {
         /// The operators' port of any daemon, IP:PORT (or COMFREYMAST_OPERATORS).
         optional --operators operators: String
@@ -18,7 +19,7 @@
         /// Print the version.
         optional --version
 
-        /// Run a daemon. Each flag has an environment variable COMFREYMAST_…; see `--help`.
+        /// Run a daemon. Each flag has an environment variable: --log-addr is COMFREYMAST_LOG_ADDR.
         cmd daemon {
             /// Check the settings and exit.
             optional --check
@@ -81,7 +82,21 @@
         /// Tell a daemon to finish its requests and stop.
         cmd drain {}
 
+        /// Report on service levels.
+        cmd report {
+            /// How fast each organisation's error budget burns, over all daemons.
+            cmd burn {
+                /// Also write a self-contained page with plots.
+                optional --html html: PathBuf
+            }
+        }
+
         /// Show every setting with its environment variable and default.
         cmd config {}
     }
 }
+
+/// The help text of all commands.
+pub(crate) fn help_text() -> &'static str {
+    Comfreymast::HELP_
+}
--- a/crates/comfreymast/src/fleet.rs
+++ b/crates/comfreymast/src/fleet.rs
@@ -29,10 +29,9 @@
 }
 
 /// `comfreymast drain`.
-pub(crate) fn drain(flags: &Comfreymast) -> Result<(), Failure> {
+pub(crate) fn drain(flags: &Comfreymast, format: Format) -> Result<(), Failure> {
     Api::new(flags)?.call("POST", "/drain", empty())?;
-    println!("the daemon drains");
-    Ok(())
+    format.print_done("the daemon drains")
 }
 
 #[derive(Serialize)]
--- a/crates/comfreymast/src/main.rs
+++ b/crates/comfreymast/src/main.rs
@@ -6,34 +6,49 @@
 mod failure;
 mod flags;
 mod fleet;
+mod help;
 mod output;
+mod report;
 
 use std::process::ExitCode;
 
 use flags::{Comfreymast, ComfreymastCmd};
+use output::Format;
 
 fn main() -> ExitCode {
-    if std::env::args().nth(1).as_deref() == Some("--version") {
-        println!("comfreymast {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
+    let args: Vec<_> =
+        std::env::args_os().skip(1).map(|arg| arg.to_string_lossy().into_owned()).collect();
+    if args.first().is_some_and(|arg| arg == "--version") {
+        return print(concat!("comfreymast ", env!("CARGO_PKG_VERSION")));
+    }
+    if let Some(help) = help::asked_for(flags::help_text(), &args) {
+        return print(&help);
     }
     let flags = Comfreymast::from_env_or_exit();
-    match run(flags) {
+    let format = match Format::parse(flags.format.as_deref()) {
+        Ok(format) => format,
+        Err(failure) => return Format::Table.print_failure(&failure),
+    };
+    match run(&flags, format) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => format.print_failure(&failure),
+    }
+}
+
+fn print(text: &str) -> ExitCode {
+    match output::write_line(text) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(failure) => {
-            eprintln!("comfreymast: {failure}");
-            failure.exit_code()
-        }
+        Err(failure) => Format::Table.print_failure(&failure),
     }
 }
 
-fn run(flags: Comfreymast) -> Result<(), failure::Failure> {
-    let output = output::Format::parse(flags.format.as_deref())?;
+fn run(flags: &Comfreymast, output: Format) -> Result<(), failure::Failure> {
     match &flags.subcommand {
-        ComfreymastCmd::Daemon(daemon) => daemon::run(&flags, daemon),
-        ComfreymastCmd::Contract(command) => contract::run(&flags, &command.subcommand, output),
-        ComfreymastCmd::Status(_) => fleet::status(&flags, output),
-        ComfreymastCmd::Drain(_) => fleet::drain(&flags),
+        ComfreymastCmd::Daemon(daemon) => daemon::run(flags, daemon, output),
+        ComfreymastCmd::Contract(command) => contract::run(flags, &command.subcommand, output),
+        ComfreymastCmd::Status(_) => fleet::status(flags, output),
+        ComfreymastCmd::Drain(_) => fleet::drain(flags, output),
+        ComfreymastCmd::Report(command) => report::run(flags, &command.subcommand, output),
         ComfreymastCmd::Config(_) => fleet::config(output),
     }
 }
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -12,6 +12,7 @@
 use super::call_error::CallError;
 use super::caller::Caller;
 use super::stream;
+use crate::burn::RequestRecord;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::upstream::{EngineStream, StartError};
@@ -25,6 +26,19 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
+    let record = daemon.burn.begin(&daemon.clock, &caller.contract.organisation, &ask.work);
+    let answered = generate(daemon, &ask, &record).await;
+    if let Err(error) = &answered {
+        record.failed(error);
+    }
+    answered
+}
+
+async fn generate(
+    daemon: &Arc<Daemon>,
+    ask: &Ask,
+    record: &RequestRecord,
+) -> Result<Response<Body>, CallError> {
     let start = StartGeneration {
         generation: GenerationId::random(),
         fence: 1,
@@ -46,9 +60,9 @@
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, &ask, tokens))
+        Ok(stream::relay(daemon, ask, tokens, record.stream()))
     } else {
-        stream::collect(daemon, &ask, tokens).await
+        stream::collect(daemon, ask, tokens, record).await
     }
 }
 
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -13,6 +13,7 @@
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::ask::Ask;
 use super::call_error::CallError;
+use crate::burn::{RequestRecord, StreamRecord};
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
 
@@ -46,7 +47,12 @@
 }
 
 /// Answers with server-sent events, one for each token.
-pub(crate) fn relay(daemon: &Arc<Daemon>, ask: &Ask, mut tokens: EngineStream) -> Response<Body> {
+pub(crate) fn relay(
+    daemon: &Arc<Daemon>,
+    ask: &Ask,
+    mut tokens: EngineStream,
+    mut record: StreamRecord,
+) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
     let daemon = daemon.clone();
@@ -55,17 +61,22 @@
             let token = match tokens.next().await {
                 Ok(token) => token,
                 Err(error) => {
+                    record.lost();
                     let _ = sender.send(Ok(error_event(&error))).await;
                     let _ = sender.send(Err(BodyError::Cut)).await;
                     return;
                 }
             };
             daemon.metrics.tokens.inc();
+            if token.finish.is_none() {
+                record.token();
+            }
             // A reader that has gone ends the relay.
             if sender.send(Ok(token_event(&model, &token))).await.is_err() {
                 return;
             }
             if token.finish.is_some() {
+                record.whole();
                 let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
                 return;
             }
@@ -83,6 +94,7 @@
     daemon: &Arc<Daemon>,
     ask: &Ask,
     mut tokens: EngineStream,
+    record: &RequestRecord,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -95,6 +107,7 @@
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             set_outcome(&mut response, Outcome::Done);
+            record.whole();
             return Ok(response);
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,11 +10,14 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::burn::BurnState;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+use crate::{
+    Settings, burn, callers, events, load_watch, log_follower, operators, peers, vm_watch,
+};
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
@@ -35,6 +38,8 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// Service levels kept and missed.
+    pub(crate) burn: BurnState,
     /// What it counts.
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
@@ -125,6 +130,7 @@
         spawner.spawn(log_follower::follow(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(burn::fold(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
         spawner.spawn(peers::send_heartbeats(daemon.clone())),
@@ -160,6 +166,7 @@
         ledger: LedgerState::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        burn: BurnState::default(),
         metrics: Metrics::new(),
         stop,
         ready: AtomicBool::new(false),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -55,4 +55,5 @@
     PEER_LINK_LOST = 503 Info "link to peer lost";
     ATTEMPT_FAILED = 601 Warn "attempt on an upstream failed";
     FOREIGN_TOKEN = 602 Error "token of another generation dropped";
+    BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
+mod burn;
 mod callers;
 mod daemon;
 mod directory;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -3,8 +3,14 @@
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+/// Upper bounds of buckets; the service level of 0.56 s is one of them.
+const FIRST_TOKEN_BUCKETS_S: [f64; 9] = [0.05, 0.1, 0.25, 0.56, 1.0, 2.0, 5.0, 10.0, 30.0];
+/// Upper bounds of buckets; the service level of 57 ms is one of them.
+const TOKEN_GAP_BUCKETS_S: [f64; 8] = [0.005, 0.01, 0.025, 0.057, 0.1, 0.25, 1.0, 5.0];
+
 /// The label of [`Metrics::answers`].
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct AnswerLabels {
@@ -26,6 +32,10 @@
     pub(crate) failed_attempts: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
+    /// From a request to its first token.
+    pub(crate) first_token_seconds: Histogram,
+    /// From one token to the next.
+    pub(crate) token_gap_seconds: Histogram,
 }
 
 impl Metrics {
@@ -44,7 +54,27 @@
             failed_attempts.clone(),
         );
         registry.register("requests_open", "Requests in progress", requests_open.clone());
-        Self { registry, answers, tokens, failed_attempts, requests_open }
+        let first_token_seconds = Histogram::new(FIRST_TOKEN_BUCKETS_S);
+        let token_gap_seconds = Histogram::new(TOKEN_GAP_BUCKETS_S);
+        registry.register(
+            "first_token_seconds",
+            "From a request to its first token",
+            first_token_seconds.clone(),
+        );
+        registry.register(
+            "token_gap_seconds",
+            "From one token to the next",
+            token_gap_seconds.clone(),
+        );
+        Self {
+            registry,
+            answers,
+            tokens,
+            failed_attempts,
+            requests_open,
+            first_token_seconds,
+            token_gap_seconds,
+        }
     }
 
     /// The text that a scraper reads.
--- a/crates/daemon/src/operators/front.rs
+++ b/crates/daemon/src/operators/front.rs
@@ -9,6 +9,7 @@
 use subtle::ConstantTimeEq;
 
 use super::{OperatorError, StatusReply, contracts, publish};
+use crate::burn;
 use crate::daemon::Daemon;
 
 /// Answers one request on the operators' port.
@@ -26,6 +27,7 @@
     let segments: Vec<_> = path.trim_matches('/').split('/').collect();
     match (request.method(), segments.as_slice()) {
         (&Method::GET, ["metrics"]) => Response::new(full(daemon.metrics.text())),
+        (&Method::GET, ["burn"]) => reply(StatusCode::OK, &burn::collect(&daemon).await),
         (&Method::GET, ["status"]) => reply(StatusCode::OK, &status_of(&daemon)),
         (&Method::POST, ["drain"]) => {
             daemon.stop.close();
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -5,7 +5,9 @@
 use comfreymast_decide::membership::PeerState;
 use comfreymast_net::{Elapsed, sleep_ms, within};
 use comfreymast_wire::frames::{FrameError, PeerFrames};
-use comfreymast_wire::peer::{Challenge, Heartbeat, PeerMessage, peer_message};
+use comfreymast_wire::peer::{
+    BurnQuery, BurnReply, Challenge, Heartbeat, PeerMessage, peer_message,
+};
 use derive_more::{Display, Error, From};
 
 use super::links::heartbeat;
@@ -85,10 +87,22 @@
 fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
     match body {
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
+        peer_message::Body::BurnQuery(query) => answer_burn_query(daemon, from, &query),
+        peer_message::Body::BurnReply(reply) => daemon.burn.take_reply(reply),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
 
+fn answer_burn_query(daemon: &Daemon, from: &DaemonName, query: &BurnQuery) {
+    let counts = daemon.burn.counts(daemon);
+    let reply = BurnReply {
+        query_id: query.query_id,
+        daemon: daemon.settings.name.to_string(),
+        counts: Some((&counts).into()),
+    };
+    daemon.peers.send(from, peer_message::Body::BurnReply(reply));
+}
+
 fn take_heartbeat(daemon: &Daemon, heartbeat: Heartbeat) {
     let state = PeerState {
         incarnation: heartbeat.incarnation,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -139,6 +139,16 @@
 const MIN_SECRET_BYTES: usize = 16;
 const INTERVAL_MS: std::ops::RangeInclusive<u64> = 20..=10_000;
 
+/// The settings of ports that a daemon opens.
+const LISTENING: [&str; 3] = ["callers-addr", "operators-addr", "peers-addr"];
+
+/// True when two listeners cannot be opened side by side. Port 0 lets the system choose.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() != 0 && one.port() == other.port() && same_ip
+}
+
 struct Reader<'a> {
     lookup: &'a dyn Fn(&SettingSpec) -> Option<String>,
     faults: Vec<SettingFault>,
@@ -156,6 +166,7 @@
         let callers_addr = self.addr("callers-addr");
         let operators_addr = self.addr("operators-addr");
         let peers_addr = self.addr("peers-addr");
+        self.distinct(&[callers_addr, operators_addr, peers_addr]);
         let threads = self.number("threads", 1..=256);
         let heartbeat_interval_ms = self.number("heartbeat-interval-ms", INTERVAL_MS);
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
@@ -209,6 +220,10 @@
             self.fault(spec, format!("must have at least {MIN_SECRET_BYTES} bytes"), None);
             return None;
         }
+        if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            self.fault(spec, "must be printable ASCII without spaces".to_owned(), None);
+            return None;
+        }
         Some(Secret(text))
     }
 
@@ -221,6 +236,19 @@
         addr.ok()
     }
 
+    /// Checks that each port of this daemon can be opened beside those before it.
+    fn distinct(&mut self, addrs: &[Option<SocketAddr>; LISTENING.len()]) {
+        for (index, flag) in LISTENING.iter().enumerate() {
+            let Some(addr) = addrs[index] else { continue };
+            let earlier = addrs[..index].iter().flatten();
+            let taken = earlier.into_iter().any(|earlier| overlap(*earlier, addr));
+            if let (true, Some((spec, text))) = (taken, self.text(flag)) {
+                let rule = "must not be a port that this daemon opens already";
+                self.fault(spec, rule.to_owned(), Some(text));
+            }
+        }
+    }
+
     fn number(&mut self, flag: &'static str, range: std::ops::RangeInclusive<u64>) -> Option<u64> {
         let (spec, text) = self.text(flag)?;
         let number = text.parse().ok().filter(|number| range.contains(number));
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,116 @@
+//! Settings: every bad one is named in one run, and no text brings the reader down.
+
+use std::collections::BTreeMap;
+
+use comfreymast_daemon::{SETTINGS, SettingFault, Settings};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+
+const SEED: u64 = 9_002;
+
+fn config() -> Config {
+    Config {
+        cases: 256,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn good() -> BTreeMap<&'static str, String> {
+    let given = [
+        ("name", "d0"),
+        ("data-centre", "dc1"),
+        ("log-addr", "10.0.0.1:7000"),
+        ("vms-addr", "10.0.0.1:7001"),
+        ("operator-key", "an-operator-key-of-32-bytes-....."),
+        ("fleet-key", "a-fleet-key-of-32-bytes-or-more.."),
+    ];
+    given.map(|(flag, text)| (flag, text.to_owned())).into()
+}
+
+fn read(given: &BTreeMap<&'static str, String>) -> Result<Settings, Vec<SettingFault>> {
+    Settings::read(|spec| given.get(spec.flag).cloned())
+}
+
+fn flags(faults: &[SettingFault]) -> Vec<&'static str> {
+    faults.iter().map(|fault| fault.flag).collect()
+}
+
+#[test]
+fn required_settings_suffice() {
+    let settings = read(&good()).unwrap();
+    assert_eq!(settings.callers_addr.port(), 8080);
+}
+
+#[test]
+fn every_missing_setting_is_named_at_once() {
+    let required = SETTINGS.iter().filter(|spec| spec.default.is_none()).map(|spec| spec.flag);
+    assert_eq!(flags(&read(&BTreeMap::new()).unwrap_err()), Vec::from_iter(required));
+}
+
+#[test]
+fn every_bad_setting_is_named_at_once() {
+    let bad = SETTINGS.iter().map(|spec| (spec.flag, " ".to_owned())).collect();
+    let faults = read(&bad).unwrap_err();
+    assert_eq!(flags(&faults), Vec::from_iter(SETTINGS.iter().map(|spec| spec.flag)));
+}
+
+#[test]
+fn two_ports_may_not_be_the_same() {
+    let mut given = good();
+    given.insert("operators-addr", "0.0.0.0:8080".to_owned());
+    assert_eq!(flags(&read(&given).unwrap_err()), ["operators-addr"]);
+    given.insert("operators-addr", "0.0.0.0:0".to_owned());
+    given.insert("callers-addr", "0.0.0.0:0".to_owned());
+    assert!(read(&given).is_ok(), "port 0 lets the system choose");
+}
+
+#[test]
+fn a_secret_that_no_header_can_carry_is_refused() {
+    let mut given = good();
+    given.insert("operator-key", "an operator key\n with a line break".to_owned());
+    assert_eq!(flags(&read(&given).unwrap_err()), ["operator-key"]);
+}
+
+#[test]
+fn a_secret_is_in_no_fault_and_no_debug_output() {
+    let mut given = good();
+    given.insert("fleet-key", "short-secret".to_owned());
+    let faults = read(&given).unwrap_err();
+    assert_eq!(flags(&faults), ["fleet-key"]);
+    assert!(faults.iter().all(|fault| !fault.to_string().contains("short-secret")));
+    let settings = read(&good()).unwrap();
+    assert!(!format!("{settings:?}").contains("an-operator-key"));
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_text_gives_settings_or_named_faults(
+        texts in prop::collection::vec(".{0,24}|[0-9]{1,21}|[0-9.]{7,15}:[0-9]{1,6}", SETTINGS.len()),
+    ) {
+        let given: BTreeMap<_, _> = SETTINGS.iter().map(|spec| spec.flag).zip(texts).collect();
+        match read(&given) {
+            Ok(settings) => prop_assert!((1..=256).contains(&settings.threads)),
+            Err(faults) => {
+                prop_assert!(!faults.is_empty());
+                for fault in &faults {
+                    prop_assert!(given.contains_key(fault.flag));
+                    prop_assert!(!fault.rule.is_empty());
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn one_bad_setting_is_the_one_that_is_named(index in 0..SETTINGS.len(), text in "[ \t]{0,3}") {
+        let flag = SETTINGS[index].flag;
+        let mut given = good();
+        given.insert(flag, text);
+        let faults = read(&given).unwrap_err();
+        prop_assert_eq!(flags(&faults), [flag]);
+    }
+}
