--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use comfreymast_base::hex;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -14,10 +16,11 @@
     }
 }
 
-/// SHA-256 of a key as a contract lists it.
-#[must_use]
-pub fn sha256_hex(key: &str) -> String {
-    hex::encode(&KeyHash::of(key).0)
+impl fmt::Display for KeyHash {
+    /// As 64 hexadecimal digits, the way a contract holds it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(&self.0))
+    }
 }
 
 /// One bearer key of an organisation.
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -14,4 +14,5 @@
 mod plain;
 mod stream;
 
+pub(crate) use answer::Outcome;
 pub(crate) use call_error::CallError;
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -14,6 +14,7 @@
 use super::ask::Ask;
 use super::call_error::CallError;
 use super::caller::Caller;
+use crate::burn::{RequestRecord, StreamRecord};
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
 
@@ -52,6 +53,7 @@
     caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
+    mut record: StreamRecord,
 ) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
@@ -62,6 +64,7 @@
             let token = match tokens.next().await {
                 Ok(token) => token,
                 Err(error) => {
+                    record.lost();
                     let _ = sender.send(Ok(error_event(&error))).await;
                     let _ = sender.send(Err(BodyError::Cut)).await;
                     return;
@@ -69,11 +72,15 @@
             };
             daemon.metrics.tokens.inc();
             permit.charge_tokens(1, daemon.clock.now_ms());
+            if token.finish.is_none() {
+                record.token();
+            }
             // A reader that has gone ends the relay.
             if sender.send(Ok(token_event(&model, &token))).await.is_err() {
                 return;
             }
             if token.finish.is_some() {
+                record.whole();
                 let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
                 return;
             }
@@ -92,6 +99,7 @@
     caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
+    record: &RequestRecord,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -105,6 +113,7 @@
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             set_outcome(&mut response, Outcome::Done);
+            record.whole();
             return Ok(response);
         }
     }
--- a/crates/proof/tests/limits.rs
+++ b/crates/proof/tests/limits.rs
@@ -14,7 +14,7 @@
 const MOST_BURSTS: usize = 4;
 
 fn contract() -> String {
-    let hash = comfreymast_contract::sha256_hex("key-of-estudio-norte");
+    let hash = comfreymast_contract::KeyHash::of("key-of-estudio-norte");
     format!(
         r#"
 organisation = "estudio-norte"
