--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -49,6 +49,10 @@
         "vms-interval-ms" => &daemon.vms_interval_ms,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
+        "keepalive-ms" => &daemon.keepalive_ms,
+        "reader-stall-ms" => &daemon.reader_stall_ms,
+        "drain-grace-ms" => &daemon.drain_grace_ms,
+        "drain-limit-ms" => &daemon.drain_limit_ms,
         "max-body-bytes" => &daemon.max_body_bytes,
         _ => &None,
     };
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -48,6 +48,14 @@
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
             optional --silence-ms silence_ms: String
+            /// Time between comments on a quiet stream, 100 to 600000; default 10000.
+            optional --keepalive-ms keepalive_ms: String
+            /// How long a caller may leave data unread, 100 to 600000; default 30000.
+            optional --reader-stall-ms reader_stall_ms: String
+            /// Time to serve on while not ready, 0 to 600000; default 5000.
+            optional --drain-grace-ms drain_grace_ms: String
+            /// When a drain hands streams over, 0 to 86400000; default 300000.
+            optional --drain-limit-ms drain_limit_ms: String
             /// The longest request body, 1024 to 268435456; default 4194304.
             optional --max-body-bytes max_body_bytes: String
         }
--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use comfreymast_base::hex;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -14,6 +16,12 @@
     }
 }
 
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(&self.0))
+    }
+}
+
 /// One bearer key of an organisation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -40,29 +40,33 @@
 }
 
 impl ErrorBody {
-    /// The body for `error`.
+    /// The body for `error`, with its own outcome.
     pub(crate) fn new(error: &CallError) -> Self {
+        Self::with_outcome(error, error.outcome())
+    }
+
+    fn with_outcome(error: &CallError, outcome: Outcome) -> Self {
         let detail = ErrorDetail {
             code: error.code(),
             message: error.to_string(),
-            outcome: error.outcome(),
+            outcome,
             retry_after_ms: error.retry_after_ms(),
         };
         Self { error: detail }
     }
 }
 
-/// The answer for `error`, with its outcome and when to come back.
-pub(crate) fn refuse(error: &CallError) -> Response<Body> {
+/// The answer for `error`, with an outcome and when to come back.
+pub(crate) fn refuse(error: &CallError, outcome: Outcome) -> Response<Body> {
     const MS_PER_S: u64 = 1_000;
-    let mut response = Response::new(json(&ErrorBody::new(error)));
+    let mut response = Response::new(json(&ErrorBody::with_outcome(error, outcome)));
     *response.status_mut() = error.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     if let Some(retry_after_ms) = error.retry_after_ms() {
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
     }
-    set_outcome(&mut response, error.outcome());
+    set_outcome(&mut response, outcome);
     response
 }
 
--- a/crates/daemon/src/callers/ask.rs
+++ b/crates/daemon/src/callers/ask.rs
@@ -1,13 +1,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use comfreymast_base::GenerationId;
 use comfreymast_contract::{Contract, Work};
 use comfreymast_net::{BodyError, collect, within};
+use comfreymast_wire::engine::StartGeneration;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request};
 use serde::Deserialize;
 
 use super::call_error::CallError;
+use super::digest;
 use crate::daemon::Daemon;
 
 const BODY_LIMIT_MS: u64 = 30_000;
@@ -22,6 +25,8 @@
     max_tokens: Option<u32>,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    read_tokens: Vec<Arc<str>>,
 }
 
 /// A completion that the caller's contract allows.
@@ -35,6 +40,8 @@
     pub(crate) max_tokens: u32,
     /// True when the caller wants tokens as they come.
     pub(crate) stream: bool,
+    /// What a reader who comes back has read, one text for each event.
+    pub(crate) read_tokens: Vec<Arc<str>>,
 }
 
 impl Ask {
@@ -57,7 +64,31 @@
             let what = format!("{max_tokens} output tokens");
             return Err(CallError::NotAllowed { what });
         }
-        Ok(Self { work: work.clone(), prompt: body.prompt, max_tokens, stream: body.stream })
+        Ok(Self {
+            work: work.clone(),
+            prompt: body.prompt,
+            max_tokens,
+            stream: body.stream,
+            read_tokens: body.read_tokens,
+        })
+    }
+
+    /// The order that starts it on an engine.
+    pub(crate) fn start(&self, generation: GenerationId, fence: u64) -> StartGeneration {
+        StartGeneration {
+            generation,
+            fence,
+            model: self.work.model.clone(),
+            prompt: self.prompt.clone(),
+            max_tokens: self.max_tokens,
+            priority: self.work.priority,
+            resume: Vec::new(),
+        }
+    }
+
+    /// Binds a cursor to what was asked.
+    pub(crate) fn digest(&self) -> u64 {
+        digest::of_request(&self.work.model, &self.prompt, self.max_tokens)
     }
 }
 
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -48,6 +48,30 @@
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
+    /// The generation broke off, and no engine could carry it on.
+    #[display("the generation broke off; come back with Last-Event-ID")]
+    GenerationLost {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The engine that the cursor names has lost the generation.
+    #[display(
+        "the engine has lost the generation; a repeatable request goes on with its body and \
+         read_tokens"
+    )]
+    GenerationGone,
+    /// The reader has gone on through another connection.
+    #[display("the stream goes on through another connection")]
+    Superseded,
+    /// The cursor is not one of this caller's.
+    #[display("the cursor in Last-Event-ID is not one of this organisation's")]
+    CursorRefused,
+    /// The cursor belongs to another body, or to other tokens.
+    #[display("the cursor in Last-Event-ID does not belong to this request")]
+    CursorMismatch,
+    /// The daemon stops and hands its streams over.
+    #[display("this daemon stops; come back at once with Last-Event-ID")]
+    HandedOver,
 }
 
 impl CallError {
@@ -60,7 +84,11 @@
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::OutcomeUnknown | Self::GenerationLost { .. } => StatusCode::BAD_GATEWAY,
+            Self::GenerationGone => StatusCode::GONE,
+            Self::Superseded => StatusCode::CONFLICT,
+            Self::CursorRefused | Self::CursorMismatch => StatusCode::BAD_REQUEST,
+            Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -76,13 +104,25 @@
             Self::NotReady => "not_ready",
             Self::NoUpstream { .. } => "no_upstream",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::GenerationLost { .. } => "generation_lost",
+            Self::GenerationGone => "generation_gone",
+            Self::Superseded => "superseded",
+            Self::CursorRefused => "cursor_refused",
+            Self::CursorMismatch => "cursor_mismatch",
+            Self::HandedOver => "handed_over",
         }
     }
 
     /// Whether the request was run.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::OutcomeUnknown => Outcome::Unknown,
+            Self::OutcomeUnknown
+            | Self::GenerationLost { .. }
+            | Self::GenerationGone
+            | Self::Superseded
+            | Self::CursorRefused
+            | Self::CursorMismatch
+            | Self::HandedOver => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
@@ -92,7 +132,10 @@
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_MS),
-            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            Self::NoUpstream { retry_after_ms } | Self::GenerationLost { retry_after_ms } => {
+                Some(*retry_after_ms)
+            }
+            Self::HandedOver => Some(0),
             _ => None,
         }
     }
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -1,7 +1,7 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use comfreymast_base::GenerationId;
 use comfreymast_decide::routing::{Candidate, least_outstanding};
 use comfreymast_net::Body;
 use comfreymast_wire::engine::StartGeneration;
@@ -11,12 +11,10 @@
 use super::ask::Ask;
 use super::call_error::CallError;
 use super::caller::Caller;
+use super::generation::Generation;
 use super::stream;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
-use crate::upstream::{EngineStream, StartError};
-
-const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
 
 /// Runs one completion: reads it, chooses an engine, starts the generation and relays it.
 pub(crate) async fn run(
@@ -25,37 +23,23 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
-    let start = StartGeneration {
-        generation: GenerationId::random(),
-        fence: 1,
-        model: ask.work.model.clone(),
-        prompt: ask.prompt.clone(),
-        max_tokens: ask.max_tokens,
-        priority: ask.work.priority,
-        resume: Vec::new(),
-    };
-    let engine = choose(daemon, &start)
-        .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
-    let tokens = EngineStream::start(daemon, &engine, &start).await.map_err(|error| {
-        daemon.metrics.failed_attempts.inc();
-        match error {
-            StartError::NotRun { .. } => {
-                CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS }
-            }
-            StartError::Unknown { .. } => CallError::OutcomeUnknown,
-        }
-    })?;
+    let generation = Generation::begin(daemon, &caller.contract.organisation, &ask).await?;
     if ask.stream {
-        Ok(stream::relay(daemon, &ask, tokens))
+        Ok(stream::relay(daemon, generation))
     } else {
-        stream::collect(daemon, &ask, tokens).await
+        stream::collect(daemon, generation).await
     }
 }
 
-/// The engine that gets a generation.
-fn choose(daemon: &Daemon, start: &StartGeneration) -> Option<Arc<UpstreamState>> {
+/// The engine that gets a generation, which none of those tried does.
+pub(crate) fn choose(
+    daemon: &Daemon,
+    start: &StartGeneration,
+    tried: &[SocketAddr],
+) -> Option<Arc<UpstreamState>> {
     let directory = daemon.directory.load();
-    let engines: Vec<_> = directory.engines(&start.model).collect();
+    let engines = directory.engines(&start.model);
+    let engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
     let candidates: Vec<_> = engines.iter().map(|engine| candidate(daemon, engine)).collect();
     let chosen = least_outstanding(&candidates)?;
     engines.get(chosen).map(|engine| Arc::clone(engine))
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -2,42 +2,58 @@
 
 use comfreymast_net::Body;
 use hyper::body::Incoming;
-use hyper::{Method, Request, Response};
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Method, Request, Response, Version};
 
 use super::answer::{Outcome, refuse};
 use super::call_error::CallError;
 use super::caller::Caller;
-use super::{completion, plain};
+use super::{completion, plain, reattach};
 use crate::daemon::Daemon;
 use crate::metrics::AnswerLabels;
 
+const COMPLETIONS: &str = "/v1/completions";
+
 /// Answers one request on the callers' port.
 pub(crate) async fn answer(daemon: Arc<Daemon>, request: Request<Incoming>) -> Response<Body> {
     daemon.metrics.requests_open.inc();
+    let is_reattach = reattach::sealed_cursor(request.headers()).is_some();
+    let close_after = daemon.is_draining() && request.version() <= Version::HTTP_11;
     let answered = dispatch(&daemon, request).await;
     daemon.metrics.requests_open.dec();
-    match answered {
+    let mut response = match answered {
         Ok(response) => {
             count(&daemon, Outcome::Done, response.status().as_u16());
             response
         }
         Err(error) => {
-            count(&daemon, error.outcome(), error.status().as_u16());
-            refuse(&error)
+            // What the cursor of a reader names was run, whatever becomes of this call.
+            let outcome = if is_reattach { Outcome::Unknown } else { error.outcome() };
+            count(&daemon, outcome, error.status().as_u16());
+            refuse(&error, outcome)
         }
+    };
+    if close_after {
+        // Callers then leave a connection before the drain closes it.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    response
 }
 
 async fn dispatch(
     daemon: &Arc<Daemon>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
-    if !daemon.is_ready() {
+    if !daemon.has_loaded() {
         return Err(CallError::NotReady);
     }
     let caller = Caller::authenticate(daemon, request.headers())?;
+    let is_reattach = reattach::sealed_cursor(request.headers()).is_some();
     match (request.method(), request.uri().path()) {
-        (&Method::POST, "/v1/completions") => completion::run(daemon, caller, request).await,
+        (&Method::GET | &Method::POST, COMPLETIONS) if is_reattach => {
+            reattach::run(daemon, caller, request).await
+        }
+        (&Method::POST, COMPLETIONS) => completion::run(daemon, caller, request).await,
         _ => plain::run(daemon, caller, request).await,
     }
 }
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -2,6 +2,9 @@
 //!
 //! * [`front`] — takes a request, authenticates it and sends it on its way.
 //! * [`completion`] — one generation from admission to its last token.
+//! * [`generation`] — one generation over all its attempts, as its reader sees it.
+//! * [`stream`] — its tokens on their way to the caller.
+//! * [`reattach`] — a reader who comes back with a [`cursor`].
 //! * [`plain`] — one call that passes to a plain service.
 //! * [`call_error`] — every answer that is not a success, with its outcome.
 
@@ -10,6 +13,10 @@
 mod call_error;
 mod caller;
 mod completion;
+pub(crate) mod cursor;
+mod digest;
 pub(crate) mod front;
+mod generation;
 mod plain;
+mod reattach;
 mod stream;
--- /dev/null
+++ b/crates/daemon/src/callers/reattach.rs
@@ -0,0 +1,52 @@
+use std::sync::Arc;
+
+use comfreymast_net::Body;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response};
+
+use super::ask::{Ask, header};
+use super::call_error::CallError;
+use super::caller::Caller;
+use super::generation::Generation;
+use super::stream;
+use crate::daemon::Daemon;
+use crate::events;
+
+const CURSOR_HEADER: &str = "last-event-id";
+
+/// The sealed cursor of a reader who comes back.
+pub(crate) fn sealed_cursor(headers: &HeaderMap) -> Option<&str> {
+    header(headers, CURSOR_HEADER)
+}
+
+/// Continues a stream after the last event that its reader has.
+///
+/// `GET` only attaches to the engine. `POST` with the body of the first request also lets another
+/// engine go on where the contract allows a repeat: while this daemon knows the tokens, or from
+/// the `read_tokens` of the body.
+pub(crate) async fn run(
+    daemon: &Arc<Daemon>,
+    caller: Caller,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, CallError> {
+    let sealed = sealed_cursor(request.headers()).unwrap_or_default();
+    let opened = daemon.cursors.open(sealed);
+    let organisation = &caller.contract.organisation;
+    let cursor = match opened {
+        Ok(cursor) if cursor.organisation == *organisation => cursor,
+        Ok(_) => {
+            events::CURSOR_REFUSED.log(format_args!("{organisation} gave another's cursor"));
+            return Err(CallError::CursorRefused);
+        }
+        Err(error) => {
+            events::CURSOR_REFUSED.log(format_args!("{organisation}: {error}"));
+            return Err(CallError::CursorRefused);
+        }
+    };
+    let ask = match *request.method() {
+        Method::GET => None,
+        _ => Some(Ask::read(daemon, &caller.contract, request).await?),
+    };
+    let generation = Generation::reattach(daemon, &cursor, ask.as_ref()).await?;
+    Ok(stream::relay(daemon, generation))
+}
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -1,23 +1,27 @@
 //! Tokens on their way to a caller, in the shape of completion APIs.
 
+use std::pin::pin;
 use std::sync::Arc;
 
+use async_channel::Sender;
 use bytes::Bytes;
 use comfreymast_base::Model;
-use comfreymast_net::{Body, BodyError, channel, json};
+use comfreymast_net::{Body, BodyError, channel, json, sleep_ms, within};
 use comfreymast_wire::engine::{Finish, Token};
+use futures_lite::future;
 use hyper::Response;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use serde::Serialize;
 
 use super::answer::{ErrorBody, Outcome, set_outcome};
-use super::ask::Ask;
 use super::call_error::CallError;
+use super::generation::Generation;
 use crate::daemon::Daemon;
-use crate::upstream::{EngineStream, StreamError};
+use crate::events;
 
 /// Chunks that may wait for a slow reader; beyond them the engine's stream is not read.
 const READER_CAPACITY: usize = 64;
+const KEEPALIVE: &[u8] = b": keepalive\n\n";
 const DONE: &[u8] = b"data: [DONE]\n\n";
 
 #[derive(Serialize)]
@@ -46,31 +50,10 @@
 }
 
 /// Answers with server-sent events, one for each token.
-pub(crate) fn relay(daemon: &Arc<Daemon>, ask: &Ask, mut tokens: EngineStream) -> Response<Body> {
+pub(crate) fn relay(daemon: &Arc<Daemon>, generation: Generation) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
-    let model = ask.work.model.clone();
-    let daemon = daemon.clone();
-    daemon.spawner.clone().detach(async move {
-        loop {
-            let token = match tokens.next().await {
-                Ok(token) => token,
-                Err(error) => {
-                    let _ = sender.send(Ok(error_event(&error))).await;
-                    let _ = sender.send(Err(BodyError::Cut)).await;
-                    return;
-                }
-            };
-            daemon.metrics.tokens.inc();
-            // A reader that has gone ends the relay.
-            if sender.send(Ok(token_event(&model, &token))).await.is_err() {
-                return;
-            }
-            if token.finish.is_some() {
-                let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
-                return;
-            }
-        }
-    });
+    let relay = Relay { daemon: daemon.clone(), generation, sender };
+    daemon.spawner.detach(relay.run());
     let mut response = Response::new(body);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -81,17 +64,21 @@
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
     daemon: &Arc<Daemon>,
-    ask: &Ask,
-    mut tokens: EngineStream,
+    mut generation: Generation,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
-        let token = tokens.next().await.map_err(|_| CallError::OutcomeUnknown)?;
+        let handed_over = async {
+            daemon.handed_over().await;
+            Err(CallError::HandedOver)
+        };
+        let next = async { generation.next().await.map_err(CallError::from) };
+        let token = future::or(handed_over, next).await?;
         daemon.metrics.tokens.inc();
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
-            let mut response = Response::new(json(&chunk(&ask.work.model, &whole)));
+            let mut response = Response::new(json(&chunk(generation.model(), &whole)));
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             set_outcome(&mut response, Outcome::Done);
@@ -100,14 +87,99 @@
     }
 }
 
-fn token_event(model: &Model, token: &Token) -> Bytes {
+/// Carries the tokens of one generation to one reader.
+struct Relay {
+    daemon: Arc<Daemon>,
+    generation: Generation,
+    sender: Sender<Result<Bytes, BodyError>>,
+}
+
+/// Why a relay ends before the end of the generation.
+enum RelayEnd {
+    /// The reader has gone or does not read: there is nobody to tell.
+    Reader,
+    /// The reader is told.
+    Told(CallError),
+}
+
+impl Relay {
+    async fn run(mut self) {
+        match self.relay().await {
+            Ok(()) | Err(RelayEnd::Reader) => {}
+            Err(RelayEnd::Told(error)) => {
+                let _ = send(&self.daemon, &self.sender, error_event(&error)).await;
+            }
+        }
+    }
+
+    async fn relay(&mut self) -> Result<(), RelayEnd> {
+        loop {
+            let token = self.next().await?;
+            self.daemon.metrics.tokens.inc();
+            let cursor = self.daemon.cursors.seal(&self.generation.cursor());
+            let event = token_event(self.generation.model(), &token, &cursor);
+            send(&self.daemon, &self.sender, event).await?;
+            if token.finish.is_some() {
+                return send(&self.daemon, &self.sender, Bytes::from_static(DONE)).await;
+            }
+        }
+    }
+
+    /// The next token; comments go to the reader meanwhile, so that a lost one is noticed.
+    async fn next(&mut self) -> Result<Token, RelayEnd> {
+        let Self { daemon, generation, sender } = self;
+        let mut next = pin!(generation.next());
+        loop {
+            let reader_gone = async {
+                sender.closed().await;
+                Err(RelayEnd::Reader)
+            };
+            let handed_over = async {
+                daemon.handed_over().await;
+                Err(RelayEnd::Told(CallError::HandedOver))
+            };
+            let token = async {
+                let token = next.as_mut().await;
+                token.map(Some).map_err(|error| RelayEnd::Told(error.into()))
+            };
+            let quiet = async {
+                sleep_ms(daemon.settings.keepalive_ms).await;
+                Ok(None)
+            };
+            // The reader comes first: a daemon that was frozen must not go on for one who left.
+            let ending = future::or(reader_gone, handed_over);
+            match future::or(ending, future::or(token, quiet)).await? {
+                Some(token) => return Ok(token),
+                None => send(daemon, sender, Bytes::from_static(KEEPALIVE)).await?,
+            }
+        }
+    }
+}
+
+/// Waits for a reader with a full queue, but not for ever.
+async fn send(
+    daemon: &Daemon,
+    sender: &Sender<Result<Bytes, BodyError>>,
+    event: Bytes,
+) -> Result<(), RelayEnd> {
+    let limit_ms = daemon.settings.reader_stall_ms;
+    match within(limit_ms, sender.send(Ok(event))).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(RelayEnd::Reader),
+        Err(elapsed) => {
+            events::READER_STALLED.log(format_args!("{elapsed}"));
+            Err(RelayEnd::Reader)
+        }
+    }
+}
+
+fn token_event(model: &Model, token: &Token, cursor: &str) -> Bytes {
     let json = serde_json::to_string(&chunk(model, token)).unwrap_or_default();
-    Bytes::from(format!("id: {}-{}\ndata: {json}\n\n", token.generation, token.index))
+    Bytes::from(format!("id: {cursor}\ndata: {json}\n\n"))
 }
 
-fn error_event(error: &StreamError) -> Bytes {
-    log::debug!("a stream ended early: {error}");
-    let body = ErrorBody::new(&CallError::OutcomeUnknown);
+fn error_event(error: &CallError) -> Bytes {
+    let body = ErrorBody::new(error);
     let json = serde_json::to_string(&body).unwrap_or_default();
     Bytes::from(format!("event: error\ndata: {json}\n\n"))
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,13 +3,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_net::TcpListener;
 use comfreymast_base::Clock;
-use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve};
+use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve, sleep_ms};
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::callers::cursor::CursorSeal;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::metrics::Metrics;
@@ -39,6 +40,10 @@
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
     pub(crate) stop: Receiver<()>,
+    /// Seals and opens readers' cursors.
+    pub(crate) cursors: CursorSeal,
+    /// Closed when streams are to be handed over.
+    streams: Receiver<()>,
     ready: AtomicBool,
     draining: AtomicBool,
 }
@@ -46,7 +51,17 @@
 impl Daemon {
     /// True once the log was read to its end, and until the daemon drains.
     pub(crate) fn is_ready(&self) -> bool {
-        self.ready.load(Ordering::Acquire) && !self.is_draining()
+        self.has_loaded() && !self.is_draining()
+    }
+
+    /// True once the log was read to its end. A daemon that drains serves what still comes.
+    pub(crate) fn has_loaded(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
+    /// Completes when a drain has waited long enough for its streams.
+    pub(crate) async fn handed_over(&self) {
+        let _ = self.streams.recv().await;
     }
 
     /// True when the daemon is on its way out.
@@ -65,7 +80,8 @@
     /// Tells the balancer and the peers that this daemon goes.
     pub(crate) fn start_draining(&self) {
         if !self.draining.swap(true, Ordering::AcqRel) {
-            events::DAEMON_DRAINING.log(format_args!("requests in flight are finished"));
+            let grace_ms = self.settings.drain_grace_ms;
+            events::DAEMON_DRAINING.log(format_args!("new work is taken for {grace_ms} ms"));
             self.peers.announce();
         }
     }
@@ -92,7 +108,9 @@
     pub source: std::io::Error,
 }
 
-/// Runs one daemon until `stop` closes, then finishes the requests in flight.
+/// Runs one daemon until `stop` closes, then drains: it is not ready, still serves for a grace
+/// time, accepts no more, finishes the requests in flight, and hands over the streams that are
+/// left at the drain limit.
 ///
 /// `started` is called once with the addresses, before the first request is taken.
 ///
@@ -113,8 +131,9 @@
         operators: local_addr(&operators, settings.operators_addr)?,
         peers: local_addr(&peers, settings.peers_addr)?,
     };
+    let (streams_running, streams) = async_channel::bounded::<()>(1);
     let vm_list = VmList::new(spawner.clone(), settings.vms_addr);
-    let daemon = Arc::new(new_daemon(spawner.clone(), settings, stop.clone()));
+    let daemon = Arc::new(new_daemon(spawner.clone(), settings, stop, streams));
     started(addresses);
     events::DAEMON_STARTED
         .log(format_args!("{} serves callers on {}", daemon.settings.name, addresses.callers));
@@ -136,24 +155,41 @@
             operators_stop,
         )),
     ];
-    let drain = daemon.clone();
-    let announce = spawner.spawn({
-        let stop = stop.clone();
-        async move {
-            let _ = stop.recv().await;
-            drain.start_draining();
-        }
-    });
+    let (accepting, accept_stop) = async_channel::bounded::<()>(1);
+    let _drain = spawner.spawn(drain(daemon.clone(), accepting, streams_running));
     let callers_front = answer_with(&daemon, callers::front::answer);
-    serve(spawner, callers, callers_front, ServeLimits::default(), stop).await;
-    announce.await;
+    serve(spawner, callers, callers_front, caller_limits(&daemon.settings), accept_stop).await;
     drop(operators_running);
     events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
     Ok(())
 }
 
-fn new_daemon(spawner: Spawner, settings: Settings, stop: Receiver<()>) -> Daemon {
+/// Waits for the word to stop, then takes the daemon through its drain.
+async fn drain(daemon: Arc<Daemon>, accepting: Sender<()>, streams_running: Sender<()>) {
+    let Settings { drain_grace_ms, drain_limit_ms, .. } = daemon.settings;
+    let _ = daemon.stop.recv().await;
+    daemon.start_draining();
+    sleep_ms(drain_grace_ms).await;
+    events::DAEMON_CLOSING.log(format_args!("requests in flight are finished"));
+    drop(accepting);
+    sleep_ms(drain_limit_ms.saturating_sub(drain_grace_ms)).await;
+    events::STREAMS_HANDED_OVER.log(format_args!("after {drain_limit_ms} ms"));
+    drop(streams_running);
+}
+
+fn caller_limits(settings: &Settings) -> ServeLimits {
+    ServeLimits { write_stall_ms: settings.reader_stall_ms, ..ServeLimits::default() }
+}
+
+fn new_daemon(
+    spawner: Spawner,
+    settings: Settings,
+    stop: Receiver<()>,
+    streams: Receiver<()>,
+) -> Daemon {
     Daemon {
+        cursors: CursorSeal::new(settings.fleet_key.expose().as_bytes()),
+        streams,
         clock: Clock::system(),
         log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
         spawner,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -42,6 +42,8 @@
     DAEMON_DRAINING = 102 Info "daemon drains";
     DAEMON_STOPPED = 103 Info "daemon stopped";
     DAEMON_READY = 104 Info "daemon is ready";
+    DAEMON_CLOSING = 105 Info "daemon accepts no more connections";
+    STREAMS_HANDED_OVER = 106 Warn "drain limit reached, streams handed over";
     LOG_UNAVAILABLE = 201 Warn "log service unavailable";
     LOG_RESTORED = 202 Info "log service answers again";
     RECORD_SKIPPED = 203 Warn "bad record skipped";
@@ -55,4 +57,11 @@
     PEER_LINK_LOST = 503 Info "link to peer lost";
     ATTEMPT_FAILED = 601 Warn "attempt on an upstream failed";
     FOREIGN_TOKEN = 602 Error "token of another generation dropped";
+    CONNECTION_SILENT = 603 Warn "connection to an engine is silent";
+    STREAM_REATTACHED = 604 Info "stream attached again";
+    GENERATION_CONTINUED = 605 Warn "generation continued on another engine";
+    GENERATION_LOST = 606 Error "generation given up";
+    STREAM_SUPERSEDED = 607 Info "reader has moved to another daemon";
+    CURSOR_REFUSED = 608 Warn "cursor refused";
+    READER_STALLED = 609 Info "reader that does not read was cut";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`Settings`] — everything a daemon is told at start, checked whole.
 //! * [`run`] — runs one daemon until its stop channel closes, then drains.
+//! * [`CursorSeal`] — seals and opens the [`Cursor`] that a reader gives back to continue.
 //! * [`events`] — the numbered events it logs.
 //! * [`operators`] — the JSON of the operators' port, which the command line reads.
 //!
@@ -21,5 +22,6 @@
 mod upstream;
 mod vm_watch;
 
+pub use callers::cursor::{Cursor, CursorError, CursorSeal};
 pub use daemon::{Addresses, StartError, run};
 pub use settings::{SETTINGS, SettingFault, SettingSpec, Settings};
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 15] = [
+pub const SETTINGS: [SettingSpec; 19] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -48,6 +48,10 @@
     optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
     optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
+    optional("keepalive-ms", "10000", "Time between comments on a quiet stream, 100 to 600000"),
+    optional("reader-stall-ms", "30000", "How long a caller may leave data unread, 100 to 600000"),
+    optional("drain-grace-ms", "5000", "Time to serve on while not ready, 0 to 600000"),
+    optional("drain-limit-ms", "300000", "When a drain hands streams over, 0 to 86400000"),
     optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
 ];
 
@@ -82,6 +86,15 @@
     pub load_interval_ms: u64,
     /// How long an open stream may say nothing.
     pub silence_ms: u64,
+    /// Time between comments on a stream that has no token to send.
+    pub keepalive_ms: u64,
+    /// How long a caller may leave data unread before it is cut.
+    pub reader_stall_ms: u64,
+    /// How long a daemon that drains still takes new work, so that the balancer sees it is not
+    /// ready.
+    pub drain_grace_ms: u64,
+    /// How long a drain waits for streams before it hands them over.
+    pub drain_limit_ms: u64,
     /// The longest request body.
     pub max_body_bytes: usize,
 }
@@ -161,6 +174,10 @@
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
         let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
         let silence_ms = self.number("silence-ms", 100..=600_000);
+        let keepalive_ms = self.number("keepalive-ms", 100..=600_000);
+        let reader_stall_ms = self.number("reader-stall-ms", 100..=600_000);
+        let drain_grace_ms = self.number("drain-grace-ms", 0..=600_000);
+        let drain_limit_ms = self.number("drain-limit-ms", 0..=86_400_000);
         let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
         Some(Settings {
             name: DaemonName::from(name?),
@@ -177,6 +194,10 @@
             vms_interval_ms: vms_interval_ms?,
             load_interval_ms: load_interval_ms?,
             silence_ms: silence_ms?,
+            keepalive_ms: keepalive_ms?,
+            reader_stall_ms: reader_stall_ms?,
+            drain_grace_ms: drain_grace_ms?,
+            drain_limit_ms: drain_limit_ms?,
             max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
         })
     }
--- /dev/null
+++ b/crates/daemon/src/upstream/cancel.rs
@@ -0,0 +1,32 @@
+use std::sync::Arc;
+
+use comfreymast_base::GenerationId;
+use comfreymast_net::{call, empty, request};
+
+use crate::daemon::Daemon;
+use crate::directory::UpstreamState;
+
+const CANCEL_LIMIT_MS: u64 = 1_000;
+const MAX_REPLY_BYTES: usize = 4_096;
+
+/// Tells an engine, in the background, to end an attempt.
+///
+/// One try is enough: an engine that does not hear it drops a generation that nobody reads.
+pub(crate) fn cancel(
+    daemon: &Arc<Daemon>,
+    engine: &Arc<UpstreamState>,
+    generation: GenerationId,
+    fence: u64,
+) {
+    let daemon = daemon.clone();
+    let engine = engine.clone();
+    daemon.spawner.clone().detach(async move {
+        let path = format!("/v1/generations/{generation}/cancel?fence={fence}");
+        let request = request(engine.addr, "POST", &path, empty());
+        let cancelled =
+            call(&daemon.spawner, engine.addr, request, CANCEL_LIMIT_MS, MAX_REPLY_BYTES).await;
+        if let Err(error) = cancelled {
+            log::debug!("{} was not told to cancel {generation}: {error}", engine.name);
+        }
+    });
+}
--- a/crates/daemon/src/upstream/engine_stream.rs
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::GenerationId;
-use comfreymast_net::{DialError, Elapsed, dial, json, request, within};
+use comfreymast_net::{DialError, Elapsed, dial, empty, json, request, within};
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error, From};
 use eventsource_stream::{EventStreamError, Eventsource};
@@ -49,6 +49,20 @@
     Status(StatusCode),
 }
 
+/// Why a connection could not be attached to a generation that may still run.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum AttachError {
+    /// The engine does not know the generation.
+    #[display("the engine does not know the generation")]
+    Gone,
+    /// The engine serves an order with a higher fence.
+    #[display("the engine serves a newer order")]
+    Superseded,
+    /// The engine could not be asked.
+    #[display("{_0}")]
+    Failed(StartFailure),
+}
+
 /// Why a stream of tokens ended before its end.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum StreamError {
@@ -64,6 +78,9 @@
     /// Nothing came for too long.
     #[display("{_0}")]
     Silent(Elapsed),
+    /// A token of a newer order came: another daemon serves the reader now.
+    #[display("the engine serves a newer order")]
+    Superseded,
     /// A token of another generation, another attempt or another place came.
     #[display("the engine sent a token that does not belong here")]
     Foreign,
@@ -76,6 +93,9 @@
 >;
 
 /// The tokens of one attempt, each checked against generation, fence and index.
+///
+/// The connection serves this attempt only and closes with it, so a late answer to an abandoned
+/// request has nowhere to go.
 pub(crate) struct EngineStream {
     events: EngineEvents,
     generation: GenerationId,
@@ -114,12 +134,42 @@
             events: events(reply.into_body()),
             generation: start.generation,
             fence: start.fence,
-            next_index: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
+            next_index: count(&start.resume),
             silence_ms,
             running,
         })
     }
 
+    /// Attaches a connection of its own to a generation that may still run on `engine`.
+    ///
+    /// The first token has the index `from`.
+    pub(crate) async fn attach(
+        daemon: &Daemon,
+        engine: &Arc<UpstreamState>,
+        generation: GenerationId,
+        fence: u64,
+        from: u32,
+    ) -> Result<Self, AttachError> {
+        let running = engine.begin();
+        let silence_ms = daemon.settings.silence_ms;
+        let mut connection =
+            dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await.map_err(StartFailure::from)?;
+        let path = format!("/v1/generations/{generation}?from={from}&fence={fence}");
+        let request = request(engine.addr, "GET", &path, empty());
+        let reply = within(silence_ms, connection.send(request))
+            .await
+            .map_err(StartFailure::from)?
+            .map_err(StartFailure::from)?;
+        match reply.status() {
+            status if status.is_success() => {}
+            StatusCode::NOT_FOUND => return Err(AttachError::Gone),
+            StatusCode::CONFLICT => return Err(AttachError::Superseded),
+            status => return Err(AttachError::Failed(status.into())),
+        }
+        let events = events(reply.into_body());
+        Ok(Self { events, generation, fence, next_index: from, silence_ms, running })
+    }
+
     /// The next token, or the end of the generation.
     pub(crate) async fn next(&mut self) -> Result<Token, StreamError> {
         let event = within(self.silence_ms, self.events.next()).await?;
@@ -128,6 +178,9 @@
         let belongs = token.generation == self.generation
             && token.fence == self.fence
             && token.index == self.next_index;
+        if token.generation == self.generation && token.fence > self.fence {
+            return Err(StreamError::Superseded);
+        }
         if !belongs {
             let engine = &self.running.upstream().name;
             events::FOREIGN_TOKEN.log(format_args!("{engine}, generation {}", self.generation));
@@ -138,6 +191,10 @@
     }
 }
 
+fn count(tokens: &[Arc<str>]) -> u32 {
+    u32::try_from(tokens.len()).unwrap_or(u32::MAX)
+}
+
 fn events(body: Incoming) -> EngineEvents {
     Box::pin(BodyDataStream::new(body).eventsource())
 }
--- a/crates/fakes/src/engine/process.rs
+++ b/crates/fakes/src/engine/process.rs
@@ -30,6 +30,10 @@
     pub refuse: bool,
     /// Open streams say nothing from now on; new connections work.
     pub silence_open_streams: bool,
+    /// Closes the open streams; the generations go on.
+    pub close_streams: bool,
+    /// Drops every generation.
+    pub forget_generations: bool,
     /// Stops making tokens.
     pub stall: bool,
     /// Sends the next tokens with the id of another generation.
@@ -167,11 +171,13 @@
         if known_fence.is_some_and(|known| known >= start.fence) && !self.options.ignore_fences {
             return reply::status(StatusCode::CONFLICT);
         }
+        let mark = self.mark(&mut state, &start);
         self.history.record(Event::GenerationStart {
             generation: start.generation,
             fence: start.fence,
             prompt: start.prompt.clone(),
             resume_tokens: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
+            mark: mark.clone(),
         });
         if text::crashes(&start.prompt) {
             log::warn!("engine {} crashes on request", self.name);
@@ -179,44 +185,15 @@
         }
         state.batch.cancel(start.generation);
         let (reader, body) = channel(READER_CAPACITY);
-        self.begin(&mut state, start, reader);
+        begin(&mut state, start, mark, reader);
         events(body)
     }
 
-    fn begin(
-        &self,
-        state: &mut State,
-        start: StartGeneration,
-        reader: Sender<Result<Bytes, BodyError>>,
-    ) {
+    /// A fresh mark, or that of the tokens that are continued.
+    fn mark(&self, state: &mut State, start: &StartGeneration) -> Arc<str> {
         state.marks += 1;
-        let fresh_mark = format!("{}x{}", self.name, state.marks);
-        let mark = start.resume.first().and_then(|token| text::mark(token)).unwrap_or(&fresh_mark);
-        let wanted_tokens = text::output_tokens(&start.prompt);
-        let total_tokens = wanted_tokens.min(start.max_tokens).max(1);
-        let finish = if wanted_tokens > start.max_tokens { Finish::Length } else { Finish::Stop };
-        let done_tokens = u32::try_from(start.resume.len()).unwrap_or(u32::MAX);
-        let mut running = Running {
-            fence: start.fence,
-            mark: Arc::from(mark),
-            finish,
-            tokens: start.resume,
-            ended: done_tokens >= total_tokens,
-            readers: vec![reader],
-            unread_since_ms: None,
-        };
-        if running.ended {
-            running.publish_end(start.generation);
-        } else {
-            state.batch.submit(Job {
-                generation: start.generation,
-                priority: start.priority,
-                prompt_tokens: text::prompt_tokens(&start.prompt),
-                done_tokens,
-                total_tokens,
-            });
-        }
-        state.generations.insert(start.generation, running);
+        let continued = start.resume.first().and_then(|token| text::mark(token));
+        continued.map_or_else(|| format!("{}x{}", self.name, state.marks).into(), Arc::from)
     }
 
     fn attach(&self, id: GenerationId, fence: u64, from: u64) -> Response<Body> {
@@ -277,6 +254,13 @@
                 state.silenced.append(&mut running.readers);
             }
         }
+        if faults.close_streams {
+            state.generations.values_mut().for_each(|running| running.readers.clear());
+        }
+        if faults.forget_generations {
+            let known: Vec<_> = state.generations.keys().copied().collect();
+            known.into_iter().for_each(|id| self.drop_generation(state, id));
+        }
         state.faults = faults;
         reply::status(StatusCode::NO_CONTENT)
     }
@@ -389,6 +373,39 @@
     }
 }
 
+fn begin(
+    state: &mut State,
+    start: StartGeneration,
+    mark: Arc<str>,
+    reader: Sender<Result<Bytes, BodyError>>,
+) {
+    let wanted_tokens = text::output_tokens(&start.prompt);
+    let total_tokens = wanted_tokens.min(start.max_tokens).max(1);
+    let finish = if wanted_tokens > start.max_tokens { Finish::Length } else { Finish::Stop };
+    let done_tokens = u32::try_from(start.resume.len()).unwrap_or(u32::MAX);
+    let mut running = Running {
+        fence: start.fence,
+        mark,
+        finish,
+        tokens: start.resume,
+        ended: done_tokens >= total_tokens,
+        readers: vec![reader],
+        unread_since_ms: None,
+    };
+    if running.ended {
+        running.publish_end(start.generation);
+    } else {
+        state.batch.submit(Job {
+            generation: start.generation,
+            priority: start.priority,
+            prompt_tokens: text::prompt_tokens(&start.prompt),
+            done_tokens,
+            total_tokens,
+        });
+    }
+    state.generations.insert(start.generation, running);
+}
+
 fn events(body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     let kind = hyper::header::HeaderValue::from_static("text/event-stream");
--- a/crates/fakes/src/history.rs
+++ b/crates/fakes/src/history.rs
@@ -33,6 +33,9 @@
         prompt: Arc<str>,
         /// Where it continues.
         resume_tokens: u32,
+        /// The mark that its tokens carry.
+        #[serde(default)]
+        mark: Arc<str>,
     },
     /// An engine ended a generation.
     GenerationEnd {
@@ -79,13 +82,19 @@
         request: u64,
         /// The HTTP status; 0 when the connection broke.
         status: u16,
-        /// The `comfreymast-outcome` header.
+        /// The `comfreymast-outcome` header, or `done` after a stream's last event.
         outcome: String,
-        /// The body of an answer that was not streamed.
+        /// The body of an answer that was not streamed, or the code of a stream's error event.
         body: String,
     },
 }
 
+/// Reads a history. A line that a killed process left half written is passed over.
+#[must_use]
+pub fn parse(text: &str) -> Vec<Line> {
+    text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+}
+
 /// Writes a history. Without a file it writes nothing.
 #[derive(Clone, Debug)]
 pub struct History {
--- /dev/null
+++ b/crates/net/src/guarded.rs
@@ -0,0 +1,103 @@
+use std::future::Future;
+use std::io::{Error, ErrorKind, IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use async_io::Timer;
+use async_net::TcpStream;
+use futures_lite::{AsyncRead, AsyncWrite};
+
+/// The length of the HTTP/2 preface, which every head of HTTP/1.1 with its `host` exceeds.
+const FIRST_BYTES: usize = 24;
+
+/// A caller's TCP stream that fails when the caller neither speaks nor reads.
+#[derive(Debug)]
+pub(crate) struct GuardedStream {
+    stream: TcpStream,
+    read_bytes: usize,
+    first_bytes_deadline: Timer,
+    write_stall_ms: u64,
+    write_deadline: Option<Timer>,
+}
+
+impl GuardedStream {
+    /// Allows `first_bytes_ms` for the first bytes, and `write_stall_ms` for the other side to
+    /// take any byte that waits for it.
+    pub(crate) fn new(stream: TcpStream, first_bytes_ms: u64, write_stall_ms: u64) -> Self {
+        Self {
+            stream,
+            read_bytes: 0,
+            first_bytes_deadline: Timer::after(Duration::from_millis(first_bytes_ms)),
+            write_stall_ms,
+            write_deadline: None,
+        }
+    }
+
+    /// Passes on what a write did, and fails one that has waited for too long.
+    fn watched<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<Result<T>>,
+    ) -> Poll<Result<T>> {
+        if written.is_ready() {
+            self.write_deadline = None;
+            return written;
+        }
+        let limit = Duration::from_millis(self.write_stall_ms);
+        let deadline = self.write_deadline.get_or_insert_with(|| Timer::after(limit));
+        match Pin::new(deadline).poll(context) {
+            Poll::Ready(_) => Poll::Ready(Err(Error::from(ErrorKind::TimedOut))),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if let Poll::Ready(Ok(bytes)) = read {
+            self.read_bytes = self.read_bytes.saturating_add(bytes);
+        }
+        if read.is_pending() && self.read_bytes < FIRST_BYTES {
+            let deadline = Pin::new(&mut self.first_bytes_deadline);
+            if deadline.poll(context).is_ready() {
+                return Poll::Ready(Err(Error::from(ErrorKind::TimedOut)));
+            }
+        }
+        read
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.watched(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.watched(context, written)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        self.watched(context, flushed)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_close(context)
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod body;
 mod client;
+mod guarded;
 mod server;
 mod spawner;
 mod timeout;
--- /dev/null
+++ b/crates/proof/src/documents.rs
@@ -0,0 +1,42 @@
+use comfreymast_contract::KeyHash;
+
+/// A contract of `organisation` for the holder of `key`: kind `report` on model `m`, which may be
+/// repeated; kind `study`, which may not; calls to service `s` under `/drawings`, and under
+/// `/saves`, which may not be repeated.
+#[must_use]
+pub fn contract(organisation: &str, key: &str) -> String {
+    let hash = KeyHash::of(key);
+    format!(
+        r#"
+organisation = "{organisation}"
+
+[[keys]]
+name = "site"
+sha256 = "{hash}"
+
+[[work]]
+kind = "report"
+model = "m"
+priority = 7
+max_output_tokens = 20000
+repeatable = true
+
+[[work]]
+kind = "study"
+model = "m"
+priority = 7
+max_output_tokens = 20000
+
+[[routes]]
+prefix = "/drawings"
+service = "s"
+methods = ["GET"]
+repeatable = true
+
+[[routes]]
+prefix = "/saves"
+service = "s"
+methods = ["POST"]
+"#
+    )
+}
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::process::Command;
 
 use comfreymast_base::{DataCentre, Model, Service};
+use comfreymast_fakes::history::{History, Line, parse};
 use comfreymast_net::{Spawner, call, empty, json, request, sleep_ms};
 use comfreymast_platform::{Vm, VmRole, VmState};
 use serde::Serialize;
@@ -295,6 +296,21 @@
         self.folder.path().join(name)
     }
 
+    /// Writes to the history of this fleet under the name `source`.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::Io`] when the file cannot be opened.
+    pub fn history(&self, source: &str) -> Result<History, ProofError> {
+        Ok(History::open(source, Some(&self.path("history")))?)
+    }
+
+    /// The history so far, of all stand-ins and callers.
+    #[must_use]
+    pub fn lines(&self) -> Vec<Line> {
+        parse(&self.read("history"))
+    }
+
     /// The text of a file of this fleet.
     #[must_use]
     pub fn read(&self, name: &str) -> String {
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -5,14 +5,25 @@
 //! * [`Process`] — one started process, ended with its handle.
 //! * [`Fleet`] — a log, a VM list, daemons, engines and plain servers on ports from the system.
 //! * [`Client`] — a caller that reads streams event by event.
+//! * [`Reading`] — a caller who comes back where a stream broke, and writes down what it saw.
+//! * [`Link`] — a TCP link whose connections go silent or are cut.
+//! * [`checks`] — checks of merged histories.
+//! * [`contract`] — a contract document.
 //! * [`Cli`] — the `comfreymast` command against one daemon.
 
+pub mod checks;
 mod cli;
 mod client;
+mod documents;
 mod fleet;
+mod link;
 mod process;
+mod reading;
 
 pub use cli::{Cli, CliOutput};
 pub use client::{Answer, Client, Reader, SseEvent};
+pub use documents::contract;
 pub use fleet::{DaemonProcess, FLEET_KEY, Fleet, FleetOptions, OPERATOR_KEY, UpstreamProcess};
+pub use link::{Link, Way};
 pub use process::{Process, ProofError, program};
+pub use reading::{ComeBack, Reading, StreamEnd};
--- /dev/null
+++ b/crates/proof/tests/common/mod.rs
@@ -0,0 +1,83 @@
+//! What the proofs of streams share.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use comfreymast_fakes::history::History;
+use comfreymast_net::Spawner;
+use comfreymast_proof::checks::tokens::check_tokens;
+use comfreymast_proof::{Client, Fleet, FleetOptions, Reading, contract};
+
+pub(crate) const KEY: &str = "key-of-estudio-norte";
+pub(crate) const OTHER_KEY: &str = "key-of-atelier-syd";
+
+/// A fleet with two contracts, a caller and the fleet's history.
+pub(crate) struct Stage {
+    pub(crate) spawner: Spawner,
+    pub(crate) fleet: Fleet,
+    pub(crate) client: Client,
+    pub(crate) history: History,
+}
+
+/// Daemon flags that make a silent connection show within the time of a test.
+pub(crate) fn daemon_flags(more: &[&str]) -> Vec<String> {
+    let mut flags = FleetOptions::default().daemon_flags;
+    flags.extend(["--silence-ms", "400", "--drain-grace-ms", "0"].map(str::to_owned));
+    flags.extend(more.iter().map(|flag| (*flag).to_owned()));
+    flags
+}
+
+impl Stage {
+    pub(crate) async fn new(spawner: &Spawner, options: FleetOptions) -> Self {
+        let fleet = Fleet::start(spawner, options).await.unwrap();
+        let stage = Self {
+            spawner: spawner.clone(),
+            client: Client::new(spawner, KEY),
+            history: fleet.history("reader").unwrap(),
+            fleet,
+        };
+        for (organisation, key) in [("estudio-norte", KEY), ("atelier-syd", OTHER_KEY)] {
+            let put = stage.fleet.put_contract(0, &contract(organisation, key), &[]).unwrap();
+            assert_eq!(put.code, 0, "{put:?}");
+        }
+        stage
+    }
+
+    /// Starts a reading through a daemon.
+    pub(crate) async fn read(
+        &self,
+        daemon: usize,
+        request: u64,
+        kind: &str,
+        prompt: &str,
+    ) -> Reading {
+        let addr = self.fleet.daemons[daemon].callers();
+        let reading = Reading::start(&self.client, &self.history, request, addr, kind, prompt);
+        reading.await.unwrap()
+    }
+
+    /// The engine that runs a prompt now, by its place in the fleet.
+    pub(crate) async fn engine_of(&self, prompt: &str) -> usize {
+        use comfreymast_fakes::history::Event;
+        let find = || {
+            let lines = self.fleet.lines();
+            let line = lines.iter().rfind(|line| matches!(&line.event, Event::GenerationStart { prompt: ran, .. } if &**ran == prompt))?;
+            self.fleet.engines.iter().position(|engine| engine.vm.name == *line.source)
+        };
+        self.fleet.wait_for("a run", || find().is_some()).await.unwrap();
+        find().unwrap()
+    }
+
+    /// No reader saw anything but whole tokens of its own generation.
+    pub(crate) fn assert_tokens_hold(&self) {
+        assert_eq!(check_tokens(&self.fleet.lines()), []);
+    }
+
+    /// The log of a daemon, for messages of failed assertions.
+    pub(crate) fn log_of(&self, daemon: usize) -> String {
+        self.fleet.read(&format!("d{daemon}.err"))
+    }
+}
+
+/// Runs a test on two executor threads.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+    Spawner::run(2, test);
+}
--- /dev/null
+++ b/crates/proof/tests/streams.rs
@@ -0,0 +1,172 @@
+//! Every token once, in order, from one generation, while engines and connections fail.
+
+mod common;
+
+use comfreymast_fakes::engine::process::EngineFaults;
+use comfreymast_fakes::history::Event;
+use comfreymast_platform::VmState;
+use comfreymast_proof::checks::tokens::starts_of;
+use comfreymast_proof::{FleetOptions, StreamEnd};
+use common::{Stage, daemon_flags, run};
+
+fn options(engines: usize) -> FleetOptions {
+    FleetOptions { engines, servers: 0, daemon_flags: daemon_flags(&[]), ..FleetOptions::default() }
+}
+
+#[test]
+fn streams_go_on_when_their_engine_is_killed() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(3)).await;
+        let mut readings = Vec::new();
+        for request in 0..6 {
+            let prompt = format!("report {request}, tokens=1000");
+            readings.push(stage.read((request % 3) as usize, request, "report", &prompt).await);
+        }
+        for reading in &mut readings {
+            assert_eq!(reading.read(5).await, None);
+        }
+        // Twice: the engine that the first one's stream moves to is killed as well.
+        for _ in 0..2 {
+            let engine = stage.engine_of("report 0, tokens=1000").await;
+            stage.fleet.engines[engine].process.kill();
+            let read = readings[0].texts().len() + 100;
+            assert_eq!(readings[0].read(read).await, None, "{}", stage.log_of(0));
+        }
+        for reading in &mut readings {
+            assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+        }
+        assert_eq!(starts_of(&stage.fleet.lines(), "report 0, tokens=1000"), 3);
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn streams_go_on_when_their_engine_is_reclaimed() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(2)).await;
+        let mut reading = stage.read(0, 1, "report", "report, tokens=300").await;
+        assert_eq!(reading.read(5).await, None);
+        let engine = stage.engine_of("report, tokens=300").await;
+        stage.fleet.engines[engine].vm.state = VmState::Leaving;
+        stage.fleet.publish_vms().await.unwrap();
+        assert_eq!(reading.read(20).await, None);
+        stage.fleet.engines[engine].process.kill();
+        assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn a_study_that_may_not_be_repeated_is_never_begun_again() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(2)).await;
+        let prompt = "study, tokens=400";
+        let mut reading = stage.read(0, 1, "study", prompt).await;
+        assert_eq!(reading.read(5).await, None);
+        let engine = stage.engine_of(prompt).await;
+        stage.fleet.engines[engine].process.kill();
+        assert_eq!(reading.rest().await, StreamEnd::Error("generation_lost".to_owned()));
+        assert_eq!(starts_of(&stage.fleet.lines(), prompt), 1);
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn streams_that_close_early_are_attached_again() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(1)).await;
+        for (request, kind) in (0..).zip(["report", "study"]) {
+            let prompt = format!("{kind}, tokens=300");
+            let mut reading = stage.read(0, request, kind, &prompt).await;
+            assert_eq!(reading.read(5).await, None);
+            let faults = EngineFaults { close_streams: true, ..EngineFaults::default() };
+            stage.fleet.set_faults(&stage.fleet.engines[0].process, &faults).await.unwrap();
+            assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+            assert_eq!(starts_of(&stage.fleet.lines(), &prompt), 1);
+        }
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn a_stalled_generation_goes_on_elsewhere_and_is_cancelled_where_it_was() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(2)).await;
+        let prompt = "report, tokens=600";
+        let mut reading = stage.read(0, 1, "report", prompt).await;
+        assert_eq!(reading.read(5).await, None);
+        let engine = stage.engine_of(prompt).await;
+        // The engine still answers, but makes no token: three new connections show that.
+        let faults = EngineFaults { stall: true, ..EngineFaults::default() };
+        stage.fleet.set_faults(&stage.fleet.engines[engine].process, &faults).await.unwrap();
+        assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+        let name = stage.fleet.engines[engine].vm.name.clone();
+        let cancelled = || {
+            stage.fleet.lines().iter().any(|line| {
+                *line.source == *name
+                    && matches!(line.event, Event::GenerationEnd { whole: false, .. })
+            })
+        };
+        stage.fleet.wait_for("the cancelled attempt", cancelled).await.unwrap();
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn foreign_and_doubled_tokens_never_reach_a_reader() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(1)).await;
+        let mut request = 0;
+        for kind in ["report", "study"] {
+            for faults in [
+                EngineFaults { cross_tokens: 3, ..EngineFaults::default() },
+                EngineFaults { repeat_tokens: 3, ..EngineFaults::default() },
+            ] {
+                request += 1;
+                let prompt = format!("{kind} {request}, tokens=300");
+                let mut reading = stage.read(0, request, kind, &prompt).await;
+                assert_eq!(reading.read(5).await, None);
+                stage.fleet.set_faults(&stage.fleet.engines[0].process, &faults).await.unwrap();
+                assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+                assert_eq!(starts_of(&stage.fleet.lines(), &prompt), 1);
+            }
+        }
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn whole_answers_are_whole_when_tokens_cross_and_engines_die() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(2)).await;
+        let faults = EngineFaults { cross_tokens: 2, repeat_tokens: 2, ..EngineFaults::default() };
+        for engine in &stage.fleet.engines {
+            stage.fleet.set_faults(&engine.process, &faults).await.unwrap();
+        }
+        let addr = stage.fleet.daemons[0].callers();
+        let mut answers = Vec::new();
+        for request in 0..4u64 {
+            let (client, history) = (stage.client.clone(), stage.history.clone());
+            answers.push(spawner.spawn(async move {
+                let prompt = format!("verdict {request}, tokens=300");
+                history.record(Event::Sent { request, what: prompt.clone() });
+                let answer = client.complete(addr, "m", &prompt, &[]).await.unwrap();
+                let text = answer.json()["choices"][0]["text"].as_str().unwrap_or("").to_owned();
+                for token in text.split_inclusive(' ') {
+                    let text = token.to_owned();
+                    history.record(Event::TokenRead { request, text });
+                }
+                let (status, outcome) = (answer.status, answer.outcome);
+                let body = String::new();
+                history.record(Event::Answered { request, status, outcome, body });
+                status
+            }));
+        }
+        let engine = stage.engine_of("verdict 0, tokens=300").await;
+        stage.fleet.engines[engine].process.kill();
+        for answer in answers {
+            assert_eq!(answer.await, 200, "{}", stage.log_of(0));
+        }
+        stage.assert_tokens_hold();
+    });
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,10 +1,11 @@
 //! Messages that leave the process, and the framing between daemons.
 //!
-//! The types in [`log`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
+//! The types in [`cursor`], [`log`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
 //! committed, so a build needs no generator.
 //!
 //! * [`log`] — records on the platform's log and the log service's messages.
 //! * [`peer`] — messages between daemons.
+//! * [`cursor`] — what a reader gives back to continue a stream.
 //! * [`engine`] — JSON messages of the model engines.
 //! * [`frames`] — length-prefixed frames over one TCP stream.
 
@@ -17,6 +18,12 @@
 #[path = "generated/comfreymast.log.rs"]
 pub mod log;
 
+/// What a reader gives back to continue a stream.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/comfreymast.cursor.rs"]
+pub mod cursor;
+
 /// Messages between daemons.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
