--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -47,6 +47,9 @@
         /// When to come back.
         retry_after_ms: u64,
     },
+    /// The daemon may hold contracts that were replaced.
+    #[display("this daemon has no word from the log or its peers, so its contracts may be old")]
+    NotCurrent,
     /// No upstream can take it now.
     #[display("no upstream can take the request now")]
     NoUpstream {
@@ -92,12 +95,13 @@
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NotCurrent | Self::NoUpstream { .. } | Self::HandedOver => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::OutcomeUnknown | Self::GenerationLost { .. } => StatusCode::BAD_GATEWAY,
             Self::GenerationGone => StatusCode::GONE,
             Self::Superseded => StatusCode::CONFLICT,
             Self::CursorRefused | Self::CursorMismatch => StatusCode::BAD_REQUEST,
-            Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -112,6 +116,7 @@
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
             Self::LimitReached { .. } => "limit_reached",
+            Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::GenerationLost { .. } => "generation_lost",
@@ -141,7 +146,7 @@
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_MS),
+            Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
             Self::LimitReached { retry_after_ms, .. }
             | Self::NoUpstream { retry_after_ms }
             | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -49,6 +49,9 @@
     if !daemon.has_loaded() {
         return Err(CallError::NotReady);
     }
+    if !daemon.is_current() {
+        return Err(CallError::NotCurrent);
+    }
     let caller = Caller::admit(daemon, request.headers()).await?;
     let permit = caller.permit.clone();
     let is_reattach = reattach::sealed_cursor(request.headers()).is_some();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod burn;
 mod callers;
+mod currency;
 mod daemon;
 mod directory;
 pub mod events;
@@ -20,7 +21,9 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod recent_entries;
 mod settings;
+mod snapshot_writer;
 mod upstream;
 mod vm_watch;
 
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -10,13 +10,17 @@
 //! * [`checks`] — checks of merged histories.
 //! * [`contract`] — a contract document.
 //! * [`Cli`] — the `comfreymast` command against one daemon.
+//! * [`Operator`] — an operator that calls the operators' ports directly.
+//! * [`contract_register`] — checks contracts as a compare-and-set register.
 
 pub mod checks;
 mod cli;
 mod client;
+pub mod contract_register;
 mod documents;
 mod fleet;
 mod link;
+mod operator;
 mod process;
 mod reading;
 
@@ -25,5 +29,6 @@
 pub use documents::contract;
 pub use fleet::{DaemonProcess, FLEET_KEY, Fleet, FleetOptions, OPERATOR_KEY, UpstreamProcess};
 pub use link::{Link, Way};
+pub use operator::{Change, Operator};
 pub use process::{Process, ProofError, program};
 pub use reading::{ComeBack, Reading, StreamEnd};
