--- a/crates/proof/tests/burn_report.rs
+++ b/crates/proof/tests/burn_report.rs
@@ -1,4 +1,5 @@
 //! The burn report over real daemons: every daemon counts, and a missing one is named.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
 use comfreymast_fakes::engine::process::EngineFaults;
 use comfreymast_net::Spawner;
--- a/crates/proof/tests/cli.rs
+++ b/crates/proof/tests/cli.rs
@@ -1,4 +1,5 @@
 //! The command line against real daemons: help, formats, exit codes, settings.
+#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
 
 use std::process::Command;
 
