--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -35,6 +35,8 @@
     pub engine_flags: Vec<String>,
     /// More flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// What daemons log, as in `RUST_LOG`.
+    pub daemon_log: String,
 }
 
 impl Default for FleetOptions {
@@ -47,6 +49,7 @@
             daemon_flags: ["--heartbeat-interval-ms", "50", "--vms-interval-ms", "50"]
                 .map(str::to_owned)
                 .to_vec(),
+            daemon_log: "info".to_owned(),
         }
     }
 }
@@ -182,6 +185,7 @@
         command.args(["--threads", "2", "--fleet-key", FLEET_KEY]);
         command.args(&self.options.daemon_flags);
         command.env("COMFREYMAST_OPERATOR_KEY", OPERATOR_KEY);
+        command.env("RUST_LOG", &self.options.daemon_log);
         command.stderr(std::fs::File::create(self.folder.path().join(format!("{name}.err")))?);
         let process = Process::start(command)?;
         let listening = process.listening().to_owned();
