--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -27,7 +27,7 @@
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
     let record = daemon.burn.begin(&daemon.clock, &caller.contract.organisation, &ask.work);
-    let answered = generate(daemon, &ask, &record).await;
+    let answered = generate(daemon, &caller, &ask, &record).await;
     if let Err(error) = &answered {
         record.failed(error);
     }
@@ -36,6 +36,7 @@
 
 async fn generate(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     ask: &Ask,
     record: &RequestRecord,
 ) -> Result<Response<Body>, CallError> {
@@ -60,9 +61,9 @@
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, ask, tokens, record.stream()))
+        Ok(stream::relay(daemon, caller, ask, tokens, record.stream()))
     } else {
-        stream::collect(daemon, ask, tokens, record).await
+        stream::collect(daemon, caller, ask, tokens, record).await
     }
 }
 
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -13,6 +13,7 @@
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::ask::Ask;
 use super::call_error::CallError;
+use super::caller::Caller;
 use crate::burn::{RequestRecord, StreamRecord};
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
@@ -49,6 +50,7 @@
 /// Answers with server-sent events, one for each token.
 pub(crate) fn relay(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
     mut record: StreamRecord,
@@ -56,6 +58,7 @@
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
     let daemon = daemon.clone();
+    let permit = caller.permit.clone();
     daemon.spawner.clone().detach(async move {
         loop {
             let token = match tokens.next().await {
@@ -68,6 +71,7 @@
                 }
             };
             daemon.metrics.tokens.inc();
+            permit.charge_tokens(1, daemon.clock.now_ms());
             if token.finish.is_none() {
                 record.token();
             }
@@ -92,6 +96,7 @@
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
     record: &RequestRecord,
@@ -100,6 +105,7 @@
     loop {
         let token = tokens.next().await.map_err(|_| CallError::OutcomeUnknown)?;
         daemon.metrics.tokens.inc();
+        caller.permit.charge_tokens(1, daemon.clock.now_ms());
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -13,7 +13,7 @@
 use super::links::heartbeat;
 use super::proof::is_proven;
 use crate::daemon::Daemon;
-use crate::events;
+use crate::{events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -89,6 +89,8 @@
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
         peer_message::Body::BurnQuery(query) => answer_burn_query(daemon, from, &query),
         peer_message::Body::BurnReply(reply) => daemon.burn.take_reply(reply),
+        peer_message::Body::LimitReport(report) => limits::take_report(daemon, from, &report),
+        peer_message::Body::LimitGrant(grant) => limits::take_grant(daemon, &grant),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
