--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -1,5 +1,3 @@
-use std::fmt;
-
 use comfreymast_base::hex;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
