--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use comfreymast_base::hex;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
--- a/crates/load/src/demo.rs
+++ b/crates/load/src/demo.rs
@@ -3,7 +3,7 @@
 
 use std::io::Write;
 
-use comfreymast_contract::sha256_hex;
+use comfreymast_contract::KeyHash;
 use comfreymast_net::Spawner;
 use comfreymast_proof::{Client, Fleet, FleetOptions, Reader, SseEvent};
 
@@ -50,7 +50,7 @@
 }
 
 fn publish(fleet: &Fleet) -> Result<(), Failure> {
-    let contract = include_str!("demo.toml").replace("HASH", &sha256_hex(KEY));
+    let contract = include_str!("demo.toml").replace("HASH", &KeyHash::of(KEY).to_string());
     say("comfreymast contract put demo.toml");
     let put = fleet.put_contract(0, &contract, &[])?;
     if put.code != 0 {
