--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -49,6 +49,7 @@
         "vms-interval-ms" => &daemon.vms_interval_ms,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
+        "call-limit-ms" => &daemon.call_limit_ms,
         "max-body-bytes" => &daemon.max_body_bytes,
         _ => &None,
     };
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -48,6 +48,8 @@
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
             optional --silence-ms silence_ms: String
+            /// How long a plain service may take, 100 to 600000; default 30000.
+            optional --call-limit-ms call_limit_ms: String
             /// The longest request body, 1024 to 268435456; default 4194304.
             optional --max-body-bytes max_body_bytes: String
         }
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -1,3 +1,4 @@
+use comfreymast_decide::retry::jittered_ms;
 use comfreymast_net::{Body, json};
 use derive_more::Display;
 use hyper::Response;
@@ -42,11 +43,15 @@
 impl ErrorBody {
     /// The body for `error`.
     pub(crate) fn new(error: &CallError) -> Self {
+        Self::with_retry_after(error, retry_after_ms(error))
+    }
+
+    fn with_retry_after(error: &CallError, retry_after_ms: Option<u64>) -> Self {
         let detail = ErrorDetail {
             code: error.code(),
             message: error.to_string(),
             outcome: error.outcome(),
-            retry_after_ms: error.retry_after_ms(),
+            retry_after_ms,
         };
         Self { error: detail }
     }
@@ -55,17 +60,24 @@
 /// The answer for `error`, with its outcome and when to come back.
 pub(crate) fn refuse(error: &CallError) -> Response<Body> {
     const MS_PER_S: u64 = 1_000;
-    let mut response = Response::new(json(&ErrorBody::new(error)));
+    let retry_after_ms = retry_after_ms(error);
+    let body = ErrorBody::with_retry_after(error, retry_after_ms);
+    let mut response = Response::new(json(&body));
     *response.status_mut() = error.status();
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Some(retry_after_ms) = error.retry_after_ms() {
+    if let Some(retry_after_ms) = retry_after_ms {
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
     }
     set_outcome(&mut response, error.outcome());
     response
 }
 
+/// When to come back, spread so that callers refused together do not return together.
+fn retry_after_ms(error: &CallError) -> Option<u64> {
+    error.retry_after_ms().map(|least_ms| jittered_ms(least_ms, rand::random()))
+}
+
 /// Sets the header that tells whether the request was run.
 pub(crate) fn set_outcome(response: &mut Response<Body>, outcome: Outcome) {
     let value = match outcome {
--- a/crates/daemon/src/callers/ask.rs
+++ b/crates/daemon/src/callers/ask.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use super::call_error::CallError;
+use crate::claims::Asked;
 use crate::daemon::Daemon;
 
 const BODY_LIMIT_MS: u64 = 30_000;
@@ -35,6 +36,8 @@
     pub(crate) max_tokens: u32,
     /// True when the caller wants tokens as they come.
     pub(crate) stream: bool,
+    /// What the caller says of repeating it.
+    pub(crate) asked: Asked,
 }
 
 impl Ask {
@@ -44,9 +47,10 @@
         contract: &Contract,
         request: Request<Incoming>,
     ) -> Result<Self, CallError> {
-        let kind = header(request.headers(), KIND_HEADER).map(str::to_owned);
-        let body = read_body(daemon, request.into_body()).await?;
-        let body: CompletionBody = serde_json::from_slice(&body)
+        let (head, body) = request.into_parts();
+        let kind = header(&head.headers, KIND_HEADER).map(str::to_owned);
+        let bytes = read_body(daemon, body).await?;
+        let body: CompletionBody = serde_json::from_slice(&bytes)
             .map_err(|error| CallError::Malformed { reason: error.to_string() })?;
         let work = contract.work_for(kind.as_deref(), &body.model).ok_or_else(|| {
             let kind = kind.as_deref().unwrap_or("any kind");
@@ -57,7 +61,9 @@
             let what = format!("{max_tokens} output tokens");
             return Err(CallError::NotAllowed { what });
         }
-        Ok(Self { work: work.clone(), prompt: body.prompt, max_tokens, stream: body.stream })
+        let asked = Asked::read(&contract.organisation, &head, &bytes, work.repeatable)?;
+        let work = work.clone();
+        Ok(Self { work, prompt: body.prompt, max_tokens, stream: body.stream, asked })
     }
 }
 
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -45,6 +45,30 @@
         /// When to come back.
         retry_after_ms: u64,
     },
+    /// The key cannot be claimed, because the log does not answer.
+    #[display(
+        "the log does not answer, so this attempt was not run; come back with the same key to \
+         learn of earlier attempts"
+    )]
+    LogUnavailable {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The key was used for another request before.
+    #[display("the idempotency key was used for another request")]
+    KeyReused,
+    /// The key is older than the oldest claim that is remembered.
+    #[display("the idempotency key is too old to tell whether the request was run")]
+    KeyExpired,
+    /// Another attempt with the same key holds it, and has not said how it ended.
+    #[display("an earlier attempt with this key may have run the request")]
+    ClaimUnknown {
+        /// When to ask again.
+        retry_after_ms: u64,
+    },
+    /// The request was run once, and its answer was not kept.
+    #[display("the request was run by an earlier attempt, whose answer was not kept")]
+    AnswerNotKept,
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
@@ -59,7 +83,13 @@
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::NoUpstream { .. } | Self::LogUnavailable { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyExpired | Self::ClaimUnknown { .. } | Self::AnswerNotKept => {
+                StatusCode::CONFLICT
+            }
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
         }
     }
@@ -75,6 +105,11 @@
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
             Self::NoUpstream { .. } => "no_upstream",
+            Self::LogUnavailable { .. } => "log_unavailable",
+            Self::KeyReused => "key_reused",
+            Self::KeyExpired => "key_expired",
+            Self::ClaimUnknown { .. } => "claim_unknown",
+            Self::AnswerNotKept => "answer_not_kept",
             Self::OutcomeUnknown => "outcome_unknown",
         }
     }
@@ -82,17 +117,29 @@
     /// Whether the request was run.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::OutcomeUnknown => Outcome::Unknown,
-            _ => Outcome::NotRun,
+            Self::OutcomeUnknown | Self::KeyExpired | Self::ClaimUnknown { .. } => Outcome::Unknown,
+            Self::AnswerNotKept => Outcome::Done,
+            Self::Unauthorized
+            | Self::Disabled
+            | Self::NotAllowed { .. }
+            | Self::Malformed { .. }
+            | Self::TooLong { .. }
+            | Self::TooSlow { .. }
+            | Self::NotReady
+            | Self::NoUpstream { .. }
+            | Self::LogUnavailable { .. }
+            | Self::KeyReused => Outcome::NotRun,
         }
     }
 
-    /// When to come back, if that is of any use.
+    /// When to come back at the earliest, if that is of any use. Answers add a random part.
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
             Self::NotReady => Some(NOT_READY_RETRY_MS),
-            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            Self::NoUpstream { retry_after_ms }
+            | Self::LogUnavailable { retry_after_ms }
+            | Self::ClaimUnknown { retry_after_ms } => Some(*retry_after_ms),
             _ => None,
         }
     }
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -12,6 +12,7 @@
 use super::call_error::CallError;
 use super::caller::Caller;
 use super::stream;
+use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::upstream::{EngineStream, StartError};
@@ -25,6 +26,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
+    let mut permit = match admit(daemon, &ask.asked).await? {
+        Admission::Replay(answer) => return Ok(answer),
+        Admission::Run(permit) => permit,
+    };
     let start = StartGeneration {
         generation: GenerationId::random(),
         fence: 1,
@@ -36,19 +41,23 @@
     };
     let engine = choose(daemon, &start)
         .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
+    permit.dispatching();
     let tokens = EngineStream::start(daemon, &engine, &start).await.map_err(|error| {
         daemon.metrics.failed_attempts.inc();
         match error {
             StartError::NotRun { .. } => {
+                permit.refused();
                 CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS }
             }
             StartError::Unknown { .. } => CallError::OutcomeUnknown,
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, &ask, tokens))
+        Ok(stream::relay(daemon, &ask, tokens, permit))
+    } else if permit.is_claimed() {
+        outlive_caller(daemon, stream::collect(daemon.clone(), ask, tokens, permit)).await
     } else {
-        stream::collect(daemon, &ask, tokens).await
+        stream::collect(daemon.clone(), ask, tokens, permit).await
     }
 }
 
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -13,3 +13,6 @@
 pub(crate) mod front;
 mod plain;
 mod stream;
+
+pub(crate) use answer::{Outcome, set_outcome};
+pub(crate) use call_error::CallError;
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -1,25 +1,30 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use comfreymast_base::Upstream;
 use comfreymast_contract::Route;
-use comfreymast_decide::routing::least_outstanding;
-use comfreymast_net::{Body, DialError, call, full};
+use comfreymast_decide::retry::{RetryBudget, SlowStartOptions, WeighedUpstream, least_for_weight};
+use comfreymast_net::{Body, Connection, DialError, collect, dial, full, within};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response};
+use hyper::http::request::Parts;
+use hyper::{Request, Response, StatusCode};
 
 use super::answer::{Outcome, set_outcome};
-use super::ask::read_body;
+use super::ask::{header, read_body};
 use super::call_error::CallError;
 use super::caller::Caller;
-use super::completion::candidate;
+use crate::claims::{Admission, Asked, Permit, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::events;
 
-const CALL_LIMIT_MS: u64 = 30_000;
+const DIAL_LIMIT_MS: u64 = 1_000;
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
+/// Set by a caller that sends a request again: then this daemon does not.
+const RETRY_HEADER: &str = "comfreymast-retry-attempt";
 
 /// Passes one call to a plain service.
 pub(crate) async fn run(
@@ -32,59 +37,171 @@
         caller.contract.route_for(head.method.as_str(), head.uri.path()).ok_or_else(|| {
             CallError::NotAllowed { what: format!("{} {}", head.method, head.uri.path()) }
         })?;
+    let route = route.clone();
     let body = read_body(daemon, body).await?;
-    let server = choose(daemon, route)
-        .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
-    let running = server.begin();
-    let forwarded = forwarded(&head, body, &server)?;
-    let answer = call(&daemon.spawner, server.addr, forwarded, CALL_LIMIT_MS, MAX_ANSWER_BYTES)
-        .await
-        .map_err(|error| failed(daemon, &server, &error))?;
-    drop(running);
-    let (mut head, body) = answer.into_parts();
-    head.headers.remove(CONNECTION);
-    head.headers.remove(TRANSFER_ENCODING);
-    let mut response = Response::from_parts(head, full(body));
+    let organisation = &caller.contract.organisation;
+    let asked = Asked::read(organisation, &head, &body, route.repeatable)?;
+    let permit = match admit(daemon, &asked).await? {
+        Admission::Replay(answer) => return Ok(answer),
+        Admission::Run(permit) => permit,
+    };
+    let budget = daemon.retry_budgets.of(organisation, daemon.clock.now_ms());
+    let call = PlainCall { daemon: daemon.clone(), route, head, body, budget };
+    let answer = if permit.is_claimed() {
+        outlive_caller(daemon, call.run(permit)).await?
+    } else {
+        call.run(permit).await?
+    };
+    let mut response = answer.map(full);
     set_outcome(&mut response, Outcome::Done);
     Ok(response)
 }
 
-fn choose(daemon: &Daemon, route: &Route) -> Option<Arc<UpstreamState>> {
-    let directory = daemon.directory.load();
-    let servers: Vec<_> = directory.servers(&route.service).collect();
-    let candidates: Vec<_> = servers.iter().map(|server| candidate(daemon, server)).collect();
-    let chosen = least_outstanding(&candidates)?;
-    servers.get(chosen).map(|server| Arc::clone(server))
+/// One call and what its attempts share.
+struct PlainCall {
+    daemon: Arc<Daemon>,
+    route: Route,
+    head: Parts,
+    body: Bytes,
+    budget: Arc<RetryBudget>,
 }
 
-/// The caller's request as the server gets it: without the caller's key and connection headers.
-fn forwarded(
-    head: &hyper::http::request::Parts,
-    body: Bytes,
-    server: &UpstreamState,
-) -> Result<Request<Body>, CallError> {
-    let mut request = Request::new(full(body));
-    *request.method_mut() = head.method.clone();
-    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-    *request.uri_mut() =
-        path.parse().map_err(|_| CallError::Malformed { reason: "bad path".to_owned() })?;
-    *request.headers_mut() = head.headers.clone();
-    let headers = request.headers_mut();
-    headers.remove(AUTHORIZATION);
-    headers.remove(CONNECTION);
-    headers.remove(TRANSFER_ENCODING);
-    if let Ok(host) = HeaderValue::from_str(&server.addr.to_string()) {
-        headers.insert(HOST, host);
+/// How one attempt ended.
+enum Attempt {
+    /// The server answered.
+    Answered(Response<Bytes>),
+    /// No byte reached the server, or it refused before it ran the call.
+    NotRun,
+    /// The server may have run the call.
+    Lost,
+}
+
+impl PlainCall {
+    /// Tries servers until one answers or no further attempt is allowed.
+    async fn run(self, mut permit: Permit) -> Result<Response<Bytes>, CallError> {
+        let daemon = &self.daemon;
+        self.budget.request(daemon.clock.now_ms());
+        let caller_retries = header(&self.head.headers, RETRY_HEADER).is_some();
+        let max_attempts = if caller_retries { 1 } else { self.budget.max_attempts() };
+        let mut tried = Vec::new();
+        while let Some(server) = choose(daemon, &self.route, &tried) {
+            match self.attempt(&server, &mut permit).await? {
+                Attempt::Answered(answer) => {
+                    server.live.health.answered(daemon.clock.now_ms());
+                    permit.answered(&answer);
+                    return Ok(answer);
+                }
+                Attempt::NotRun => permit.refused(),
+                Attempt::Lost => permit.lost(),
+            }
+            tried.push(server.name.clone());
+            let attempts = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+            let may_retry = attempts < max_attempts
+                && permit.allows_attempt()
+                && self.budget.try_retry(daemon.clock.now_ms());
+            if !may_retry {
+                break;
+            }
+            daemon.metrics.retries.inc();
+        }
+        if permit.may_have_run() {
+            return Err(CallError::OutcomeUnknown);
+        }
+        Err(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })
+    }
+
+    async fn attempt(
+        &self,
+        server: &Arc<UpstreamState>,
+        permit: &mut Permit,
+    ) -> Result<Attempt, CallError> {
+        let _running = server.begin();
+        let forwarded = self.forwarded(server)?;
+        let mut connection = match dial(&self.daemon.spawner, server.addr, DIAL_LIMIT_MS).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                server.live.health.failed(self.daemon.clock.now_ms());
+                self.log_failed(server, &error);
+                return Ok(Attempt::NotRun);
+            }
+        };
+        permit.dispatching();
+        let exchange = exchange(&mut connection, forwarded);
+        let answer = match within(self.daemon.settings.call_limit_ms, exchange).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                self.log_failed(server, &error);
+                return Ok(Attempt::Lost);
+            }
+            Err(elapsed) => {
+                self.log_failed(server, &elapsed.into());
+                return Ok(Attempt::Lost);
+            }
+        };
+        Ok(judge(answer))
+    }
+
+    /// The caller's request as the server gets it: without the caller's key and connection headers.
+    fn forwarded(&self, server: &UpstreamState) -> Result<Request<Body>, CallError> {
+        let mut request = Request::new(full(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() =
+            path.parse().map_err(|_| CallError::Malformed { reason: "bad path".to_owned() })?;
+        *request.headers_mut() = self.head.headers.clone();
+        let headers = request.headers_mut();
+        headers.remove(AUTHORIZATION);
+        headers.remove(CONNECTION);
+        headers.remove(TRANSFER_ENCODING);
+        if let Ok(host) = HeaderValue::from_str(&server.addr.to_string()) {
+            headers.insert(HOST, host);
+        }
+        Ok(request)
+    }
+
+    fn log_failed(&self, server: &UpstreamState, error: &DialError) {
+        self.daemon.metrics.failed_attempts.inc();
+        events::ATTEMPT_FAILED.log(format_args!("{}: {error}", server.name));
     }
-    Ok(request)
 }
 
-fn failed(daemon: &Daemon, server: &UpstreamState, error: &DialError) -> CallError {
-    daemon.metrics.failed_attempts.inc();
-    events::ATTEMPT_FAILED.log(format_args!("{}: {error}", server.name));
-    if error.is_unsent() {
-        CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS }
-    } else {
-        CallError::OutcomeUnknown
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Body>,
+) -> Result<Response<Bytes>, DialError> {
+    let (mut head, body) = connection.send(request).await?.into_parts();
+    let body = collect(body, MAX_ANSWER_BYTES).await?;
+    head.headers.remove(CONNECTION);
+    head.headers.remove(TRANSFER_ENCODING);
+    Ok(Response::from_parts(head, body))
+}
+
+/// What a server's status says about the call.
+fn judge(answer: Response<Bytes>) -> Attempt {
+    match answer.status() {
+        // Plain services answer these only before they run a call; see docs/design/outcomes.md.
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Attempt::NotRun,
+        // Something between the server and its own back end lost the answer.
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Attempt::Lost,
+        _ => Attempt::Answered(answer),
+    }
+}
+
+/// The server that gets the next attempt; one that was tried is not tried again.
+fn choose(daemon: &Daemon, route: &Route, tried: &[Upstream]) -> Option<Arc<UpstreamState>> {
+    let directory = daemon.directory.load();
+    let untried = directory.servers(&route.service).filter(|server| !tried.contains(&server.name));
+    let servers: Vec<_> = untried.collect();
+    let weighed: Vec<_> = servers.iter().map(|server| weigh(daemon, server)).collect();
+    let chosen = least_for_weight(&weighed)?;
+    servers.get(chosen).map(|server| Arc::clone(server))
+}
+
+fn weigh(daemon: &Daemon, server: &UpstreamState) -> WeighedUpstream {
+    let health = &server.live.health;
+    WeighedUpstream {
+        outstanding: server.live.outstanding.load(Ordering::Acquire),
+        weight_permille: health.weight_permille(SlowStartOptions::default(), daemon.clock.now_ms()),
+        is_near: server.data_centre == daemon.settings.data_centre,
     }
 }
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreymast_base::Model;
-use comfreymast_net::{Body, BodyError, channel, json};
+use comfreymast_net::{Body, BodyError, channel, full};
 use comfreymast_wire::engine::{Finish, Token};
 use hyper::Response;
 use hyper::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
@@ -13,6 +13,7 @@
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::ask::Ask;
 use super::call_error::CallError;
+use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
 
@@ -46,7 +47,12 @@
 }
 
 /// Answers with server-sent events, one for each token.
-pub(crate) fn relay(daemon: &Arc<Daemon>, ask: &Ask, mut tokens: EngineStream) -> Response<Body> {
+pub(crate) fn relay(
+    daemon: &Arc<Daemon>,
+    ask: &Ask,
+    mut tokens: EngineStream,
+    permit: Permit,
+) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
     let daemon = daemon.clone();
@@ -66,6 +72,7 @@
                 return;
             }
             if token.finish.is_some() {
+                permit.done();
                 let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
                 return;
             }
@@ -80,9 +87,10 @@
 
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
-    daemon: &Arc<Daemon>,
-    ask: &Ask,
+    daemon: Arc<Daemon>,
+    ask: Ask,
     mut tokens: EngineStream,
+    permit: Permit,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -91,9 +99,12 @@
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
-            let mut response = Response::new(json(&chunk(&ask.work.model, &whole)));
+            let body = serde_json::to_vec(&chunk(&ask.work.model, &whole)).unwrap_or_default();
+            let mut response = Response::new(Bytes::from(body));
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
+            permit.answered(&response);
+            let mut response = response.map(full);
             set_outcome(&mut response, Outcome::Done);
             return Ok(response);
         }
--- /dev/null
+++ b/crates/daemon/src/claims/claim_log.rs
@@ -0,0 +1,173 @@
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use comfreymast_net::{sleep_ms, within};
+use comfreymast_platform::LogError;
+
+use crate::daemon::Daemon;
+use crate::events;
+
+/// At most this many appends a second: 1 s over this time.
+const MIN_APPEND_INTERVAL_MS: u64 = 50;
+const MAX_BATCH_RECORDS: usize = 256;
+const MAX_BATCH_BYTES: usize = 1024 * 1024;
+const QUEUE_CAPACITY: usize = 4_096;
+/// Ends that wait for an outage to pass; the oldest beyond them stay unknown.
+const MAX_WAITING_ENDS: usize = 4_096;
+const RETRY_PAUSE_MS: u64 = 200;
+/// An append that takes longer than this makes new claims be refused at once.
+const STALLED_MS: u64 = 500;
+const FLUSH_LIMIT_MS: u64 = 2_000;
+const FLUSH_POLL_MS: u64 = 10;
+
+/// Whether a claim reached the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Appended {
+    /// It is there, or may be: reading the log tells.
+    Perhaps,
+    /// It is not there and never will be.
+    Never,
+}
+
+/// One record on its way to the log.
+#[derive(Debug)]
+enum Entry {
+    Claim { record: Bytes, done: Sender<Appended> },
+    End { record: Bytes },
+}
+
+/// Appends claims and their ends to the log, with one append in flight at a time.
+#[derive(Debug)]
+pub(crate) struct ClaimLog {
+    queue: Sender<Entry>,
+    entries: Receiver<Entry>,
+    append_began_ms: AtomicU64,
+    waiting_ends: AtomicUsize,
+}
+
+impl Default for ClaimLog {
+    fn default() -> Self {
+        let (queue, entries) = async_channel::bounded(QUEUE_CAPACITY);
+        Self {
+            queue,
+            entries,
+            append_began_ms: AtomicU64::new(0),
+            waiting_ends: AtomicUsize::new(0),
+        }
+    }
+}
+
+impl ClaimLog {
+    /// True while an append hangs, so that a new claim would only wait.
+    pub(super) fn is_stalled(&self, now_ms: u64) -> bool {
+        let began_ms = self.append_began_ms.load(Ordering::Acquire);
+        began_ms != 0 && now_ms.saturating_sub(began_ms) > STALLED_MS
+    }
+
+    /// Hands in a claim. The receiver learns of its append; closed or empty means never.
+    pub(super) fn claim(&self, record: Bytes) -> Receiver<Appended> {
+        let (done, appended) = async_channel::bounded(1);
+        // Dropping `done` with an entry that does not fit closes the channel.
+        let _ = self.queue.try_send(Entry::Claim { record, done });
+        appended
+    }
+
+    /// Hands in how a claimed request ended. It is kept until the log has it.
+    pub(super) fn end(&self, record: Bytes) {
+        self.waiting_ends.fetch_add(1, Ordering::AcqRel);
+        if self.queue.try_send(Entry::End { record }).is_err() {
+            self.waiting_ends.fetch_sub(1, Ordering::AcqRel);
+            events::CLAIM_END_LOST.log(format_args!("too many wait for the log"));
+        }
+    }
+
+    /// Waits a little for ends that the log does not have yet.
+    pub(crate) async fn flush(&self) {
+        let flushed = async {
+            while self.waiting_ends.load(Ordering::Acquire) > 0 {
+                sleep_ms(FLUSH_POLL_MS).await;
+            }
+        };
+        if within(FLUSH_LIMIT_MS, flushed).await.is_err() {
+            let waiting = self.waiting_ends.load(Ordering::Acquire);
+            events::CLAIM_END_LOST.log(format_args!("{waiting} are not on the log at the end"));
+        }
+    }
+}
+
+/// Appends what is handed in, until the daemon ends.
+pub(crate) async fn append(daemon: Arc<Daemon>) {
+    let mut ends = VecDeque::new();
+    loop {
+        let batch = next_batch(&daemon.claims, &mut ends).await;
+        let began_ms = daemon.clock.now_ms();
+        daemon.claims.append_began_ms.store(began_ms.max(1), Ordering::Release);
+        let records = batch.iter().map(|entry| entry.record().clone()).collect();
+        let appended = daemon.log.append(records).await;
+        daemon.claims.append_began_ms.store(0, Ordering::Release);
+        finish(&daemon.claims, batch, &mut ends, &appended);
+        let interval_ms = if ends.is_empty() { MIN_APPEND_INTERVAL_MS } else { RETRY_PAUSE_MS };
+        let waited_ms = daemon.clock.now_ms() - began_ms;
+        sleep_ms(interval_ms.saturating_sub(waited_ms)).await;
+    }
+}
+
+async fn next_batch(log: &ClaimLog, ends: &mut VecDeque<Bytes>) -> Vec<Entry> {
+    // Ends that wait for an outage to pass leave room for new claims.
+    let waiting = ends.len().min(MAX_BATCH_RECORDS / 2);
+    let mut batch: Vec<_> = ends.drain(..waiting).map(|record| Entry::End { record }).collect();
+    if batch.is_empty()
+        && let Ok(entry) = log.entries.recv().await
+    {
+        batch.push(entry);
+    }
+    let mut batch_bytes: usize = batch.iter().map(|entry| entry.record().len()).sum();
+    while batch.len() < MAX_BATCH_RECORDS
+        && batch_bytes < MAX_BATCH_BYTES
+        && let Ok(entry) = log.entries.try_recv()
+    {
+        batch_bytes += entry.record().len();
+        batch.push(entry);
+    }
+    batch
+}
+
+fn finish(
+    log: &ClaimLog,
+    batch: Vec<Entry>,
+    ends: &mut VecDeque<Bytes>,
+    appended: &Result<u64, LogError>,
+) {
+    let claimed = match appended {
+        Ok(_) | Err(LogError::Unknown { .. } | LogError::Malformed { .. }) => Appended::Perhaps,
+        Err(LogError::Unavailable { .. } | LogError::Refused { .. }) => Appended::Never,
+    };
+    for entry in batch {
+        match entry {
+            Entry::Claim { done, .. } => {
+                let _ = done.try_send(claimed);
+            }
+            // The fold takes an end once, so appending it again does no harm.
+            Entry::End { record } if appended.is_err() => ends.push_back(record),
+            Entry::End { .. } => {
+                log.waiting_ends.fetch_sub(1, Ordering::AcqRel);
+            }
+        }
+    }
+    while ends.len() > MAX_WAITING_ENDS {
+        ends.pop_front();
+        log.waiting_ends.fetch_sub(1, Ordering::AcqRel);
+        events::CLAIM_END_LOST.log(format_args!("too many wait for the log"));
+    }
+}
+
+impl Entry {
+    fn record(&self) -> &Bytes {
+        match self {
+            Self::Claim { record, .. } | Self::End { record } => record,
+        }
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,11 +10,15 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::claims::ClaimLog;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+use crate::retry_budgets::RetryBudgets;
+use crate::{
+    Settings, callers, claims, events, load_watch, log_follower, operators, peers, vm_watch,
+};
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
@@ -35,6 +39,10 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// Claims on their way to the log.
+    pub(crate) claims: ClaimLog,
+    /// What organisations may retry.
+    pub(crate) retry_budgets: RetryBudgets,
     /// What it counts.
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
@@ -123,6 +131,7 @@
     let (operators_running, operators_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
         spawner.spawn(log_follower::follow(daemon.clone())),
+        spawner.spawn(claims::append(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
@@ -147,6 +156,7 @@
     let callers_front = answer_with(&daemon, callers::front::answer);
     serve(spawner, callers, callers_front, ServeLimits::default(), stop).await;
     announce.await;
+    daemon.claims.flush().await;
     drop(operators_running);
     events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
     Ok(())
@@ -160,6 +170,8 @@
         ledger: LedgerState::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        claims: ClaimLog::default(),
+        retry_budgets: RetryBudgets::default(),
         metrics: Metrics::new(),
         stop,
         ready: AtomicBool::new(false),
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use comfreymast_base::{DataCentre, Model, Service, Upstream};
+use comfreymast_decide::retry::UpstreamHealth;
 use comfreymast_platform::{Vm, VmRole, VmState};
 use comfreymast_wire::engine::Load;
 
@@ -41,6 +42,8 @@
 pub(crate) struct UpstreamLive {
     /// Requests this daemon has on it.
     pub(crate) outstanding: AtomicU32,
+    /// Failures to connect to it, and its return.
+    pub(crate) health: UpstreamHealth,
     /// Its last load report.
     pub(crate) load: ArcSwap<Load>,
     /// When that report came, in this daemon's time; 0 for never.
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -55,4 +55,6 @@
     PEER_LINK_LOST = 503 Info "link to peer lost";
     ATTEMPT_FAILED = 601 Warn "attempt on an upstream failed";
     FOREIGN_TOKEN = 602 Error "token of another generation dropped";
+    CLAIM_END_LOST = 701 Warn "end of a claim lost";
+    CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
 mod callers;
+mod claims;
 mod daemon;
 mod directory;
 pub mod events;
@@ -17,6 +18,7 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod retry_budgets;
 mod settings;
 mod upstream;
 mod vm_watch;
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -63,6 +63,8 @@
         Applied::Skipped(skip) => {
             events::RECORD_SKIPPED.log(format_args!("offset {offset}: {skip}"));
         }
+        Applied::Quarantine { .. } => {}
+        Applied::Claim { .. } | Applied::ClaimEnded => {}
         Applied::Duplicate | Applied::Ignored => {}
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -24,6 +24,8 @@
     pub(crate) tokens: Counter,
     /// Attempts on upstreams that failed.
     pub(crate) failed_attempts: Counter,
+    /// Attempts beyond the first.
+    pub(crate) retries: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
 }
@@ -35,6 +37,7 @@
         let answers = Family::<AnswerLabels, Counter>::default();
         let tokens = Counter::default();
         let failed_attempts = Counter::default();
+        let retries = Counter::default();
         let requests_open = Gauge::default();
         registry.register("answers", "Final answers to callers", answers.clone());
         registry.register("tokens", "Tokens relayed to callers", tokens.clone());
@@ -43,8 +46,9 @@
             "Attempts on upstreams that failed",
             failed_attempts.clone(),
         );
+        registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("requests_open", "Requests in progress", requests_open.clone());
-        Self { registry, answers, tokens, failed_attempts, requests_open }
+        Self { registry, answers, tokens, failed_attempts, retries, requests_open }
     }
 
     /// The text that a scraper reads.
--- a/crates/daemon/src/operators/publish.rs
+++ b/crates/daemon/src/operators/publish.rs
@@ -129,7 +129,8 @@
     match applied {
         Applied::Contract { revision, .. } => Ok((offset, revision)),
         Applied::Skipped(skip) => Err(skip.into()),
-        Applied::Duplicate | Applied::Ignored => Err(PublishError::Unknown),
+        // An operation id that belongs to another kind of record.
+        _ => Err(PublishError::Unknown),
     }
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 15] = [
+pub const SETTINGS: [SettingSpec; 16] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -48,6 +48,7 @@
     optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
     optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
+    optional("call-limit-ms", "30000", "How long a plain service may take, 100 to 600000"),
     optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
 ];
 
@@ -82,6 +83,8 @@
     pub load_interval_ms: u64,
     /// How long an open stream may say nothing.
     pub silence_ms: u64,
+    /// How long a plain service may take to answer.
+    pub call_limit_ms: u64,
     /// The longest request body.
     pub max_body_bytes: usize,
 }
@@ -161,6 +164,7 @@
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
         let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
         let silence_ms = self.number("silence-ms", 100..=600_000);
+        let call_limit_ms = self.number("call-limit-ms", 100..=600_000);
         let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
         Some(Settings {
             name: DaemonName::from(name?),
@@ -177,6 +181,7 @@
             vms_interval_ms: vms_interval_ms?,
             load_interval_ms: load_interval_ms?,
             silence_ms: silence_ms?,
+            call_limit_ms: call_limit_ms?,
             max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
         })
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,7 +1,9 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
 //! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`retry`] — whether a request is tried again, and when a caller should come back.
 //! * [`routing`] — which upstream gets a request.
 
 pub mod membership;
+pub mod retry;
 pub mod routing;
--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -38,6 +38,8 @@
 /// Counts since the start.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LogStats {
+    /// Append calls that came in, whether or not they took effect yet.
+    pub append_calls: u64,
     /// Append calls that took effect.
     pub appends: u64,
     /// Records appended.
@@ -154,6 +156,7 @@
         let Some(append) = body.ok().and_then(|body| AppendRequest::decode(body).ok()) else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
+        self.state().stats.append_calls += 1;
         sleep_ms(faults.append_delay_ms).await;
         let mut state = self.state();
         let first_offset = state.append(append.records);
--- a/crates/ledger/src/applied.rs
+++ b/crates/ledger/src/applied.rs
@@ -11,6 +11,20 @@
         /// Its revision from now on.
         revision: u64,
     },
+    /// A claim was made.
+    Claim {
+        /// True when it holds its key; false when an earlier claim does.
+        won: bool,
+    },
+    /// A claimed request has ended.
+    ClaimEnded,
+    /// A request is quarantined, or no longer.
+    Quarantine {
+        /// SHA-256 of model and prompt.
+        fingerprint: crate::Fingerprint,
+        /// False when an operator lifted it.
+        active: bool,
+    },
     /// The record's operation was folded before; appending twice does no harm.
     Duplicate,
     /// A record of a kind that this fold does not use.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -6,7 +6,7 @@
 use comfreymast_wire::log::{ContractChange, Record, record};
 use prost::Message;
 
-use crate::{Applied, ContractEntry, Contracts, Revision, Skip};
+use crate::{Applied, Claims, ContractEntry, Contracts, Quarantines, Revision, Skip};
 
 const MAX_HISTORY: usize = 16;
 const MAX_OPERATIONS: usize = 4_096;
@@ -16,6 +16,8 @@
 pub struct Ledger {
     next_offset: u64,
     contracts: Contracts,
+    claims: Claims,
+    quarantines: Quarantines,
     skipped_records: u64,
     operations: HashMap<OperationId, (u64, Applied)>,
     operation_order: VecDeque<OperationId>,
@@ -34,6 +36,18 @@
         &self.contracts
     }
 
+    /// The claims of non-repeatable requests.
+    #[must_use]
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The quarantined requests.
+    #[must_use]
+    pub fn quarantines(&self) -> &Quarantines {
+        &self.quarantines
+    }
+
     /// How many records did nothing because they were bad.
     #[must_use]
     pub fn skipped_records(&self) -> u64 {
@@ -82,6 +96,9 @@
     ) -> Result<Applied, Skip> {
         match body {
             Some(record::Body::Contract(change)) => self.change_contract(offset, operation, change),
+            Some(record::Body::Claim(claim)) => self.claims.claim(offset, operation, claim),
+            Some(record::Body::ClaimOutcome(outcome)) => self.claims.settle(outcome),
+            Some(record::Body::Quarantine(record)) => self.quarantines.fold(offset, record),
             Some(_) => Ok(Applied::Ignored),
             None => Err(Skip::Undecodable),
         }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -6,14 +6,22 @@
 //! * [`Ledger`] — the fold; [`Ledger::apply`] takes one record.
 //! * [`Contracts`] — the contracts in force, cheap to share with requests.
 //! * [`ContractEntry`] — one contract with its revision and history.
+//! * [`Claims`] — who may run a non-repeatable request, with [`ClaimEntry`] and its end.
+//! * [`Quarantines`] — requests that are refused because engines died of them.
 //! * [`Applied`] — what one record did; [`Skip`] — why a record did nothing.
 
 mod applied;
+mod claim_entry;
+mod claims;
 mod contract_entry;
 mod contracts;
 mod ledger;
+mod quarantine;
 
 pub use applied::{Applied, Skip};
+pub use claim_entry::{ClaimAnswer, ClaimEntry, ClaimKey, ClaimResult, HASH_BYTES};
+pub use claims::{ClaimBounds, Claims};
 pub use contract_entry::{ContractEntry, Revision};
 pub use contracts::Contracts;
 pub use ledger::Ledger;
+pub use quarantine::{Fingerprint, QuarantineEntry, Quarantines};
--- /dev/null
+++ b/crates/ledger/tests/claims.rs
@@ -0,0 +1,159 @@
+//! The fold of claims.
+
+use bytes::Bytes;
+use comfreymast_base::{OperationId, Organisation};
+use comfreymast_ledger::{Applied, ClaimKey, ClaimResult, Ledger};
+use comfreymast_wire::log::{Claim, ClaimEnd, ClaimOutcome, Record, record};
+use prost::Message;
+
+const MAX_CLAIMS_PER_ORGANISATION: u64 = 8_192;
+const MAX_CLAIMS: usize = 65_536;
+
+fn operation(number: u64) -> OperationId {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&number.to_be_bytes());
+    OperationId::from_bytes(bytes)
+}
+
+fn key(organisation: &str, number: u64) -> ClaimKey {
+    let mut key_hash = [0; 32];
+    key_hash[..8].copy_from_slice(&number.to_be_bytes());
+    ClaimKey { organisation: Organisation::from(organisation), key_hash }
+}
+
+fn encoded(id: u64, body: record::Body) -> Vec<u8> {
+    Record { operation_id: operation(id).to_vec().into(), body: Some(body) }.encode_to_vec()
+}
+
+fn claim(id: u64, key: &ClaimKey) -> Vec<u8> {
+    let claim = Claim {
+        organisation: key.organisation.to_string(),
+        key_hash: key.key_hash.to_vec().into(),
+        request_hash: vec![7; 32].into(),
+        daemon: "d0".to_owned(),
+        incarnation: 1,
+        claimed_unix_ms: 1_000 + id,
+    };
+    encoded(id, record::Body::Claim(claim))
+}
+
+fn end(id: u64, key: &ClaimKey, of: u64, end: ClaimEnd, body: &'static [u8]) -> Vec<u8> {
+    let outcome = ClaimOutcome {
+        organisation: key.organisation.to_string(),
+        key_hash: key.key_hash.to_vec().into(),
+        claim_operation_id: operation(of).to_vec().into(),
+        end: end.into(),
+        status: u32::from(!body.is_empty()) * 200,
+        content_type: String::new(),
+        body: Bytes::from_static(body),
+    };
+    encoded(id, record::Body::ClaimOutcome(outcome))
+}
+
+fn fold(records: &[Vec<u8>]) -> (Ledger, Vec<Applied>) {
+    let mut ledger = Ledger::default();
+    let applied = records.iter().zip(0..).map(|(record, offset)| ledger.apply(offset, record));
+    let applied = applied.collect();
+    (ledger, applied)
+}
+
+fn won(won: bool) -> Applied {
+    Applied::Claim { won }
+}
+
+#[test]
+fn the_lowest_offset_wins_and_keeps_its_key() {
+    let key = key("a", 1);
+    let (ledger, applied) = fold(&[
+        claim(1, &key),
+        claim(2, &key),
+        end(3, &key, 2, ClaimEnd::NotRun, b""),
+        claim(4, &key),
+    ]);
+    assert_eq!(applied, [won(true), won(false), Applied::Ignored, won(false)]);
+    let entry = ledger.claims().get(&key).unwrap();
+    assert_eq!((entry.operation, &entry.end), (operation(1), &None));
+}
+
+#[test]
+fn an_end_is_final_unless_the_request_was_not_run() {
+    let key = key("a", 1);
+    let (ledger, applied) = fold(&[
+        claim(1, &key),
+        end(2, &key, 1, ClaimEnd::NotRun, b""),
+        claim(3, &key),
+        // The first holder has nothing to say any more.
+        end(4, &key, 1, ClaimEnd::Unknown, b""),
+        end(5, &key, 3, ClaimEnd::Done, b"answer"),
+        end(6, &key, 3, ClaimEnd::NotRun, b""),
+        claim(7, &key),
+    ]);
+    assert_eq!(applied[2], won(true));
+    assert_eq!((&applied[3], &applied[5]), (&Applied::Ignored, &Applied::Ignored));
+    assert_eq!(applied[6], won(false));
+    let Some(ClaimResult::Done(Some(answer))) = &ledger.claims().get(&key).unwrap().end else {
+        panic!("no answer was kept");
+    };
+    assert_eq!((answer.status, &answer.body[..]), (200, &b"answer"[..]));
+}
+
+#[test]
+fn a_claim_appended_twice_changes_nothing() {
+    let key = key("a", 1);
+    let (_, applied) = fold(&[claim(1, &key), claim(1, &key)]);
+    assert_eq!(applied, [won(true), Applied::Duplicate]);
+}
+
+#[test]
+fn bad_claims_are_skipped_and_counted() {
+    let good = key("a", 1);
+    let short = Claim { key_hash: vec![1].into(), ..Claim::default() };
+    let endless = end(3, &good, 1, ClaimEnd::Unspecified, b"");
+    let (ledger, _) = fold(&[encoded(1, record::Body::Claim(short)), endless]);
+    assert_eq!(ledger.skipped_records(), 2);
+    assert!(ledger.claims().is_empty());
+}
+
+#[test]
+fn a_busy_organisation_forgets_its_own_oldest_claims() {
+    let mut ledger = Ledger::default();
+    let quiet = key("quiet", 0);
+    ledger.apply(0, &claim(0, &quiet));
+    for number in 1..=MAX_CLAIMS_PER_ORGANISATION + 10 {
+        ledger.apply(number, &claim(number, &key("busy", number)));
+    }
+    assert_eq!(ledger.claims().len() as u64, MAX_CLAIMS_PER_ORGANISATION + 1);
+    assert!(ledger.claims().get(&quiet).is_some());
+    assert!(ledger.claims().get(&key("busy", 10)).is_none());
+    assert!(ledger.claims().get(&key("busy", 11)).is_some());
+    assert_eq!(ledger.claims().forgotten_unix_ms("busy"), 1_010);
+    assert_eq!(ledger.claims().forgotten_unix_ms("quiet"), 0);
+}
+
+#[test]
+fn all_organisations_together_stay_bounded() {
+    let mut ledger = Ledger::default();
+    for number in 0..MAX_CLAIMS as u64 + 100 {
+        let organisation = format!("o{}", number % 20);
+        ledger.apply(number, &claim(number, &key(&organisation, number)));
+    }
+    assert_eq!(ledger.claims().len(), MAX_CLAIMS);
+    assert_eq!(ledger.claims().iter().count(), MAX_CLAIMS);
+}
+
+#[test]
+fn recorded_answers_stay_bounded_and_their_claims_stay() {
+    const BODY: &[u8] = &[b'x'; 4_096];
+    const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+    let mut ledger = Ledger::default();
+    for number in 0..3_000 {
+        let key = key("a", number);
+        ledger.apply(number * 2, &claim(number, &key));
+        ledger.apply(number * 2 + 1, &end(number + 10_000, &key, number, ClaimEnd::Done, BODY));
+    }
+    assert!(ledger.claims().answer_bytes() <= MAX_ANSWER_BYTES);
+    let oldest = ledger.claims().get(&key("a", 0)).unwrap();
+    assert_eq!(oldest.end, Some(ClaimResult::Done(None)));
+    let latest = ledger.claims().get(&key("a", 2_999)).unwrap();
+    assert!(matches!(latest.end, Some(ClaimResult::Done(Some(_)))));
+}
--- /dev/null
+++ b/crates/proof/tests/claims.rs
@@ -0,0 +1,372 @@
+//! Promise: a request marked as not repeatable runs at most once, whatever fails.
+
+#![allow(clippy::unwrap_used)]
+
+mod claims_support;
+
+use std::collections::BTreeSet;
+
+use claims_support::{check, lines, log_stat, start, wait_for_log, wait_for_run};
+use comfreymast_fakes::log_service::LogFaults;
+use comfreymast_fakes::plain_service::ServiceFaults;
+use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_proof::checks::claims;
+use comfreymast_proof::{Answer, Fleet, FleetOptions, Recorded, RecordedClient};
+use futures_lite::StreamExt;
+use futures_lite::stream;
+
+const THREADS: usize = 4;
+
+fn servers(servers: usize) -> FleetOptions {
+    FleetOptions { engines: 0, servers, ..FleetOptions::default() }
+}
+
+/// Sends `body` through every daemon `times` times at once; broken connections are left out.
+async fn storm(
+    spawner: &Spawner,
+    fleet: &Fleet,
+    client: &RecordedClient,
+    path: &'static str,
+    body: &str,
+    times: usize,
+) -> Vec<Answer> {
+    let mut tasks = Vec::new();
+    for _ in 0..times {
+        for daemon in &fleet.daemons {
+            let (client, addr, body) = (client.clone(), daemon.callers(), body.to_owned());
+            tasks.push(spawner.spawn(async move { client.post_once(addr, path, &body).await }));
+        }
+    }
+    let answers: Vec<_> = stream::iter(tasks).then(|task| task).collect().await;
+    answers.into_iter().filter_map(Result::ok).collect()
+}
+
+#[test]
+fn callers_with_one_key_through_all_daemons_get_one_run_and_one_answer() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(2)).await;
+        for key in 0..8 {
+            let body = format!("save {key}");
+            let answers = storm(&spawner, &fleet, &client, "/boards/1", &body, 3).await;
+            assert_eq!(answers.len(), 9);
+            let bodies: BTreeSet<_> = answers.iter().map(|answer| &answer.body).collect();
+            assert_eq!(bodies.len(), 1, "{answers:?}");
+            assert!(answers.iter().all(|answer| answer.status == 200), "{answers:?}");
+            let replayed = |answer: &&Answer| answer.headers.contains_key("comfreymast-replayed");
+            assert_eq!(answers.iter().filter(replayed).count(), 8);
+        }
+        check(&fleet);
+    });
+}
+
+/// The same callers on a route that needs no claim: the checks must see the second run.
+#[test]
+fn without_claims_the_same_callers_are_caught_by_the_checks() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(2)).await;
+        storm(&spawner, &fleet, &client, "/swatches/1", "save", 1).await;
+        let again = claims::ClaimViolation::RunAgain { what: "save".to_owned(), runs: 3 };
+        assert_eq!(claims::at_most_once(&lines(&fleet)), Err(again));
+        let violation = claims::ClaimViolation::NotLinearizable { what: "save".to_owned() };
+        assert_eq!(claims::linearizable(&lines(&fleet)), Err(violation));
+    });
+}
+
+/// Starts an attempt through daemon 0 and returns with that daemon stopped and its claim on the
+/// log, but not yet known to it.
+async fn freeze_claimant(fleet: &Fleet) {
+    let calls = log_stat(fleet, "append_calls").await;
+    wait_for_log(fleet, "append_calls", calls).await;
+    let records = log_stat(fleet, "records").await;
+    fleet.daemons[0].process.signal("STOP").unwrap();
+    wait_for_log(fleet, "records", records).await;
+}
+
+fn slow_appends() -> LogFaults {
+    LogFaults { append_delay_ms: 300, ..LogFaults::default() }
+}
+
+#[test]
+fn a_claimant_frozen_before_dispatch_still_runs_it_once() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        fleet.set_faults(&fleet.log, &slow_appends()).await.unwrap();
+        let addr = fleet.daemons[0].callers();
+        let other = client.clone();
+        let frozen = spawner.spawn(async move { other.post_once(addr, "/boards/1", "save").await });
+        freeze_claimant(&fleet).await;
+        fleet.set_faults(&fleet.log, &LogFaults::default()).await.unwrap();
+
+        for daemon in &fleet.daemons[1..] {
+            let answer = client.post_once(daemon.callers(), "/boards/1", "save").await.unwrap();
+            assert_eq!((answer.status, answer.outcome.as_str()), (409, "unknown"), "{answer:?}");
+            assert!(answer.headers.contains_key("retry-after"));
+        }
+        fleet.daemons[0].process.signal("CONT").unwrap();
+        let answer = frozen.await.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"), "{answer:?}");
+        // The other daemons must have heard of daemon 0 again before they may wait for it.
+        fleet.wait_until_settled().await.unwrap();
+        let late = client.post_once(fleet.daemons[1].callers(), "/boards/1", "save").await;
+        assert_eq!(late.unwrap().body, answer.body);
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_claimant_killed_before_dispatch_leaves_an_unknown_outcome() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (mut fleet, client) = start(&spawner, servers(1)).await;
+        fleet.set_faults(&fleet.log, &slow_appends()).await.unwrap();
+        let addr = fleet.daemons[0].callers();
+        let other = client.clone();
+        let killed = spawner.spawn(async move { other.post_once(addr, "/boards/1", "save").await });
+        freeze_claimant(&fleet).await;
+        fleet.daemons[0].process.kill();
+        assert!(killed.await.is_err());
+        for daemon in &fleet.daemons[1..] {
+            let answer = client.post_once(daemon.callers(), "/boards/1", "save").await.unwrap();
+            assert_eq!((answer.status, answer.outcome.as_str()), (409, "unknown"), "{answer:?}");
+        }
+        assert_eq!(claims::runs(&lines(&fleet), "save"), 0);
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_claimant_killed_after_dispatch_leaves_an_unknown_outcome() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (mut fleet, client) = start(&spawner, servers(1)).await;
+        let slow = ServiceFaults { delay_ms: 500, ..ServiceFaults::default() };
+        fleet.set_faults(&fleet.servers[0].process, &slow).await.unwrap();
+        let addr = fleet.daemons[0].callers();
+        let other = client.clone();
+        let killed = spawner.spawn(async move { other.post_once(addr, "/boards/1", "save").await });
+        wait_for_run(&fleet, "save").await;
+        fleet.daemons[0].process.kill();
+        assert!(killed.await.is_err());
+        for daemon in &fleet.daemons[1..] {
+            let answer = client.post_once(daemon.callers(), "/boards/1", "save").await.unwrap();
+            assert_eq!((answer.status, answer.outcome.as_str()), (409, "unknown"), "{answer:?}");
+        }
+        assert_eq!(claims::runs(&lines(&fleet), "save"), 1);
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_caller_that_hangs_up_finds_the_answer_through_another_daemon() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let slow = ServiceFaults { delay_ms: 300, ..ServiceFaults::default() };
+        fleet.set_faults(&fleet.servers[0].process, &slow).await.unwrap();
+        let addr = fleet.daemons[0].callers();
+        let other = client.clone();
+        let gone = spawner.spawn(async move { other.post_once(addr, "/boards/1", "save").await });
+        wait_for_run(&fleet, "save").await;
+        // Dropping the task closes the connection.
+        drop(gone);
+        let answer = client.post_once(fleet.daemons[1].callers(), "/boards/1", "save").await;
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"), "{answer:?}");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_lost_append_reply_is_settled_by_reading_back() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let faults = LogFaults { lose_append_replies: 1, ..LogFaults::default() };
+        fleet.set_faults(&fleet.log, &faults).await.unwrap();
+        let records = log_stat(&fleet, "records").await;
+        let answer = client.post_once(fleet.daemons[0].callers(), "/boards/1", "save").await;
+        assert_eq!(answer.unwrap().status, 200);
+        let again = client.post_once(fleet.daemons[1].callers(), "/boards/1", "save").await;
+        assert_eq!(again.unwrap().status, 200);
+        // One claim and its end; the claim was not appended a second time.
+        assert_eq!(log_stat(&fleet, "records").await, records + 2);
+        check(&fleet);
+    });
+}
+
+#[test]
+fn while_the_log_is_down_keyed_work_is_refused_and_the_rest_goes_on() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let before = client.post_once(fleet.daemons[0].callers(), "/boards/1", "before").await;
+        let before = before.unwrap();
+        // The answer is on the log once another daemon has it.
+        let replayed = client.post_once(fleet.daemons[1].callers(), "/boards/1", "before").await;
+        assert_eq!(replayed.unwrap().body, before.body);
+        for faults in [
+            LogFaults { down: true, ..LogFaults::default() },
+            LogFaults { hang: true, ..LogFaults::default() },
+        ] {
+            fleet.set_faults(&fleet.log, &faults).await.unwrap();
+            let addr = fleet.daemons[1].callers();
+            let refused = client.post_once(addr, "/boards/1", "during").await.unwrap();
+            assert_eq!((refused.status, refused.outcome.as_str()), (503, "not_run"));
+            assert_eq!(refused.json()["error"]["code"], "log_unavailable");
+            assert!(refused.headers.contains_key("retry-after"));
+            let known = client.post_once(addr, "/boards/1", "before").await.unwrap();
+            assert_eq!((known.status, &known.body), (200, &before.body));
+            let what = format!("unkeyed {}", faults.hang);
+            let unkeyed = Recorded {
+                addr,
+                method: "POST",
+                path: "/boards/1",
+                headers: &[],
+                body: &what,
+                what: &what,
+            };
+            assert_eq!(client.call(&unkeyed).await.unwrap().status, 200);
+        }
+        assert_eq!(claims::runs(&lines(&fleet), "during"), 0);
+        fleet.set_faults(&fleet.log, &LogFaults::default()).await.unwrap();
+        // Callers come back as they are told, until the log answers.
+        let mut answer = None;
+        while answer.as_ref().is_none_or(|answer: &Answer| answer.status == 503) {
+            let addr = fleet.daemons[1].callers();
+            answer = client.post_once(addr, "/boards/1", "during").await.ok();
+            sleep_ms(20).await;
+        }
+        assert_eq!(answer.unwrap().outcome, "done");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_claim_that_reaches_the_log_after_its_caller_was_refused_is_set_free() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let faults = LogFaults { append_delay_ms: 1_800, ..LogFaults::default() };
+        fleet.set_faults(&fleet.log, &faults).await.unwrap();
+        let records = log_stat(&fleet, "records").await;
+        let addr = fleet.daemons[0].callers();
+        let refused = client.post_once(addr, "/boards/1", "save").await.unwrap();
+        assert_eq!((refused.status, refused.outcome.as_str()), (503, "not_run"));
+        fleet.set_faults(&fleet.log, &LogFaults::default()).await.unwrap();
+        // The claim, then its end.
+        wait_for_log(&fleet, "records", records + 1).await;
+        let answer = client.post_once(addr, "/boards/1", "save").await.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"), "{answer:?}");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn an_answer_lost_after_the_run_is_unknown_for_good() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(2)).await;
+        let lose_next = async || {
+            let faults = ServiceFaults { lose_answers: 1, ..ServiceFaults::default() };
+            for server in &fleet.servers {
+                fleet.set_faults(&server.process, &faults).await.unwrap();
+            }
+        };
+        lose_next().await;
+        for daemon in &fleet.daemons {
+            let answer = client.post_once(daemon.callers(), "/boards/1", "save").await.unwrap();
+            assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"), "{answer:?}");
+        }
+        lose_next().await;
+        // A repeatable route, but a caller who forbids the second run.
+        let marked = Recorded {
+            addr: fleet.daemons[0].callers(),
+            method: "POST",
+            path: "/swatches/1",
+            headers: &[("comfreymast-repeatable", "false")],
+            body: "marked",
+            what: "marked",
+        };
+        let answer = client.call(&marked).await.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (502, "unknown"), "{answer:?}");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_refused_request_sets_its_key_free() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let faults = ServiceFaults { refuse: 1, ..ServiceFaults::default() };
+        fleet.set_faults(&fleet.servers[0].process, &faults).await.unwrap();
+        let refused = client.post_once(fleet.daemons[0].callers(), "/boards/1", "save").await;
+        let refused = refused.unwrap();
+        assert_eq!((refused.status, refused.outcome.as_str()), (503, "not_run"), "{refused:?}");
+        let answer = client.post_once(fleet.daemons[1].callers(), "/boards/1", "save").await;
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"), "{answer:?}");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_key_belongs_to_one_request() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        for (daemon, body, status) in [(0, "one", 200), (1, "other", 422), (2, "one", 200)] {
+            let call = Recorded {
+                addr: fleet.daemons[daemon].callers(),
+                method: "POST",
+                path: "/boards/1",
+                headers: &[("idempotency-key", "k")],
+                body,
+                what: body,
+            };
+            assert_eq!(client.call(&call).await.unwrap().status, status);
+        }
+        assert_eq!(claims::runs(&lines(&fleet), "other"), 0);
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_keyed_generation_runs_once_and_its_answer_is_given_again() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, FleetOptions::default()).await;
+        let body = r#"{"model":"m","prompt":"a verdict"}"#;
+        let mut answers = BTreeSet::new();
+        for daemon in &fleet.daemons {
+            let call = Recorded {
+                addr: daemon.callers(),
+                method: "POST",
+                path: "/v1/completions",
+                headers: &[("idempotency-key", "k"), ("comfreymast-kind", "report")],
+                body,
+                what: "a verdict",
+            };
+            let answer = client.call(&call).await.unwrap();
+            assert_eq!((answer.status, answer.outcome.as_str()), (200, "done"), "{answer:?}");
+            answers.insert(answer.body);
+        }
+        assert_eq!(answers.len(), 1);
+        assert_eq!(claims::runs(&lines(&fleet), "a verdict"), 1);
+    });
+}
+
+#[test]
+fn a_keyed_stream_runs_once_and_a_second_attempt_is_told_so() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, FleetOptions::default()).await;
+        let body = r#"{"model":"m","prompt":"a long report","stream":true}"#;
+        let mut statuses = Vec::new();
+        for daemon in &fleet.daemons {
+            let call = Recorded {
+                addr: daemon.callers(),
+                method: "POST",
+                path: "/v1/completions",
+                headers: &[("idempotency-key", "k"), ("comfreymast-kind", "report")],
+                body,
+                what: "a long report",
+            };
+            let answer = client.call(&call).await.unwrap();
+            statuses.push((answer.status, answer.json()["error"]["code"].clone()));
+        }
+        assert_eq!(statuses[0], (200, serde_json::Value::Null));
+        assert_eq!(statuses[1], (409, "answer_not_kept".into()));
+        assert_eq!(statuses[2], statuses[1]);
+        assert_eq!(claims::runs(&lines(&fleet), "a long report"), 1);
+    });
+}
--- /dev/null
+++ b/crates/proof/tests/claims_support/mod.rs
@@ -0,0 +1,82 @@
+//! A fleet with one organisation, and the checks that every proof on claims ends with.
+#![allow(dead_code, clippy::unwrap_used)]
+
+use comfreymast_fakes::history::Line;
+use comfreymast_net::Spawner;
+use comfreymast_proof::checks::{claims, outcomes, parse};
+use comfreymast_proof::{Fleet, FleetOptions, RecordedClient};
+
+/// The bearer key of the organisation.
+pub(crate) const KEY: &str = "key-of-estudio-norte";
+
+/// Boards may be changed once, drawings may be read again, swatches may be changed again.
+pub(crate) const CONTRACT: &str = r#"
+organisation = "estudio-norte"
+
+[[keys]]
+name = "site"
+sha256 = "4c87c44e5ac0537924acfa2d882f1803b5300e6b28a05909f2cb5b70ed84d713"
+
+[[work]]
+kind = "report"
+model = "m"
+priority = 7
+max_output_tokens = 20000
+
+[[work]]
+kind = "draft"
+model = "m"
+priority = 5
+max_output_tokens = 20000
+repeatable = true
+
+[[routes]]
+prefix = "/boards"
+service = "s"
+methods = ["POST"]
+
+[[routes]]
+prefix = "/swatches"
+service = "s"
+methods = ["POST"]
+repeatable = true
+"#;
+
+/// Starts a fleet in which the contract is in force.
+pub(crate) async fn start(spawner: &Spawner, options: FleetOptions) -> (Fleet, RecordedClient) {
+    let fleet = Fleet::start(spawner, options).await.unwrap();
+    let put = fleet.put_contract(0, CONTRACT, &[]).unwrap();
+    assert_eq!(put.code, 0, "{put:?}");
+    let client = RecordedClient::new(spawner, KEY, &fleet.path("history")).unwrap();
+    (fleet, client)
+}
+
+/// What was written so far.
+pub(crate) fn lines(fleet: &Fleet) -> Vec<Line> {
+    parse(&fleet.read("history"))
+}
+
+/// Waits until upstreams have started `what`.
+pub(crate) async fn wait_for_run(fleet: &Fleet, what: &str) {
+    fleet.wait_for("a run", || claims::runs(&lines(fleet), what) > 0).await.unwrap();
+}
+
+/// Waits until the log service has counted more of `stat` than `than`.
+pub(crate) async fn wait_for_log(fleet: &Fleet, stat: &str, than: u64) {
+    while fleet.page(&fleet.log, "/stats").await[stat].as_u64().unwrap_or(0) <= than {
+        comfreymast_net::sleep_ms(2).await;
+    }
+}
+
+/// A count of the log service.
+pub(crate) async fn log_stat(fleet: &Fleet, stat: &str) -> u64 {
+    fleet.page(&fleet.log, "/stats").await[stat].as_u64().unwrap_or(0)
+}
+
+/// Checks the whole history.
+pub(crate) fn check(fleet: &Fleet) {
+    let lines = lines(fleet);
+    assert_eq!(claims::at_most_once(&lines), Ok(()));
+    assert_eq!(claims::linearizable(&lines), Ok(()));
+    assert_eq!(outcomes::honest(&lines), Ok(()));
+}
