--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -26,9 +26,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
-    let mut permit = match admit(daemon, &ask.asked).await? {
+    let mut claim = match admit(daemon, &ask.asked).await? {
         Admission::Replay(answer) => return Ok(answer),
-        Admission::Run(permit) => permit,
+        Admission::Run(claim) => claim,
     };
     let start = StartGeneration {
         generation: GenerationId::random(),
@@ -41,23 +41,24 @@
     };
     let engine = choose(daemon, &start)
         .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
-    permit.dispatching();
+    claim.dispatching();
     let tokens = EngineStream::start(daemon, &engine, &start).await.map_err(|error| {
         daemon.metrics.failed_attempts.inc();
         match error {
             StartError::NotRun { .. } => {
-                permit.refused();
+                claim.refused();
                 CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS }
             }
             StartError::Unknown { .. } => CallError::OutcomeUnknown,
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, &ask, tokens, permit))
-    } else if permit.is_claimed() {
-        outlive_caller(daemon, stream::collect(daemon.clone(), ask, tokens, permit)).await
+        Ok(stream::relay(daemon, &caller, &ask, tokens, claim))
+    } else if claim.is_claimed() {
+        let daemon = daemon.clone();
+        outlive_caller(&daemon.clone(), stream::collect(daemon, caller, ask, tokens, claim)).await
     } else {
-        stream::collect(daemon.clone(), ask, tokens, permit).await
+        stream::collect(daemon.clone(), caller, ask, tokens, claim).await
     }
 }
 
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -13,6 +13,7 @@
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::ask::Ask;
 use super::call_error::CallError;
+use super::caller::Caller;
 use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
@@ -49,13 +50,15 @@
 /// Answers with server-sent events, one for each token.
 pub(crate) fn relay(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     ask: &Ask,
     mut tokens: EngineStream,
-    permit: Permit,
+    claim: Permit,
 ) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
     let daemon = daemon.clone();
+    let permit = caller.permit.clone();
     daemon.spawner.clone().detach(async move {
         loop {
             let token = match tokens.next().await {
@@ -67,12 +70,13 @@
                 }
             };
             daemon.metrics.tokens.inc();
+            permit.charge_tokens(1, daemon.clock.now_ms());
             // A reader that has gone ends the relay.
             if sender.send(Ok(token_event(&model, &token))).await.is_err() {
                 return;
             }
             if token.finish.is_some() {
-                permit.done();
+                claim.done();
                 let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
                 return;
             }
@@ -88,14 +92,16 @@
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
     daemon: Arc<Daemon>,
+    caller: Caller,
     ask: Ask,
     mut tokens: EngineStream,
-    permit: Permit,
+    claim: Permit,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
         let token = tokens.next().await.map_err(|_| CallError::OutcomeUnknown)?;
         daemon.metrics.tokens.inc();
+        caller.permit.charge_tokens(1, daemon.clock.now_ms());
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
@@ -103,7 +109,7 @@
             let mut response = Response::new(Bytes::from(body));
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
-            permit.answered(&response);
+            claim.answered(&response);
             let mut response = response.map(full);
             set_outcome(&mut response, Outcome::Done);
             return Ok(response);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,9 +1,11 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
+//! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`membership`] — which daemons live, from their heartbeats.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
 //! * [`routing`] — which upstream gets a request.
 
+pub mod limits;
 pub mod membership;
 pub mod retry;
 pub mod routing;
--- a/crates/proof/tests/claims_support/mod.rs
+++ b/crates/proof/tests/claims_support/mod.rs
@@ -13,6 +13,11 @@
 pub(crate) const CONTRACT: &str = r#"
 organisation = "estudio-norte"
 
+[limits]
+concurrent_requests = 10000
+requests_per_s = 10000
+tokens_per_s = 1000000
+
 [[keys]]
 name = "site"
 sha256 = "4c87c44e5ac0537924acfa2d882f1803b5300e6b28a05909f2cb5b70ed84d713"
