--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -12,6 +12,7 @@
 use super::call_error::CallError;
 use super::caller::Caller;
 use super::stream;
+use crate::burn::RequestRecord;
 use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
@@ -26,6 +27,20 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
+    let record = daemon.burn.begin(&daemon.clock, &caller.contract.organisation, &ask.work);
+    let answered = generate(daemon, caller, ask, record.clone()).await;
+    if let Err(error) = &answered {
+        record.failed(error);
+    }
+    answered
+}
+
+async fn generate(
+    daemon: &Arc<Daemon>,
+    caller: Caller,
+    ask: Ask,
+    record: RequestRecord,
+) -> Result<Response<Body>, CallError> {
     let mut claim = match admit(daemon, &ask.asked).await? {
         Admission::Replay(answer) => return Ok(answer),
         Admission::Run(claim) => claim,
@@ -53,12 +68,13 @@
         }
     })?;
     if ask.stream {
-        Ok(stream::relay(daemon, &caller, &ask, tokens, claim))
+        Ok(stream::relay(daemon, &caller, &ask, tokens, claim, record.stream()))
     } else if claim.is_claimed() {
         let daemon = daemon.clone();
-        outlive_caller(&daemon.clone(), stream::collect(daemon, caller, ask, tokens, claim)).await
+        let collecting = stream::collect(daemon.clone(), caller, ask, tokens, claim, record);
+        outlive_caller(&daemon, collecting).await
     } else {
-        stream::collect(daemon.clone(), caller, ask, tokens, claim).await
+        stream::collect(daemon.clone(), caller, ask, tokens, claim, record).await
     }
 }
 
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -14,6 +14,7 @@
 use super::ask::Ask;
 use super::call_error::CallError;
 use super::caller::Caller;
+use crate::burn::{RequestRecord, StreamRecord};
 use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::upstream::{EngineStream, StreamError};
@@ -54,6 +55,7 @@
     ask: &Ask,
     mut tokens: EngineStream,
     claim: Permit,
+    mut record: StreamRecord,
 ) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let model = ask.work.model.clone();
@@ -64,6 +66,7 @@
             let token = match tokens.next().await {
                 Ok(token) => token,
                 Err(error) => {
+                    record.lost();
                     let _ = sender.send(Ok(error_event(&error))).await;
                     let _ = sender.send(Err(BodyError::Cut)).await;
                     return;
@@ -71,12 +74,16 @@
             };
             daemon.metrics.tokens.inc();
             permit.charge_tokens(1, daemon.clock.now_ms());
+            if token.finish.is_none() {
+                record.token();
+            }
             // A reader that has gone ends the relay.
             if sender.send(Ok(token_event(&model, &token))).await.is_err() {
                 return;
             }
             if token.finish.is_some() {
                 claim.done();
+                record.whole();
                 let _ = sender.send(Ok(Bytes::from_static(DONE))).await;
                 return;
             }
@@ -96,6 +103,7 @@
     ask: Ask,
     mut tokens: EngineStream,
     claim: Permit,
+    record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -112,6 +120,7 @@
             claim.answered(&response);
             let mut response = response.map(full);
             set_outcome(&mut response, Outcome::Done);
+            record.whole();
             return Ok(response);
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::burn::BurnState;
 use crate::claims::ClaimLog;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
@@ -19,7 +20,8 @@
 use crate::peers::Peers;
 use crate::retry_budgets::RetryBudgets;
 use crate::{
-    Settings, callers, claims, events, limits, load_watch, log_follower, operators, peers, vm_watch,
+    Settings, burn, callers, claims, events, limits, load_watch, log_follower, operators, peers,
+    vm_watch,
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
@@ -47,6 +49,8 @@
     pub(crate) claims: ClaimLog,
     /// What organisations may retry.
     pub(crate) retry_budgets: RetryBudgets,
+    /// Service levels kept and missed.
+    pub(crate) burn: BurnState,
     /// What it counts.
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
@@ -148,6 +152,7 @@
         spawner.spawn(claims::append(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(burn::fold(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
         spawner.spawn(peers::send_heartbeats(daemon.clone())),
@@ -188,6 +193,7 @@
         limits: Limits::default(),
         claims: ClaimLog::default(),
         retry_budgets: RetryBudgets::default(),
+        burn: BurnState::default(),
         metrics: Metrics::new(),
         stop,
         ready: AtomicBool::new(false),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -57,4 +57,5 @@
     FOREIGN_TOKEN = 602 Error "token of another generation dropped";
     CLAIM_END_LOST = 701 Warn "end of a claim lost";
     CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
+    BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
