--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -41,27 +41,23 @@
 }
 
 impl ErrorBody {
-    /// The body for `error`.
+    /// The body for `error`, with its own outcome.
     pub(crate) fn new(error: &CallError) -> Self {
-        Self::with_retry_after(error, retry_after_ms(error))
+        Self::with_outcome(error, error.outcome(), retry_after_ms(error))
     }
 
-    fn with_retry_after(error: &CallError, retry_after_ms: Option<u64>) -> Self {
-        let detail = ErrorDetail {
-            code: error.code(),
-            message: error.to_string(),
-            outcome: error.outcome(),
-            retry_after_ms,
-        };
+    fn with_outcome(error: &CallError, outcome: Outcome, retry_after_ms: Option<u64>) -> Self {
+        let detail =
+            ErrorDetail { code: error.code(), message: error.to_string(), outcome, retry_after_ms };
         Self { error: detail }
     }
 }
 
-/// The answer for `error`, with its outcome and when to come back.
-pub(crate) fn refuse(error: &CallError) -> Response<Body> {
+/// The answer for `error`, with an outcome and when to come back.
+pub(crate) fn refuse(error: &CallError, outcome: Outcome) -> Response<Body> {
     const MS_PER_S: u64 = 1_000;
     let retry_after_ms = retry_after_ms(error);
-    let body = ErrorBody::with_retry_after(error, retry_after_ms);
+    let body = ErrorBody::with_outcome(error, outcome, retry_after_ms);
     let mut response = Response::new(json(&body));
     *response.status_mut() = error.status();
     let headers = response.headers_mut();
@@ -69,7 +65,7 @@
     if let Some(retry_after_ms) = retry_after_ms {
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
     }
-    set_outcome(&mut response, error.outcome());
+    set_outcome(&mut response, outcome);
     response
 }
 
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -80,6 +80,30 @@
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
+    /// The generation broke off, and no engine could carry it on.
+    #[display("the generation broke off; come back with Last-Event-ID")]
+    GenerationLost {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The engine that the cursor names has lost the generation.
+    #[display(
+        "the engine has lost the generation; a repeatable request goes on with its body and \
+         read_tokens"
+    )]
+    GenerationGone,
+    /// The reader has gone on through another connection.
+    #[display("the stream goes on through another connection")]
+    Superseded,
+    /// The cursor is not one of this caller's.
+    #[display("the cursor in Last-Event-ID is not one of this organisation's")]
+    CursorRefused,
+    /// The cursor belongs to another body, or to other tokens.
+    #[display("the cursor in Last-Event-ID does not belong to this request")]
+    CursorMismatch,
+    /// The daemon stops and hands its streams over.
+    #[display("this daemon stops; come back at once with Last-Event-ID")]
+    HandedOver,
 }
 
 impl CallError {
@@ -92,14 +116,18 @@
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::NoUpstream { .. } | Self::LogUnavailable { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoUpstream { .. }
+            | Self::LogUnavailable { .. }
+            | Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
-            Self::KeyExpired | Self::ClaimUnknown { .. } | Self::AnswerNotKept => {
-                StatusCode::CONFLICT
-            }
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::KeyExpired
+            | Self::ClaimUnknown { .. }
+            | Self::AnswerNotKept
+            | Self::Superseded => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::GenerationLost { .. } => StatusCode::BAD_GATEWAY,
+            Self::GenerationGone => StatusCode::GONE,
+            Self::CursorRefused | Self::CursorMismatch => StatusCode::BAD_REQUEST,
         }
     }
 
@@ -121,13 +149,27 @@
             Self::ClaimUnknown { .. } => "claim_unknown",
             Self::AnswerNotKept => "answer_not_kept",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::GenerationLost { .. } => "generation_lost",
+            Self::GenerationGone => "generation_gone",
+            Self::Superseded => "superseded",
+            Self::CursorRefused => "cursor_refused",
+            Self::CursorMismatch => "cursor_mismatch",
+            Self::HandedOver => "handed_over",
         }
     }
 
     /// Whether the request was run.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::OutcomeUnknown | Self::KeyExpired | Self::ClaimUnknown { .. } => Outcome::Unknown,
+            Self::OutcomeUnknown
+            | Self::KeyExpired
+            | Self::ClaimUnknown { .. }
+            | Self::GenerationLost { .. }
+            | Self::GenerationGone
+            | Self::Superseded
+            | Self::CursorRefused
+            | Self::CursorMismatch
+            | Self::HandedOver => Outcome::Unknown,
             Self::AnswerNotKept => Outcome::Done,
             Self::Unauthorized
             | Self::Disabled
@@ -151,7 +193,9 @@
             Self::LimitReached { retry_after_ms, .. }
             | Self::NoUpstream { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
-            | Self::ClaimUnknown { retry_after_ms } => Some(*retry_after_ms),
+            | Self::ClaimUnknown { retry_after_ms }
+            | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
+            Self::HandedOver => Some(0),
             _ => None,
         }
     }
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 
 use super::answer::{Outcome, set_outcome};
-use super::ask::{header, read_body};
+use super::ask::read_body;
 use super::call_error::CallError;
 use super::caller::Caller;
 use crate::claims::{Admission, Asked, Permit, admit, outlive_caller};
@@ -23,8 +23,6 @@
 const DIAL_LIMIT_MS: u64 = 1_000;
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
-/// Set by a caller that sends a request again: then this daemon does not.
-const RETRY_HEADER: &str = "comfreymast-retry-attempt";
 
 /// Passes one call to a plain service.
 pub(crate) async fn run(
@@ -46,7 +44,8 @@
         Admission::Run(permit) => permit,
     };
     let budget = daemon.retry_budgets.of(organisation, daemon.clock.now_ms());
-    let call = PlainCall { daemon: daemon.clone(), route, head, body, budget };
+    let is_retry = asked.is_retry;
+    let call = PlainCall { daemon: daemon.clone(), route, head, body, budget, is_retry };
     let answer = if permit.is_claimed() {
         outlive_caller(daemon, call.run(permit)).await?
     } else {
@@ -64,6 +63,7 @@
     head: Parts,
     body: Bytes,
     budget: Arc<RetryBudget>,
+    is_retry: bool,
 }
 
 /// How one attempt ended.
@@ -81,8 +81,7 @@
     async fn run(self, mut permit: Permit) -> Result<Response<Bytes>, CallError> {
         let daemon = &self.daemon;
         self.budget.request(daemon.clock.now_ms());
-        let caller_retries = header(&self.head.headers, RETRY_HEADER).is_some();
-        let max_attempts = if caller_retries { 1 } else { self.budget.max_attempts() };
+        let max_attempts = if self.is_retry { 1 } else { self.budget.max_attempts() };
         let mut tried = Vec::new();
         while let Some(server) = choose(daemon, &self.route, &tried) {
             match self.attempt(&server, &mut permit).await? {
--- a/crates/daemon/src/claims/admit.rs
+++ b/crates/daemon/src/claims/admit.rs
@@ -14,7 +14,7 @@
 use prost::Message;
 
 use super::claim_log::Appended;
-use super::key::{IdempotencyKey, is_marked_once, request_hash};
+use super::key::{IdempotencyKey, is_marked_once, is_marked_retry, request_hash};
 use super::permit::{Permit, end_record};
 use crate::callers::{CallError, Outcome, set_outcome};
 use crate::daemon::Daemon;
@@ -41,6 +41,8 @@
     request_hash: [u8; HASH_BYTES],
     /// True when a second run does no harm.
     pub(crate) repeatable: bool,
+    /// True when the caller retries by itself, so that the daemon must not.
+    pub(crate) is_retry: bool,
 }
 
 impl Asked {
@@ -55,6 +57,7 @@
             key: IdempotencyKey::read(organisation, &head.headers)?,
             request_hash: request_hash(head, body),
             repeatable: repeatable && !is_marked_once(&head.headers),
+            is_retry: is_marked_retry(&head.headers),
         })
     }
 }
--- a/crates/daemon/src/claims/key.rs
+++ b/crates/daemon/src/claims/key.rs
@@ -8,6 +8,7 @@
 
 const KEY_HEADER: &str = "idempotency-key";
 const REPEATABLE_HEADER: &str = "comfreymast-repeatable";
+const RETRY_HEADER: &str = "comfreymast-retry-attempt";
 const MAX_KEY_BYTES: usize = 255;
 
 /// One idempotency key as a caller sent it.
@@ -44,6 +45,11 @@
     headers.get(REPEATABLE_HEADER).is_some_and(|value| value.as_bytes() == b"false")
 }
 
+/// True when the caller says that it sends the request again by itself.
+pub(super) fn is_marked_retry(headers: &HeaderMap) -> bool {
+    headers.contains_key(RETRY_HEADER)
+}
+
 /// SHA-256 of what a request asks for: its method, path and body.
 pub(super) fn request_hash(head: &Parts, body: &[u8]) -> [u8; HASH_BYTES] {
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/daemon/src/claims/permit.rs
+++ b/crates/daemon/src/claims/permit.rs
@@ -35,7 +35,7 @@
 
 impl Permit {
     /// For a request that needs no claim.
-    pub(super) fn unclaimed(repeatable: bool) -> Self {
+    pub(crate) fn unclaimed(repeatable: bool) -> Self {
         Self { repeatable, in_flight: false, lost: false, held: None }
     }
 
@@ -77,14 +77,14 @@
     }
 
     /// The request was run, and its answer is too long to record.
-    pub(crate) fn done(mut self) {
+    pub(crate) fn done(&mut self) {
         if let Some(held) = self.held.take() {
             held.record(ClaimEnd::Done, None);
         }
     }
 
     /// The request was run, and this is its answer.
-    pub(crate) fn answered(mut self, answer: &Response<Bytes>) {
+    pub(crate) fn answered(&mut self, answer: &Response<Bytes>) {
         if let Some(held) = self.held.take() {
             held.record(ClaimEnd::Done, Some(answer));
         }
--- a/crates/proof/src/checks/mod.rs
+++ b/crates/proof/src/checks/mod.rs
@@ -6,9 +6,11 @@
 //!
 //! * [`claims`] — a non-repeatable request runs at most once, and keys behave as one register.
 //! * [`outcomes`] — told "not run" means not run.
+//! * [`tokens`] — every token once, in order, from one generation.
 
 pub mod claims;
 pub mod outcomes;
+pub mod tokens;
 
 use comfreymast_fakes::history::Line;
 
