--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -21,5 +21,5 @@
 mod reattach;
 mod stream;
 
-pub(crate) use answer::Outcome;
+pub(crate) use answer::{Outcome, set_outcome};
 pub(crate) use call_error::CallError;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -13,14 +13,16 @@
 
 use crate::burn::BurnState;
 use crate::callers::cursor::CursorSeal;
+use crate::claims::ClaimLog;
 use crate::currency::Currency;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::retry_budgets::RetryBudgets;
 use crate::{
-    Settings, burn, callers, events, limits, load_watch, log_follower, operators, peers,
+    Settings, burn, callers, claims, events, limits, load_watch, log_follower, operators, peers,
     snapshot_writer, vm_watch,
 };
 
@@ -49,6 +51,10 @@
     pub(crate) peers: Peers,
     /// What it may use of organisations' limits.
     pub(crate) limits: Limits,
+    /// Claims on their way to the log.
+    pub(crate) claims: ClaimLog,
+    /// What organisations may retry.
+    pub(crate) retry_budgets: RetryBudgets,
     /// Service levels kept and missed.
     pub(crate) burn: BurnState,
     /// What it counts.
@@ -179,6 +185,7 @@
         spawner.spawn(log_follower::follow(daemon.clone())),
         spawner.spawn(snapshot_writer::write(daemon.clone())),
         spawner.spawn(peers::catch_up(daemon.clone())),
+        spawner.spawn(claims::append(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
         spawner.spawn(burn::fold(daemon.clone())),
@@ -198,6 +205,7 @@
     let _drain = spawner.spawn(drain(daemon.clone(), accepting, streams_running));
     let callers_front = answer_with(&daemon, callers::front::answer);
     serve(spawner, callers, callers_front, caller_limits(&daemon.settings), accept_stop).await;
+    daemon.claims.flush().await;
     drop(operators_running);
     events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
     Ok(())
@@ -238,6 +246,8 @@
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
         limits: Limits::default(),
+        claims: ClaimLog::default(),
+        retry_budgets: RetryBudgets::default(),
         burn: BurnState::default(),
         metrics: Metrics::new(),
         stop,
