--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -39,6 +39,14 @@
     /// The daemon is not ready, or drains.
     #[display("this daemon takes no new work")]
     NotReady,
+    /// The organisation has all that its contract allows.
+    #[display("the contract's limit {limit} is reached")]
+    LimitReached {
+        /// The field of the contract's limits.
+        limit: &'static str,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
     /// The daemon may hold contracts that were replaced.
     #[display("this daemon has no word from the log or its peers, so its contracts may be old")]
     NotCurrent,
@@ -48,9 +56,57 @@
         /// When to come back.
         retry_after_ms: u64,
     },
+    /// The key cannot be claimed, because the log does not answer.
+    #[display(
+        "the log does not answer, so this attempt was not run; come back with the same key to \
+         learn of earlier attempts"
+    )]
+    LogUnavailable {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The key was used for another request before.
+    #[display("the idempotency key was used for another request")]
+    KeyReused,
+    /// The key is older than the oldest claim that is remembered.
+    #[display("the idempotency key is too old to tell whether the request was run")]
+    KeyExpired,
+    /// Another attempt with the same key holds it, and has not said how it ended.
+    #[display("an earlier attempt with this key may have run the request")]
+    ClaimUnknown {
+        /// When to ask again.
+        retry_after_ms: u64,
+    },
+    /// The request was run once, and its answer was not kept.
+    #[display("the request was run by an earlier attempt, whose answer was not kept")]
+    AnswerNotKept,
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
+    /// The generation broke off, and no engine could carry it on.
+    #[display("the generation broke off; come back with Last-Event-ID")]
+    GenerationLost {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The engine that the cursor names has lost the generation.
+    #[display(
+        "the engine has lost the generation; a repeatable request goes on with its body and \
+         read_tokens"
+    )]
+    GenerationGone,
+    /// The reader has gone on through another connection.
+    #[display("the stream goes on through another connection")]
+    Superseded,
+    /// The cursor is not one of this caller's.
+    #[display("the cursor in Last-Event-ID is not one of this organisation's")]
+    CursorRefused,
+    /// The cursor belongs to another body, or to other tokens.
+    #[display("the cursor in Last-Event-ID does not belong to this request")]
+    CursorMismatch,
+    /// The daemon stops and hands its streams over.
+    #[display("this daemon stops; come back at once with Last-Event-ID")]
+    HandedOver,
 }
 
 impl CallError {
@@ -62,10 +118,20 @@
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NotCurrent | Self::NoUpstream { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady
+            | Self::NotCurrent
+            | Self::NoUpstream { .. }
+            | Self::LogUnavailable { .. }
+            | Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyExpired
+            | Self::ClaimUnknown { .. }
+            | Self::AnswerNotKept
+            | Self::Superseded => StatusCode::CONFLICT,
+            Self::OutcomeUnknown | Self::GenerationLost { .. } => StatusCode::BAD_GATEWAY,
+            Self::GenerationGone => StatusCode::GONE,
+            Self::CursorRefused | Self::CursorMismatch => StatusCode::BAD_REQUEST,
         }
     }
 
@@ -79,26 +145,63 @@
             Self::TooLong { .. } => "too_long",
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
+            Self::LimitReached { .. } => "limit_reached",
             Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
+            Self::LogUnavailable { .. } => "log_unavailable",
+            Self::KeyReused => "key_reused",
+            Self::KeyExpired => "key_expired",
+            Self::ClaimUnknown { .. } => "claim_unknown",
+            Self::AnswerNotKept => "answer_not_kept",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::GenerationLost { .. } => "generation_lost",
+            Self::GenerationGone => "generation_gone",
+            Self::Superseded => "superseded",
+            Self::CursorRefused => "cursor_refused",
+            Self::CursorMismatch => "cursor_mismatch",
+            Self::HandedOver => "handed_over",
         }
     }
 
     /// Whether the request was run.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::OutcomeUnknown => Outcome::Unknown,
-            _ => Outcome::NotRun,
+            Self::OutcomeUnknown
+            | Self::KeyExpired
+            | Self::ClaimUnknown { .. }
+            | Self::GenerationLost { .. }
+            | Self::GenerationGone
+            | Self::Superseded
+            | Self::CursorRefused
+            | Self::CursorMismatch
+            | Self::HandedOver => Outcome::Unknown,
+            Self::AnswerNotKept => Outcome::Done,
+            Self::Unauthorized
+            | Self::Disabled
+            | Self::NotAllowed { .. }
+            | Self::Malformed { .. }
+            | Self::TooLong { .. }
+            | Self::TooSlow { .. }
+            | Self::NotReady
+            | Self::NotCurrent
+            | Self::LimitReached { .. }
+            | Self::NoUpstream { .. }
+            | Self::LogUnavailable { .. }
+            | Self::KeyReused => Outcome::NotRun,
         }
     }
 
-    /// When to come back, if that is of any use.
+    /// When to come back at the earliest, if that is of any use. Answers add a random part.
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
             Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
-            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            Self::LimitReached { retry_after_ms, .. }
+            | Self::NoUpstream { retry_after_ms }
+            | Self::LogUnavailable { retry_after_ms }
+            | Self::ClaimUnknown { retry_after_ms }
+            | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
+            Self::HandedOver => Some(0),
             _ => None,
         }
     }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -6,7 +6,9 @@
 use comfreymast_decide::membership::PeerState;
 use comfreymast_net::{Elapsed, sleep_ms, within};
 use comfreymast_wire::frames::{FrameError, PeerFrames};
-use comfreymast_wire::peer::{Challenge, Heartbeat, PeerMessage, peer_message};
+use comfreymast_wire::peer::{
+    BurnQuery, BurnReply, Challenge, Heartbeat, PeerMessage, peer_message,
+};
 use derive_more::{Display, Error, From};
 
 use super::catch_up::{send_entries, take_entries};
@@ -14,7 +16,7 @@
 use super::proof::is_proven;
 use super::state::Echo;
 use crate::daemon::Daemon;
-use crate::events;
+use crate::{events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -88,12 +90,26 @@
 fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
     match body {
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
+        peer_message::Body::LimitReport(report) => limits::take_report(daemon, from, &report),
+        peer_message::Body::LimitGrant(grant) => limits::take_grant(daemon, &grant),
+        peer_message::Body::BurnQuery(query) => answer_burn_query(daemon, from, &query),
+        peer_message::Body::BurnReply(reply) => daemon.burn.take_reply(reply),
         peer_message::Body::FetchEntries(fetch) => send_entries(daemon, from, fetch.from_offset),
         peer_message::Body::Entries(entries) => take_entries(daemon, from, entries),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
 
+fn answer_burn_query(daemon: &Daemon, from: &DaemonName, query: &BurnQuery) {
+    let counts = daemon.burn.counts(daemon);
+    let reply = BurnReply {
+        query_id: query.query_id,
+        daemon: daemon.settings.name.to_string(),
+        counts: Some((&counts).into()),
+    };
+    daemon.peers.send(from, peer_message::Body::BurnReply(reply));
+}
+
 fn take_heartbeat(daemon: &Daemon, heartbeat: Heartbeat) {
     let now_ms = daemon.clock.now_ms();
     let state = PeerState {
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! A fold as bytes: for the log, before older records expire, and for peers.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use comfreymast_base::{OperationId, Organisation, ParseIdError};
@@ -13,7 +14,10 @@
 
 use crate::chain::Chain;
 use crate::operations::Operations;
-use crate::{Applied, ContractEntry, Contracts, FoldedOperation, Ledger, Revision, Skip};
+use crate::{
+    Applied, Claims, ContractEntry, Contracts, FoldedOperation, Ledger, Quarantines, RequestDigest,
+    Revision, Skip,
+};
 
 /// Why a snapshot cannot be used.
 #[derive(Debug, Display, Error, From)]
@@ -27,6 +31,9 @@
     /// The state holds a document that is not a contract.
     #[display("the snapshot holds a bad contract: {_0}")]
     Contract(ContractError),
+    /// The state holds a bad claim or quarantine.
+    #[display("the snapshot holds a bad claim or quarantine: {_0}")]
+    Claim(Skip),
     /// The state holds a bad operation id.
     #[display("the snapshot holds a bad operation id: {_0}")]
     Operation(ParseIdError),
@@ -54,6 +61,14 @@
                 .iter()
                 .filter_map(|(id, operation)| operation_state(id, operation))
                 .collect(),
+            other_operation_ids: self
+                .other_operations
+                .iter()
+                .map(|(id, _)| id.to_vec().into())
+                .collect(),
+            claims: self.claims.states(),
+            forgotten_claims: self.claims.forgotten_states(),
+            quarantines: self.quarantines.states(),
         };
         let state = state.encode_to_vec();
         Snapshot {
@@ -79,10 +94,13 @@
         if state.next_offset != snapshot.upto_offset {
             return Err(SnapshotError::Head);
         }
+        let other_operations = other_operations(&state)?;
         let mut contracts = Contracts::default();
         for contract in state.contracts {
             contracts.insert(contract_entry(contract)?);
         }
+        let claims = Claims::restore(state.claims, state.forgotten_claims)?;
+        let quarantines = Quarantines::restore(state.quarantines)?;
         let mut operations = Operations::default();
         for operation in state.operations {
             let id = OperationId::try_from(&operation.operation_id[..])?;
@@ -92,15 +110,33 @@
             next_offset: state.next_offset,
             skipped_records: state.skipped_records,
             contracts,
+            claims,
+            quarantines,
             contract_operations: operations,
+            other_operations,
             chain: Chain::from_head(head),
             snapshot_offset: snapshot.upto_offset,
             snapshot_taken_unix_ms: snapshot.taken_unix_ms,
-            ..Self::default()
         })
     }
 }
 
+/// The other operations by id; of their effects, only who holds a claim is needed again.
+fn other_operations(state: &SnapshotState) -> Result<Operations, SnapshotError> {
+    let holders: HashSet<_> = state.claims.iter().map(|claim| &claim.operation_id).collect();
+    let mut operations = Operations::default();
+    for id in &state.other_operation_ids {
+        let applied = match holders.contains(id) {
+            true => Applied::Claim { won: true },
+            false => Applied::Ignored,
+        };
+        let operation =
+            FoldedOperation { offset: 0, applied, request_digest: RequestDigest::default() };
+        operations.remember(OperationId::try_from(&id[..])?, operation);
+    }
+    Ok(operations)
+}
+
 fn contract_state(entry: &ContractEntry) -> ContractState {
     ContractState {
         revision: entry.revision,
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::process::Command;
 
 use comfreymast_base::{DataCentre, Model, Service};
+use comfreymast_fakes::history::{History, Line, parse};
 use comfreymast_net::{Spawner, call, empty, json, request, sleep_ms};
 use comfreymast_platform::{Vm, VmRole, VmState};
 use serde::Serialize;
@@ -35,6 +36,8 @@
     pub engine_flags: Vec<String>,
     /// More flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// What daemons log, as in `RUST_LOG`.
+    pub daemon_log: String,
 }
 
 impl Default for FleetOptions {
@@ -47,6 +50,7 @@
             daemon_flags: ["--heartbeat-interval-ms", "50", "--vms-interval-ms", "50"]
                 .map(str::to_owned)
                 .to_vec(),
+            daemon_log: "info".to_owned(),
         }
     }
 }
@@ -201,6 +205,7 @@
         command.args(["--threads", "2", "--fleet-key", FLEET_KEY]);
         command.args(&self.options.daemon_flags);
         command.env("COMFREYMAST_OPERATOR_KEY", OPERATOR_KEY);
+        command.env("RUST_LOG", &self.options.daemon_log);
         command.stderr(std::fs::File::create(self.folder.path().join(format!("{name}.err")))?);
         let process = Process::start(command)?;
         let listening = process.listening().to_owned();
@@ -335,6 +340,21 @@
         self.folder.path().join(name)
     }
 
+    /// Writes to the history of this fleet under the name `source`.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::Io`] when the file cannot be opened.
+    pub fn history(&self, source: &str) -> Result<History, ProofError> {
+        Ok(History::open(source, Some(&self.path("history")))?)
+    }
+
+    /// The history so far, of all stand-ins and callers.
+    #[must_use]
+    pub fn lines(&self) -> Vec<Line> {
+        parse(&self.read("history"))
+    }
+
     /// The text of a file of this fleet.
     #[must_use]
     pub fn read(&self, name: &str) -> String {
--- a/crates/proof/tests/common/mod.rs
+++ b/crates/proof/tests/common/mod.rs
@@ -1,95 +1,83 @@
-//! What the proofs of contracts share.
-#![allow(dead_code, reason = "each proof uses a part")]
+//! What the proofs of streams share.
+#![allow(dead_code, clippy::unwrap_used)]
 
-use comfreymast_base::OperationId;
-use comfreymast_proof::{Change, DaemonProcess, Fleet, FleetOptions, Operator};
+use comfreymast_fakes::history::History;
+use comfreymast_net::Spawner;
+use comfreymast_proof::checks::tokens::check_tokens;
+use comfreymast_proof::{Client, Fleet, FleetOptions, Reading, contract};
 
-/// The organisation of [`contract`].
-pub(crate) const ORGANISATION: &str = "estudio-norte";
-/// Its bearer key.
 pub(crate) const KEY: &str = "key-of-estudio-norte";
+pub(crate) const OTHER_KEY: &str = "key-of-atelier-syd";
 
-/// A contract that lets [`KEY`] look drawings up, if it is enabled.
-pub(crate) fn contract(enabled: bool) -> String {
-    format!(
-        r#"
-organisation = "{ORGANISATION}"
-enabled = {enabled}
-
-[[keys]]
-name = "site"
-sha256 = "4c87c44e5ac0537924acfa2d882f1803b5300e6b28a05909f2cb5b70ed84d713"
-
-[[work]]
-kind = "report"
-model = "m"
-priority = 7
-max_output_tokens = 20000
-repeatable = true
+/// A fleet with two contracts, a caller and the fleet's history.
+pub(crate) struct Stage {
+    pub(crate) spawner: Spawner,
+    pub(crate) fleet: Fleet,
+    pub(crate) client: Client,
+    pub(crate) history: History,
+}
 
-[[routes]]
-prefix = "/drawings"
-service = "s"
-methods = ["GET"]
-repeatable = true
-"#
-    )
+/// Daemon flags that make a silent connection show within the time of a test.
+pub(crate) fn daemon_flags(more: &[&str]) -> Vec<String> {
+    let mut flags = FleetOptions::default().daemon_flags;
+    flags.extend(["--silence-ms", "400", "--drain-grace-ms", "0"].map(str::to_owned));
+    flags.extend(more.iter().map(|flag| (*flag).to_owned()));
+    flags
 }
 
-/// A change of [`ORGANISATION`]'s contract.
-pub(crate) fn change(base: u64, enabled: bool) -> Change {
-    Change {
-        organisation: ORGANISATION.to_owned(),
-        base,
-        document: contract(enabled),
-        operation: OperationId::random(),
+impl Stage {
+    pub(crate) async fn new(spawner: &Spawner, options: FleetOptions) -> Self {
+        let fleet = Fleet::start(spawner, options).await.unwrap();
+        let stage = Self {
+            spawner: spawner.clone(),
+            client: Client::new(spawner, KEY),
+            history: fleet.history("reader").unwrap(),
+            fleet,
+        };
+        for (organisation, key) in [("estudio-norte", KEY), ("atelier-syd", OTHER_KEY)] {
+            let put = stage.fleet.put_contract(0, &contract(organisation, key), &[]).unwrap();
+            assert_eq!(put.code, 0, "{put:?}");
+        }
+        stage
     }
-}
 
-/// A change of another organisation's contract, for filling the log.
-pub(crate) fn filler(organisation: &str, base: u64) -> Change {
-    Change {
-        organisation: organisation.to_owned(),
-        base,
-        document: format!("organisation = \"{organisation}\"\n"),
-        operation: OperationId::random(),
+    /// Starts a reading through a daemon.
+    pub(crate) async fn read(
+        &self,
+        daemon: usize,
+        request: u64,
+        kind: &str,
+        prompt: &str,
+    ) -> Reading {
+        let addr = self.fleet.daemons[daemon].callers();
+        let reading = Reading::start(&self.client, &self.history, request, addr, kind, prompt);
+        reading.await.unwrap()
     }
-}
 
-/// A fleet without engines whose daemons write a snapshot often.
-pub(crate) fn options() -> FleetOptions {
-    let mut options = FleetOptions { engines: 0, ..FleetOptions::default() };
-    let snapshots = ["--snapshot-records", "10", "--snapshot-interval-ms", "1000"];
-    options.daemon_flags.extend(snapshots.map(str::to_owned));
-    options
-}
+    /// The engine that runs a prompt now, by its place in the fleet.
+    pub(crate) async fn engine_of(&self, prompt: &str) -> usize {
+        use comfreymast_fakes::history::Event;
+        let find = || {
+            let lines = self.fleet.lines();
+            let line = lines.iter().rfind(|line| matches!(&line.event, Event::GenerationStart { prompt: ran, .. } if &**ran == prompt))?;
+            self.fleet.engines.iter().position(|engine| engine.vm.name == *line.source)
+        };
+        self.fleet.wait_for("a run", || find().is_some()).await.unwrap();
+        find().unwrap()
+    }
 
-/// Publishes through one daemon and expects it to be accepted everywhere.
-pub(crate) async fn accepted(operator: &Operator, daemon: &DaemonProcess, change: &Change) -> u64 {
-    let answer = operator.put(daemon.operators(), change, true).await.expect("an answer");
-    let body = answer.json();
-    assert_eq!(answer.status, 200, "{body}");
-    body["revision"].as_u64().expect("a revision")
-}
+    /// No reader saw anything but whole tokens of its own generation.
+    pub(crate) fn assert_tokens_hold(&self) {
+        assert_eq!(check_tokens(&self.fleet.lines()), []);
+    }
 
-/// Every contract of a daemon, with its history.
-pub(crate) async fn contracts(
-    operator: &Operator,
-    daemon: &DaemonProcess,
-) -> Vec<serde_json::Value> {
-    let list = operator.get(daemon.operators(), "/contracts").await;
-    let list = list.map(|answer| answer.json()).unwrap_or_default();
-    let mut views = Vec::new();
-    for summary in list.as_array().cloned().unwrap_or_default() {
-        let path = format!("/contracts/{}", summary["organisation"].as_str().unwrap_or_default());
-        let view = operator.get(daemon.operators(), &path).await;
-        views.push(view.map(|answer| answer.json()).unwrap_or_default());
+    /// The log of a daemon, for messages of failed assertions.
+    pub(crate) fn log_of(&self, daemon: usize) -> String {
+        self.fleet.read(&format!("d{daemon}.err"))
     }
-    views
 }
 
-/// Waits until a daemon logs the numbered event.
-pub(crate) async fn logged(fleet: &Fleet, daemon: &str, event: &str) {
-    let file = format!("{daemon}.err");
-    fleet.wait_for(event, || fleet.read(&file).contains(event)).await.expect("the event");
+/// Runs a test on two executor threads.
+pub(crate) fn run<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+    Spawner::run(2, test);
 }
--- a/crates/proof/tests/contract_register.rs
+++ b/crates/proof/tests/contract_register.rs
@@ -1,4 +1,5 @@
 //! The contract of an organisation is one compare-and-set register over the whole fleet.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::net::SocketAddr;
 
--- a/crates/proof/tests/log_retention.rs
+++ b/crates/proof/tests/log_retention.rs
@@ -1,12 +1,12 @@
 //! Records expire and the log has outages: no daemon folds less than the others, or nothing.
 
-mod common;
+mod contract_support;
 
 use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_net::Spawner;
 use comfreymast_proof::{Client, Fleet, FleetOptions, Operator};
 
-use common::{KEY, accepted, change, contracts, filler, logged, options};
+use contract_support::{KEY, accepted, change, contracts, filler, logged, options};
 
 const ORGANISATIONS: [&str; 4] = ["a", "b", "c", "d"];
 
--- a/crates/proof/tests/thin_path.rs
+++ b/crates/proof/tests/thin_path.rs
@@ -1,4 +1,5 @@
 //! The whole path with real processes: publish a contract, stream a generation, look something up.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use comfreymast_net::Spawner;
 use comfreymast_proof::{Client, Fleet, FleetOptions};
