--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
+//! * [`links`] — which peers a daemon keeps a link to.
 //! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
@@ -9,6 +10,7 @@
 
 pub mod currency;
 pub mod limits;
+pub mod links;
 pub mod list_guard;
 pub mod membership;
 pub mod retry;
--- a/crates/proof/tests/contract_in_force.rs
+++ b/crates/proof/tests/contract_in_force.rs
@@ -2,6 +2,7 @@
 
 mod contract_support;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
@@ -155,6 +156,32 @@
     highest
 }
 
+/// A task that reads one daemon's revision.
+struct Watch {
+    stop: Arc<AtomicBool>,
+    reading: async_executor::Task<u64>,
+}
+
+impl Watch {
+    fn start(
+        spawner: &Spawner,
+        operator: &Operator,
+        daemon: &DaemonProcess,
+        floor: &Arc<AtomicU64>,
+    ) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (operator, addr) = (operator.clone(), daemon.operators());
+        let reading = watch_revision(operator, addr, floor.clone(), stop.clone());
+        Self { stop, reading: spawner.spawn(reading) }
+    }
+
+    /// Ends before its daemon does: the system may give the port to a daemon of another fleet.
+    async fn end(self) -> u64 {
+        self.stop.store(true, Ordering::Release);
+        self.reading.await
+    }
+}
+
 #[test]
 fn nothing_reverts_while_all_daemons_are_replaced_and_the_log_expires() {
     const REPLACED: usize = 3;
@@ -164,13 +191,9 @@
         let operator = Operator::new(&spawner);
         let expiring = LogFaults { retention_records: 16, ..Default::default() };
         fleet.set_faults(&fleet.log, &expiring).await.unwrap();
-        let (floor, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let watch = |addr| {
-            let watching = watch_revision(operator.clone(), addr, floor.clone(), stop.clone());
-            spawner.spawn(watching)
-        };
-        let mut watches: Vec<_> =
-            fleet.daemons.iter().map(|daemon| watch(daemon.operators())).collect();
+        let floor = Arc::new(AtomicU64::new(0));
+        let watch = |daemon: &DaemonProcess| Watch::start(&spawner, &operator, daemon, &floor);
+        let mut watches: VecDeque<_> = fleet.daemons.iter().map(&watch).collect();
         let mut revision = 0;
         for replaced in 0..REPLACED {
             for round in 0..CHANGES_EACH {
@@ -179,12 +202,14 @@
                 floor.store(revision, Ordering::Release);
             }
             let new = fleet.start_daemon(&format!("n{replaced}")).unwrap();
-            watches.push(watch(new.operators()));
+            watches.push_back(watch(&new));
             fleet.daemons.push(new);
             fleet.publish_vms().await.unwrap();
             fleet.wait_until_settled().await.unwrap();
             let mut old = fleet.daemons.remove(0);
             fleet.publish_vms().await.unwrap();
+            let watched = watches.pop_front().unwrap();
+            assert_eq!(watched.end().await, revision);
             old.process.kill();
         }
         let last = accepted(&operator, &fleet.daemons[0], &change(revision, true)).await;
@@ -192,9 +217,8 @@
         for daemon in &fleet.daemons {
             assert_eq!(operator.revision(daemon, ORGANISATION).await, last);
         }
-        stop.store(true, Ordering::Release);
         for watch in watches {
-            watch.await;
+            watch.end().await;
         }
         let start = fleet.read("n2.err");
         assert!(start.contains("E0207"), "the last daemon started from a snapshot: {start}");
--- a/crates/proof/tests/contract_register.rs
+++ b/crates/proof/tests/contract_register.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 
 use comfreymast_base::OperationId;
 use comfreymast_fakes::log_service::LogFaults;
@@ -13,6 +14,7 @@
 use rand::{Rng, SeedableRng};
 
 const ORGANISATION: &str = "taller-sur";
+const DAEMONS: usize = 3;
 
 /// A contract that carries `mark` as a limit.
 fn document(mark: u64) -> String {
@@ -85,16 +87,27 @@
     }
 }
 
+/// Where operators connect. A daemon is taken off before it is killed: the system may give its
+/// port to a daemon of another fleet.
+#[derive(Clone)]
+struct Doors(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Doors {
+    fn pick(&self, number: usize) -> SocketAddr {
+        let doors = self.0.lock().expect("no holder panics");
+        doors[number % doors.len()]
+    }
+
+    fn close_last(&self) {
+        self.0.lock().expect("no holder panics").pop();
+    }
+}
+
 /// Publishes through the daemons from `first` on until one gives a definite answer.
-async fn publish(
-    operator: &Operator,
-    daemons: &[SocketAddr],
-    first: usize,
-    change: &Change,
-) -> PutTold {
+async fn publish(operator: &Operator, daemons: &Doors, first: usize, change: &Change) -> PutTold {
     const MAX_TRIES: usize = 12;
     for attempt in 0..MAX_TRIES {
-        let daemon = daemons[(first + attempt) % daemons.len()];
+        let daemon = daemons.pick(first + attempt);
         let Ok(answer) = operator.put(daemon, change, attempt == 0).await else { continue };
         let body = answer.json();
         match (answer.status, body["code"].as_str()) {
@@ -118,19 +131,19 @@
 /// One operator: reads, changes what it read, and again.
 async fn operate(
     operator: Operator,
-    daemons: Vec<SocketAddr>,
+    daemons: Doors,
     history: RegisterHistory,
     process: usize,
     rounds: u64,
 ) {
     let mut random = StdRng::seed_from_u64(process as u64);
     for round in 0..rounds {
-        let first = random.random_range(0..daemons.len());
+        let first = random.random_range(0..DAEMONS);
         let path = format!("/contracts/{ORGANISATION}?fresh=true");
         history.begin(process);
         let read = loop {
             // A daemon that was killed does not answer; a read may be asked again elsewhere.
-            let daemon = daemons[random.random_range(0..daemons.len())];
+            let daemon = daemons.pick(random.random_range(0..DAEMONS));
             match operator.get(daemon, &path).await {
                 Ok(answer) if matches!(answer.status, 200 | 404) => break answer.json(),
                 _ => {}
@@ -153,7 +166,8 @@
     const ROUNDS: u64 = 12;
     Spawner::run(4, |spawner| async move {
         let mut fleet = Fleet::start(&spawner, fleet_options()).await.unwrap();
-        let daemons: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.operators()).collect();
+        let doors = fleet.daemons.iter().map(|daemon| daemon.operators()).collect();
+        let daemons = Doors(Arc::new(Mutex::new(doors)));
         let history = RegisterHistory::default();
         let operators: Vec<_> = (0..OPERATORS)
             .map(|process| {
@@ -171,6 +185,7 @@
         };
         fleet.set_faults(&fleet.log, &faults).await.unwrap();
         fleet.wait_for("half of the history", || history.len() > OPERATORS * 12).await.unwrap();
+        daemons.close_last();
         fleet.daemons[2].process.kill();
         fleet.daemons.truncate(2);
         fleet.publish_vms().await.unwrap();
