Bench the relay, one core and the memory of a daemon

Cause: the aims of speed had no program that measures them. Change: comfreymast-load relay, core and memory, with an engine in the bench's own process so that one clock times the straight way and the way through a daemon.

--- a/crates/load/src/failure.rs
+++ b/crates/load/src/failure.rs
@@ -11,9 +11,28 @@
     /// A call broke.
     #[display("{_0}")]
     Call(DialError),
-    /// Standard output is closed.
-    #[display("cannot write: {_0}")]
+    /// A file or socket of this machine failed.
+    #[display("{_0}")]
     Output(std::io::Error),
+    /// The log took no contract.
+    #[display("{_0}")]
+    Log(comfreymast_platform::LogError),
+    /// A histogram cannot hold a time.
+    #[display("{_0}")]
+    Record(hdrhistogram::RecordError),
+    /// A histogram cannot be made.
+    #[display("{_0}")]
+    Histogram(hdrhistogram::CreationError),
+    /// Two histograms do not fit.
+    #[display("{_0}")]
+    Add(hdrhistogram::AdditionError),
+    /// A text is no address.
+    #[display("{text:?} is no address")]
+    #[from(ignore)]
+    Address {
+        /// The text.
+        text: String,
+    },
     /// A command of the command line failed.
     #[display("comfreymast exited with {code}: {stderr}")]
     #[from(ignore)]
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -6,5 +6,16 @@
     cmd comfreymast-load {
         /// Stream a generation to the terminal while its daemon is killed.
         cmd demo {}
+        /// What a daemon adds to first tokens and gaps, at 7,000 tokens a second.
+        cmd relay {}
+        /// How many tokens one core relays.
+        cmd core {
+            /// Tokens of each of the 64 streams; default 20000.
+            optional --tokens tokens: u32
+            /// Rounds; default 3.
+            optional --rounds rounds: usize
+        }
+        /// The memory of a daemon with 8,700 contracts and 1,000 open streams.
+        cmd memory {}
     }
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,10 +3,16 @@
 //! Nothing here is shipped.
 //!
 //! * `demo` — what `scripts/demo.sh` shows.
+//! * `relay`, `core`, `memory` — what a daemon adds, how much a core relays, what it holds.
 
+mod bench_fleet;
 mod demo;
 mod failure;
 mod flags;
+mod memory;
+mod paced_engine;
+mod relay;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -20,6 +26,9 @@
     let done = Spawner::run(THREADS, |spawner| async move {
         match flags.subcommand {
             ComfreymastLoadCmd::Demo(_) => demo::run(&spawner).await,
+            ComfreymastLoadCmd::Relay(_) => relay::added(&spawner).await,
+            ComfreymastLoadCmd::Core(core) => relay::core(&spawner, core.tokens, core.rounds).await,
+            ComfreymastLoadCmd::Memory(_) => memory::run(&spawner).await,
         }
     });
     match done {
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -35,6 +35,8 @@
     pub engine_flags: Vec<String>,
     /// More flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// Executor threads of every daemon.
+    pub daemon_threads: u32,
     /// What daemons log, as in `RUST_LOG`.
     pub daemon_log: String,
 }
@@ -49,6 +51,7 @@
             daemon_flags: ["--heartbeat-interval-ms", "50", "--vms-interval-ms", "50"]
                 .map(str::to_owned)
                 .to_vec(),
+            daemon_threads: 2,
             daemon_log: "info".to_owned(),
         }
     }
@@ -182,7 +185,8 @@
         for flag in ["--callers-addr", "--operators-addr", "--peers-addr"] {
             command.args([flag, "127.0.0.1:0"]);
         }
-        command.args(["--threads", "2", "--fleet-key", FLEET_KEY]);
+        command.args(["--threads", &self.options.daemon_threads.to_string()]);
+        command.args(["--fleet-key", FLEET_KEY]);
         command.args(&self.options.daemon_flags);
         command.env("COMFREYMAST_OPERATOR_KEY", OPERATOR_KEY);
         command.env("RUST_LOG", &self.options.daemon_log);
