--- a/crates/burn/tests/burn_rates.rs
+++ b/crates/burn/tests/burn_rates.rs
@@ -1,4 +1,5 @@
 //! Burn rates over two windows and several daemons.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use comfreymast_burn::{
     Counts, DaemonCounts, Indicator, LONG_WINDOW_MS, Recorder, Report, SHORT_WINDOW_MS, Sample,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`Settings`] — everything a daemon is told at start, checked whole.
 //! * [`run`] — runs one daemon until its stop channel closes, then drains.
+//! * [`CursorSeal`] — seals and opens the [`Cursor`] that a reader gives back to continue.
 //! * [`events`] — the numbered events it logs.
 //! * [`operators`] — the JSON of the operators' port, which the command line reads.
 //!
@@ -9,6 +10,7 @@
 
 mod burn;
 mod callers;
+mod currency;
 mod daemon;
 mod directory;
 pub mod events;
@@ -19,9 +21,12 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod recent_entries;
 mod settings;
+mod snapshot_writer;
 mod upstream;
 mod vm_watch;
 
+pub use callers::cursor::{Cursor, CursorError, CursorSeal};
 pub use daemon::{Addresses, StartError, run};
 pub use settings::{SETTINGS, SettingFault, SettingSpec, Settings};
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,4 +1,5 @@
 //! Settings: every bad one is named in one run, and no text brings the reader down.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::collections::BTreeMap;
 
--- a/crates/proof/tests/burn_report.rs
+++ b/crates/proof/tests/burn_report.rs
@@ -1,5 +1,5 @@
 //! The burn report over real daemons: every daemon counts, and a missing one is named.
-#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use comfreymast_fakes::engine::process::EngineFaults;
 use comfreymast_net::Spawner;
--- a/crates/proof/tests/cli.rs
+++ b/crates/proof/tests/cli.rs
@@ -1,5 +1,5 @@
 //! The command line against real daemons: help, formats, exit codes, settings.
-#![allow(clippy::unwrap_used, reason = "helpers of tests may panic")]
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::process::Command;
 
