Measure slopes for the capacity page

Cause: the capacity page needs slopes, and control traffic was not counted. Change: comfreymast-load slope contracts, upstreams, daemons and burn, with a line of least squares and its residual; counters of control bytes and messages on the metrics page.

--- a/crates/daemon/src/load_watch.rs
+++ b/crates/daemon/src/load_watch.rs
@@ -34,5 +34,6 @@
     let request = request(engine.addr, "GET", "/load", empty());
     let reply =
         call(&daemon.spawner, engine.addr, request, REPORT_TIMEOUT_MS, MAX_REPORT_BYTES).await?;
+    daemon.metrics.control_received("load", reply.body().len());
     Ok(serde_json::from_slice(reply.body()).unwrap_or_default())
 }
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -70,6 +70,8 @@
 fn take_reply(daemon: &Daemon, reply: ReadReply, asked_ms: u64) {
     let entries: Vec<_> =
         reply.entries.into_iter().map(|entry| (entry.offset, entry.record)).collect();
+    let bytes = entries.iter().map(|(_, record)| record.len()).sum();
+    daemon.metrics.control_received("log", bytes);
     put_in_force(daemon, &entries);
     if daemon.ledger.next_offset() >= reply.end_offset {
         daemon.currency.log_read(asked_ms);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -20,6 +20,15 @@
     pub(crate) status: u32,
 }
 
+/// The labels of [`Metrics::control_bytes`] and [`Metrics::control_messages`].
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ControlLabels {
+    /// `peers`, `log` or `load`.
+    role: &'static str,
+    /// `sent` or `received`.
+    direction: &'static str,
+}
+
 /// What this daemon counts.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -32,6 +41,8 @@
     pub(crate) failed_attempts: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
+    control_bytes: Family<ControlLabels, Counter>,
+    control_messages: Family<ControlLabels, Counter>,
     /// From a request to its first token.
     pub(crate) first_token_seconds: Histogram,
     /// From one token to the next.
@@ -66,8 +77,22 @@
             "From one token to the next",
             token_gap_seconds.clone(),
         );
+        let control_bytes = Family::<ControlLabels, Counter>::default();
+        let control_messages = Family::<ControlLabels, Counter>::default();
+        registry.register(
+            "control_bytes",
+            "Bytes of messages between daemons, records and load reports",
+            control_bytes.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Messages between daemons, reads of the log and load reports",
+            control_messages.clone(),
+        );
         Self {
             registry,
+            control_bytes,
+            control_messages,
             answers,
             tokens,
             failed_attempts,
@@ -77,6 +102,21 @@
         }
     }
 
+    /// Counts a message sent for control.
+    pub(crate) fn control_sent(&self, role: &'static str, bytes: usize) {
+        self.control(ControlLabels { role, direction: "sent" }, bytes);
+    }
+
+    /// Counts a message received for control.
+    pub(crate) fn control_received(&self, role: &'static str, bytes: usize) {
+        self.control(ControlLabels { role, direction: "received" }, bytes);
+    }
+
+    fn control(&self, labels: ControlLabels, bytes: usize) {
+        self.control_messages.get_or_create(&labels).inc();
+        self.control_bytes.get_or_create(&labels).inc_by(bytes as u64);
+    }
+
     /// The text that a scraper reads.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -10,6 +10,7 @@
     BurnQuery, BurnReply, Challenge, Heartbeat, PeerMessage, peer_message,
 };
 use derive_more::{Display, Error, From};
+use prost::Message;
 
 use super::catch_up::{send_entries, take_entries};
 use super::links::greet;
@@ -80,6 +81,7 @@
     greet(daemon, &from);
     loop {
         let message = within(SILENT_LINK_MS, frames.read()).await??;
+        daemon.metrics.control_received("peers", message.encoded_len());
         if let Some(body) = message.body {
             take(daemon, &from, body);
         }
--- a/crates/daemon/src/peers/links.rs
+++ b/crates/daemon/src/peers/links.rs
@@ -9,6 +9,7 @@
 use comfreymast_wire::peer::{Heartbeat, Hello, PeerMessage, peer_message};
 use derive_more::{Display, Error, From};
 use futures_lite::future;
+use prost::Message;
 
 use super::proof::prove;
 use crate::daemon::Daemon;
@@ -153,6 +154,7 @@
     events::PEER_CONNECTED.log(format_args!("{name} at {addr}"));
     while let Ok(message) = messages.recv().await {
         within(LINK_TIMEOUT_MS, frames.write(&message)).await??;
+        daemon.metrics.control_sent("peers", message.encoded_len());
     }
     Ok(())
 }
--- a/crates/load/src/bench_fleet.rs
+++ b/crates/load/src/bench_fleet.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
+use std::ops::Range;
 
 use bytes::Bytes;
 use comfreymast_base::{DataCentre, Model, OperationId};
 use comfreymast_contract::KeyHash;
-use comfreymast_net::{Spawner, call, json, request};
+use comfreymast_net::{Spawner, call, json, request, sleep_ms};
 use comfreymast_platform::{LogClient, Vm, VmRole, VmState};
 use comfreymast_proof::{Client, DaemonProcess, Fleet, FleetOptions, OPERATOR_KEY};
 use comfreymast_wire::log::{ContractChange, Record, record};
@@ -19,6 +20,7 @@
 const CALL_LIMIT_MS: u64 = 60_000;
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 const APPEND_RECORDS: u32 = 100;
+const READY_POLL_MS: u64 = 2;
 
 /// Daemons on the default intervals before upstreams that this process serves itself.
 #[derive(Debug)]
@@ -71,13 +73,17 @@
 
     /// Appends the contracts of `organisations` straight to the log, and waits until all daemons
     /// have them in force. Returns the bytes of their records.
-    pub(crate) async fn publish(
-        &self,
-        organisations: std::ops::Range<u32>,
-    ) -> Result<usize, Failure> {
+    pub(crate) async fn publish(&self, organisations: Range<u32>) -> Result<usize, Failure> {
+        let total = usize::try_from(organisations.end).unwrap_or(usize::MAX);
+        let bytes = self.append(organisations).await?;
+        self.wait_for_status("contracts", total).await?;
+        Ok(bytes)
+    }
+
+    /// Appends the contracts of `organisations` and returns the bytes of their records.
+    pub(crate) async fn append(&self, organisations: Range<u32>) -> Result<usize, Failure> {
         let log_addr = self.address(self.fleet.log.listening())?;
         let log = LogClient::new(self.spawner.clone(), log_addr, CALL_LIMIT_MS);
-        let total = usize::try_from(organisations.end).unwrap_or(usize::MAX);
         let mut bytes = 0;
         let mut first = organisations.start;
         while first < organisations.end {
@@ -87,10 +93,19 @@
             log.append(records).await?;
             first = last;
         }
-        self.wait_for_status("contracts", total).await?;
         Ok(bytes)
     }
 
+    /// Starts one more daemon and waits until it is ready.
+    pub(crate) async fn start_another(&mut self, name: &str) -> Result<(), Failure> {
+        let daemon = self.fleet.start_daemon(name)?;
+        while !self.fleet.answers_ok(&daemon, "/readyz").await {
+            sleep_ms(READY_POLL_MS).await;
+        }
+        self.fleet.daemons.push(daemon);
+        Ok(())
+    }
+
     /// Waits until a number in the status of every daemon is `value`.
     pub(crate) async fn wait_for_status(&self, field: &str, value: usize) -> Result<(), Failure> {
         for daemon in &self.fleet.daemons {
@@ -105,15 +120,25 @@
         Client::new(&self.spawner, KEY)
     }
 
-    /// The value of a counter on the metrics page of a daemon, summed over its labels.
-    pub(crate) async fn metric(&self, index: usize, name: &str) -> Result<f64, Failure> {
+    /// Bytes that the daemon at `index` sent and received for control in a role.
+    pub(crate) async fn control(&self, index: usize, role: &str) -> Result<f64, Failure> {
+        self.counter(index, "comfreymast_control_bytes_total", role).await
+    }
+
+    /// Messages that the daemon at `index` sent and received for control in a role.
+    pub(crate) async fn control_messages(&self, index: usize, role: &str) -> Result<f64, Failure> {
+        self.counter(index, "comfreymast_control_messages_total", role).await
+    }
+
+    async fn counter(&self, index: usize, name: &str, role: &str) -> Result<f64, Failure> {
         let operator = Client::new(&self.spawner, OPERATOR_KEY);
         let daemon = &self.daemon(index).vm;
         let addr = daemon.operators_addr.unwrap_or(daemon.addr);
         let page = operator.call(addr, "GET", "/metrics", &[], "").await?;
         let page = String::from_utf8_lossy(&page.body).into_owned();
-        let values = page.lines().filter(|line| line.starts_with(name));
-        let values = values.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+        let role = format!("role=\"{role}\"");
+        let lines = page.lines().filter(|line| line.starts_with(name) && line.contains(&role));
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
         Ok(values.sum())
     }
 
--- a/crates/load/src/failure.rs
+++ b/crates/load/src/failure.rs
@@ -26,6 +26,13 @@
     /// Two histograms do not fit.
     #[display("{_0}")]
     Add(hdrhistogram::AdditionError),
+    /// There is no slope of this name.
+    #[display("there is no slope {name}")]
+    #[from(ignore)]
+    NoSlope {
+        /// The name.
+        name: String,
+    },
     /// A text is no address.
     #[display("{text:?} is no address")]
     #[from(ignore)]
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,6 +3,7 @@
 //! Nothing here is shipped.
 //!
 //! * `demo` — what `scripts/demo.sh` shows.
+//! * `slope` — what a daemon uses at a few sizes.
 //! * `relay`, `core`, `memory` — what a daemon adds, how much a core relays, what it holds.
 
 mod bench_fleet;
@@ -12,6 +13,7 @@
 mod memory;
 mod paced_engine;
 mod relay;
+mod slope;
 mod usage;
 
 use std::process::ExitCode;
@@ -28,6 +30,7 @@
             ComfreymastLoadCmd::Demo(_) => demo::run(&spawner).await,
             ComfreymastLoadCmd::Relay(_) => relay::added(&spawner).await,
             ComfreymastLoadCmd::Core(core) => relay::core(&spawner, core.tokens, core.rounds).await,
+            ComfreymastLoadCmd::Slope(slope) => slope::run(&spawner, &slope.name).await,
             ComfreymastLoadCmd::Memory(_) => memory::run(&spawner).await,
         }
     });
--- /dev/null
+++ b/crates/load/src/slope/mod.rs
@@ -0,0 +1,27 @@
+//! Slopes for docs/CAPACITY.md: what a daemon uses at a few sizes, and the line through them.
+//!
+//! * [`contracts`] — memory, cold start and the cost of a change, over contracts.
+//! * [`upstreams`] — processor time, memory and bytes, over upstreams.
+//! * [`daemons`] — processor time, memory and bytes between daemons, over daemons.
+//! * [`burn`] — memory and message of the burn report, over kinds of work with traffic.
+
+mod burn;
+mod contracts;
+mod daemons;
+mod line;
+mod upstreams;
+
+use comfreymast_net::Spawner;
+
+use crate::failure::Failure;
+
+/// Runs the slope of this name.
+pub(crate) async fn run(spawner: &Spawner, name: &str) -> Result<(), Failure> {
+    match name {
+        "contracts" => contracts::run(spawner).await,
+        "upstreams" => upstreams::run(spawner).await,
+        "daemons" => daemons::run(spawner).await,
+        "burn" => burn::run(),
+        _ => Err(Failure::NoSlope { name: name.to_owned() }),
+    }
+}
