--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -53,6 +53,8 @@
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
             optional --silence-ms silence_ms: String
+            /// How long a plain service may take, 100 to 600000; default 30000.
+            optional --call-limit-ms call_limit_ms: String
             /// Time between comments on a quiet stream, 100 to 600000; default 10000.
             optional --keepalive-ms keepalive_ms: String
             /// How long a caller may leave data unread, 100 to 600000; default 30000.
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -14,6 +14,7 @@
 use super::generation::Generation;
 use super::stream;
 use crate::burn::RequestRecord;
+use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 
@@ -25,7 +26,7 @@
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
     let record = daemon.burn.begin(&daemon.clock, &caller.contract.organisation, &ask.work);
-    let answered = generate(daemon, &caller, &ask, &record).await;
+    let answered = generate(daemon, caller, ask, record.clone()).await;
     if let Err(error) = &answered {
         record.failed(error);
     }
@@ -34,16 +35,22 @@
 
 async fn generate(
     daemon: &Arc<Daemon>,
-    caller: &Caller,
-    ask: &Ask,
-    record: &RequestRecord,
+    caller: Caller,
+    ask: Ask,
+    record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
-    let generation = Generation::begin(daemon, &caller.contract.organisation, ask).await?;
+    let claim = match admit(daemon, &ask.asked).await? {
+        Admission::Replay(answer) => return Ok(answer),
+        Admission::Run(claim) => claim,
+    };
+    let is_claimed = claim.is_claimed();
+    let organisation = &caller.contract.organisation;
+    let generation = Generation::begin(daemon, organisation, &ask, claim).await?;
     if ask.stream {
-        Ok(stream::relay(daemon, caller, generation, Some(record.stream())))
-    } else {
-        stream::collect(daemon, caller, generation, record).await
+        return Ok(stream::relay(daemon, &caller, generation, Some(record.stream())));
     }
+    let collecting = stream::collect(daemon.clone(), caller, generation, record);
+    if is_claimed { outlive_caller(daemon, collecting).await } else { collecting.await }
 }
 
 /// The engine that gets a generation, which none of those tried does.
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -12,6 +12,7 @@
 use super::completion::choose;
 use super::cursor::Cursor;
 use super::digest;
+use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::events;
@@ -63,6 +64,8 @@
     /// False while only the engine that runs it may go on with it.
     may_continue: bool,
     cancel_on_drop: bool,
+    /// The right to run it; a reader who comes back has none to give.
+    claim: Permit,
     deadline_ms: u64,
     request_digest: u64,
     text_digest: u64,
@@ -102,16 +105,26 @@
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
         ask: &Ask,
+        mut claim: Permit,
     ) -> Result<Self, CallError> {
+        let budget = daemon.retry_budgets.of(organisation, daemon.clock.now_ms());
+        budget.request(daemon.clock.now_ms());
         let start = ask.start(GenerationId::random(), fence::first());
         let refused = CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let mut tried = Vec::new();
         for _ in 0..MAX_STARTS {
             let engine = choose(daemon, &start, &tried).ok_or_else(|| refused.clone())?;
+            let may_try =
+                tried.is_empty() || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
+            if !may_try {
+                break;
+            }
             tried.push(engine.addr);
+            claim.dispatching();
             let stream = match EngineStream::start(daemon, &engine, &start).await {
                 Ok(stream) => Some(stream),
                 Err(error @ StartError::NotRun { .. }) => {
+                    claim.refused();
                     attempt_failed(daemon, &engine, &error);
                     continue;
                 }
@@ -123,6 +136,7 @@
             };
             let mut generation = Self::new(daemon, organisation, start, engine, stream);
             generation.tried = tried;
+            generation.claim = claim;
             generation.allow(ask);
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
@@ -163,7 +177,7 @@
                 Err(AttachError::Gone | AttachError::Failed(_)) => {}
             }
         }
-        let ask = ask.filter(|ask| ask.work.repeatable).ok_or(CallError::GenerationGone)?;
+        let ask = ask.filter(|ask| ask.asked.repeatable).ok_or(CallError::GenerationGone)?;
         Self::continue_from_reader(daemon, cursor, ask, start, known)
     }
 
@@ -214,6 +228,7 @@
             start,
             may_continue: false,
             cancel_on_drop: false,
+            claim: Permit::unclaimed(false),
             deadline_ms: u64::MAX,
             text_digest,
             tried: vec![engine.addr],
@@ -226,7 +241,7 @@
 
     /// Lets the generation be carried on as the contract allows for this request.
     fn allow(&mut self, ask: &Ask) {
-        self.may_continue = ask.work.repeatable;
+        self.may_continue = ask.asked.repeatable;
         let allowed_ms = ask.work.service_level.deadline_ms;
         self.deadline_ms = self.daemon.clock.now_ms().saturating_add(allowed_ms);
     }
@@ -265,6 +280,11 @@
         }
     }
 
+    /// The right to run it, which is told how it ended.
+    pub(crate) fn claim(&mut self) -> &mut Permit {
+        &mut self.claim
+    }
+
     /// The model that writes it.
     pub(crate) fn model(&self) -> &Model {
         &self.start.model
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -6,7 +6,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use comfreymast_base::Model;
-use comfreymast_net::{Body, BodyError, channel, json, sleep_ms, within};
+use comfreymast_net::{Body, BodyError, channel, full, sleep_ms, within};
 use comfreymast_wire::engine::{Finish, Token};
 use futures_lite::future;
 use hyper::Response;
@@ -74,10 +74,10 @@
 
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
-    daemon: &Arc<Daemon>,
-    caller: &Caller,
+    daemon: Arc<Daemon>,
+    caller: Caller,
     mut generation: Generation,
-    record: &RequestRecord,
+    record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -92,9 +92,12 @@
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
-            let mut response = Response::new(json(&chunk(generation.model(), &whole)));
+            let body = serde_json::to_vec(&chunk(generation.model(), &whole)).unwrap_or_default();
+            let mut response = Response::new(Bytes::from(body));
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
+            generation.claim().answered(&response);
+            let mut response = response.map(full);
             set_outcome(&mut response, Outcome::Done);
             record.whole();
             return Ok(response);
@@ -146,6 +149,7 @@
             let event = token_event(self.generation.model(), &token, &cursor);
             send(&self.daemon, &self.sender, event).await?;
             if token.finish.is_some() {
+                self.generation.claim().done();
                 if let Some(record) = self.record.take() {
                     record.whole();
                 }
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -75,5 +75,7 @@
     STREAM_SUPERSEDED = 607 Info "reader has moved to another daemon";
     CURSOR_REFUSED = 608 Warn "cursor refused";
     READER_STALLED = 609 Info "reader that does not read was cut";
+    CLAIM_END_LOST = 701 Warn "end of a claim lost";
+    CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
     BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,10 +4,12 @@
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`retry`] — whether a request is tried again, and when a caller should come back.
 //! * [`routing`] — which upstream gets a request.
 
 pub mod currency;
 pub mod limits;
 pub mod list_guard;
 pub mod membership;
+pub mod retry;
 pub mod routing;
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -10,8 +10,8 @@
 use crate::operations::Operations;
 use crate::snapshot::is_intact;
 use crate::{
-    Applied, ChainDigest, ContractEntry, Contracts, FoldedOperation, RequestDigest, Revision, Skip,
-    SnapshotCheck,
+    Applied, ChainDigest, Claims, ContractEntry, Contracts, FoldedOperation, Quarantines,
+    RequestDigest, Revision, Skip, SnapshotCheck,
 };
 
 const MAX_HISTORY: usize = 16;
@@ -21,6 +21,8 @@
 pub struct Ledger {
     pub(crate) next_offset: u64,
     pub(crate) contracts: Contracts,
+    pub(crate) claims: Claims,
+    pub(crate) quarantines: Quarantines,
     pub(crate) skipped_records: u64,
     /// Kept apart from the other operations, which are many more.
     pub(crate) contract_operations: Operations,
@@ -43,6 +45,18 @@
         &self.contracts
     }
 
+    /// The claims of non-repeatable requests.
+    #[must_use]
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+
+    /// The quarantined requests.
+    #[must_use]
+    pub fn quarantines(&self) -> &Quarantines {
+        &self.quarantines
+    }
+
     /// How many records did nothing because they were bad.
     #[must_use]
     pub fn skipped_records(&self) -> u64 {
@@ -127,7 +141,9 @@
         match body {
             Some(record::Body::Contract(change)) => self.change_contract(offset, operation, change),
             Some(record::Body::Snapshot(snapshot)) => self.take_snapshot(&snapshot),
-            Some(_) => Ok(Applied::Ignored),
+            Some(record::Body::Claim(claim)) => self.claims.claim(offset, operation, claim),
+            Some(record::Body::ClaimOutcome(outcome)) => self.claims.settle(outcome),
+            Some(record::Body::Quarantine(record)) => self.quarantines.fold(offset, record),
             None => Err(Skip::Undecodable),
         }
     }
