--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -6,7 +6,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use comfreymast_base::Model;
-use comfreymast_net::{Body, BodyError, channel, full, sleep_ms, within};
+use comfreymast_net::{Body, BodyError, IdleLimit, channel, full, within};
 use comfreymast_wire::engine::{Finish, Token};
 use futures_lite::future;
 use hyper::Response;
@@ -63,7 +63,8 @@
 ) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let permit = caller.permit.clone();
-    let relay = Relay { daemon: daemon.clone(), permit, record, generation, sender };
+    let idle = IdleLimit::new(&daemon.clock, daemon.settings.keepalive_ms);
+    let relay = Relay { daemon: daemon.clone(), permit, record, generation, sender, idle };
     daemon.spawner.detach(relay.run());
     let mut response = Response::new(body);
     let headers = response.headers_mut();
@@ -112,6 +113,7 @@
     record: Option<StreamRecord>,
     generation: Generation,
     sender: Sender<Result<Bytes, BodyError>>,
+    idle: IdleLimit,
 }
 
 /// Why a relay ends before the end of the generation.
@@ -160,7 +162,7 @@
 
     /// The next token; comments go to the reader meanwhile, so that a lost one is noticed.
     async fn next(&mut self) -> Result<Token, RelayEnd> {
-        let Self { daemon, generation, sender, .. } = self;
+        let Self { daemon, generation, sender, idle, .. } = self;
         let mut next = pin!(generation.next());
         loop {
             let reader_gone = async {
@@ -173,17 +175,13 @@
             };
             let token = async {
                 let token = next.as_mut().await;
-                token.map(Some).map_err(|error| RelayEnd::Told(error.into()))
-            };
-            let quiet = async {
-                sleep_ms(daemon.settings.keepalive_ms).await;
-                Ok(None)
+                token.map_err(|error| RelayEnd::Told(error.into()))
             };
             // The reader comes first: a daemon that was frozen must not go on for one who left.
             let ending = future::or(reader_gone, handed_over);
-            match future::or(ending, future::or(token, quiet)).await? {
-                Some(token) => return Ok(token),
-                None => send(daemon, sender, Bytes::from_static(KEEPALIVE)).await?,
+            match idle.within(future::or(ending, token)).await {
+                Ok(token) => return token,
+                Err(_) => send(daemon, sender, Bytes::from_static(KEEPALIVE)).await?,
             }
         }
     }
--- a/crates/daemon/src/upstream/engine_stream.rs
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::GenerationId;
-use comfreymast_net::{DialError, Elapsed, dial, empty, json, request, within};
+use comfreymast_net::{DialError, Elapsed, IdleLimit, dial, empty, json, request, within};
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error, From};
 use eventsource_stream::{EventStreamError, Eventsource};
@@ -101,7 +101,7 @@
     generation: GenerationId,
     fence: u64,
     next_index: u32,
-    silence_ms: u64,
+    idle: IdleLimit,
     running: Outstanding,
 }
 
@@ -135,7 +135,7 @@
             generation: start.generation,
             fence: start.fence,
             next_index: count(&start.resume),
-            silence_ms,
+            idle: IdleLimit::new(&daemon.clock, silence_ms),
             running,
         })
     }
@@ -167,12 +167,13 @@
             status => return Err(AttachError::Failed(status.into())),
         }
         let events = events(reply.into_body());
-        Ok(Self { events, generation, fence, next_index: from, silence_ms, running })
+        let idle = IdleLimit::new(&daemon.clock, silence_ms);
+        Ok(Self { events, generation, fence, next_index: from, idle, running })
     }
 
     /// The next token, or the end of the generation.
     pub(crate) async fn next(&mut self) -> Result<Token, StreamError> {
-        let event = within(self.silence_ms, self.events.next()).await?;
+        let event = self.idle.within(self.events.next()).await?;
         let event = event.ok_or(StreamError::Ended)??;
         let token: Token = serde_json::from_str(&event.data)?;
         let belongs = token.generation == self.generation
