--- a/crates/load/src/bench_fleet.rs
+++ b/crates/load/src/bench_fleet.rs
@@ -167,7 +167,8 @@
     }
 }
 
-fn contract_record(index: u32) -> Bytes {
+/// The record of one contract, as operators publish it.
+pub(crate) fn contract_record(index: u32) -> Bytes {
     let key = KeyHash::of(&format!("key-of-organisation-{index}")).to_string();
     let organisation = format!("organisation-{index}");
     let document = include_str!("bench.toml").replace("NAME", &organisation).replace("HASH", &key);
--- a/crates/load/src/flags.rs
+++ b/crates/load/src/flags.rs
@@ -17,7 +17,7 @@
         }
         /// The memory of a daemon with 8,700 contracts and 1,000 open streams.
         cmd memory {}
-        /// What a daemon uses at a few sizes: `contracts`, `upstreams`, `daemons` or `burn`.
+        /// What a daemon uses at a few sizes: `contracts`, `upstreams`, `daemons`, `records` or `burn`.
         cmd slope { required name: String }
     }
 }
