--- a/crates/fakes/src/engine/process.rs
+++ b/crates/fakes/src/engine/process.rs
@@ -20,6 +20,7 @@
 const MAX_REQUEST_BYTES: usize = 32 * 1024 * 1024;
 const READER_CAPACITY: usize = 256;
 const IDLE_MS: u64 = 1;
+const CROSSED_MARK: &str = "crossed";
 const CRASH_EXIT_CODE: i32 = 70;
 
 /// What goes wrong from now on.
@@ -36,7 +37,7 @@
     pub forget_generations: bool,
     /// Stops making tokens.
     pub stall: bool,
-    /// Sends the next tokens with the id of another generation.
+    /// Sends tokens of another generation in place of the next ones.
     pub cross_tokens: u32,
     /// Sends the next tokens twice.
     pub repeat_tokens: u32,
@@ -305,12 +306,12 @@
         let Some(running) = state.generations.get_mut(&id) else { return };
         let token = text::token(&running.mark, index);
         running.tokens.push(token.clone());
-        let mut sent_id = id;
+        let mut event = running.event(id, index, token, None);
         if state.faults.cross_tokens > 0 {
             state.faults.cross_tokens -= 1;
-            sent_id = GenerationId::random();
+            let crossed = text::token(CROSSED_MARK, index);
+            event = running.event(GenerationId::random(), index, crossed, None);
         }
-        let event = running.event(sent_id, index, token, None);
         running.send(event.clone());
         if state.faults.repeat_tokens > 0 {
             state.faults.repeat_tokens -= 1;
--- a/crates/proof/tests/reattach.rs
+++ b/crates/proof/tests/reattach.rs
@@ -167,9 +167,12 @@
         let engine = stage.engine_of("report, tokens=2000").await;
         stage.fleet.daemons[0].process.signal("STOP").unwrap();
         stage.fleet.set_faults(&stage.fleet.engines[engine].process, &faults).await.unwrap();
-        let invented = r#"{"model": "m", "prompt": "report, tokens=2000", "stream": true,
-            "read_tokens": ["a.0 ", "a.1 "]}"#;
-        let answer = ask(common::KEY, &cursor, invented).await;
+        let invented: Vec<_> = (0..10).map(|index| format!(r#""a.{index} ""#)).collect();
+        let invented = format!(
+            r#"{{"model": "m", "prompt": "report, tokens=2000", "read_tokens": [{}]}}"#,
+            invented.join(",")
+        );
+        let answer = ask(common::KEY, &cursor, &invented).await;
         assert_eq!(
             (answer.status, answer.json()["error"]["code"].as_str()),
             (400, Some("cursor_mismatch"))
