--- a/crates/contract/src/api_key.rs
+++ b/crates/contract/src/api_key.rs
@@ -17,6 +17,7 @@
 }
 
 impl fmt::Display for KeyHash {
+    /// As 64 hexadecimal digits, the way a contract holds it.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&hex::encode(&self.0))
     }
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -13,6 +13,7 @@
 use super::caller::Caller;
 use super::generation::Generation;
 use super::stream;
+use crate::burn::RequestRecord;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 
@@ -23,11 +24,25 @@
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
     let ask = Ask::read(daemon, &caller.contract, request).await?;
-    let generation = Generation::begin(daemon, &caller.contract.organisation, &ask).await?;
+    let record = daemon.burn.begin(&daemon.clock, &caller.contract.organisation, &ask.work);
+    let answered = generate(daemon, &caller, &ask, &record).await;
+    if let Err(error) = &answered {
+        record.failed(error);
+    }
+    answered
+}
+
+async fn generate(
+    daemon: &Arc<Daemon>,
+    caller: &Caller,
+    ask: &Ask,
+    record: &RequestRecord,
+) -> Result<Response<Body>, CallError> {
+    let generation = Generation::begin(daemon, &caller.contract.organisation, ask).await?;
     if ask.stream {
-        Ok(stream::relay(daemon, generation))
+        Ok(stream::relay(daemon, caller, generation, record.stream()))
     } else {
-        stream::collect(daemon, generation).await
+        stream::collect(daemon, caller, generation, record).await
     }
 }
 
--- a/crates/daemon/src/callers/cursor.rs
+++ b/crates/daemon/src/callers/cursor.rs
@@ -1,6 +1,6 @@
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
-use comfreymast_base::{GenerationId, Model, Organisation, Upstream};
+use comfreymast_base::{GenerationId, Kind, Model, Organisation, Upstream};
 use comfreymast_wire::cursor;
 use derive_more::{Display, Error};
 use hmac::{Hmac, Mac};
@@ -28,6 +28,8 @@
     pub read_tokens: u32,
     /// The model.
     pub model: Model,
+    /// The kind of work, as the contract has it.
+    pub kind: Kind,
     /// Binds the model, the prompt and the token limit of the request.
     pub request_digest: u64,
     /// Binds the text of the tokens read.
@@ -101,6 +103,7 @@
             fence: self.fence,
             read_tokens: self.read_tokens,
             model: self.model.to_string(),
+            kind: self.kind.to_string(),
             request_digest: self.request_digest,
             text_digest: self.text_digest,
         }
@@ -114,6 +117,7 @@
             fence: wire.fence,
             read_tokens: wire.read_tokens,
             model: Model::from(wire.model),
+            kind: Kind::from(wire.kind),
             request_digest: wire.request_digest,
             text_digest: wire.text_digest,
         })
--- a/crates/daemon/src/callers/front.rs
+++ b/crates/daemon/src/callers/front.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_net::Body;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Method, Request, Response, Version};
@@ -10,6 +11,7 @@
 use super::caller::Caller;
 use super::{completion, plain, reattach};
 use crate::daemon::Daemon;
+use crate::limits::LimitPermit;
 use crate::metrics::AnswerLabels;
 
 const COMPLETIONS: &str = "/v1/completions";
@@ -47,15 +49,26 @@
     if !daemon.has_loaded() {
         return Err(CallError::NotReady);
     }
-    let caller = Caller::authenticate(daemon, request.headers())?;
+    let caller = Caller::admit(daemon, request.headers()).await?;
+    let permit = caller.permit.clone();
     let is_reattach = reattach::sealed_cursor(request.headers()).is_some();
-    match (request.method(), request.uri().path()) {
+    let response = match (request.method(), request.uri().path()) {
         (&Method::GET | &Method::POST, COMPLETIONS) if is_reattach => {
             reattach::run(daemon, caller, request).await
         }
         (&Method::POST, COMPLETIONS) => completion::run(daemon, caller, request).await,
         _ => plain::run(daemon, caller, request).await,
-    }
+    }?;
+    Ok(response.map(|body| hold_until_read(body, permit)))
+}
+
+/// Keeps the slot until the answer is read or its reader has gone.
+fn hold_until_read(body: Body, permit: Arc<LimitPermit>) -> Body {
+    let held = body.map_frame(move |frame| {
+        let _permit = &permit;
+        frame
+    });
+    held.boxed_unsync()
 }
 
 fn count(daemon: &Daemon, outcome: Outcome, status: u16) {
--- a/crates/daemon/src/callers/mod.rs
+++ b/crates/daemon/src/callers/mod.rs
@@ -20,3 +20,6 @@
 mod plain;
 mod reattach;
 mod stream;
+
+pub(crate) use answer::Outcome;
+pub(crate) use call_error::CallError;
--- a/crates/daemon/src/callers/reattach.rs
+++ b/crates/daemon/src/callers/reattach.rs
@@ -47,6 +47,14 @@
         Method::GET => None,
         _ => Some(Ask::read(daemon, &caller.contract, request).await?),
     };
-    let generation = Generation::reattach(daemon, &cursor, ask.as_ref()).await?;
-    Ok(stream::relay(daemon, generation))
+    let (kind, model) = (cursor.kind.as_str(), cursor.model.as_str());
+    let work = caller
+        .contract
+        .work_for(Some(kind), model)
+        .ok_or_else(|| CallError::NotAllowed { what: format!("{kind} on model {model}") })?;
+    let record = daemon.burn.begin(&daemon.clock, organisation, work);
+    let generation = Generation::reattach(daemon, &cursor, ask.as_ref())
+        .await
+        .inspect_err(|error| record.failed(error))?;
+    Ok(stream::relay(daemon, &caller, generation, record.stream()))
 }
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -15,9 +15,12 @@
 
 use super::answer::{ErrorBody, Outcome, set_outcome};
 use super::call_error::CallError;
+use super::caller::Caller;
 use super::generation::Generation;
+use crate::burn::{RequestRecord, StreamRecord};
 use crate::daemon::Daemon;
 use crate::events;
+use crate::limits::LimitPermit;
 
 /// Chunks that may wait for a slow reader; beyond them the engine's stream is not read.
 const READER_CAPACITY: usize = 64;
@@ -50,9 +53,15 @@
 }
 
 /// Answers with server-sent events, one for each token.
-pub(crate) fn relay(daemon: &Arc<Daemon>, generation: Generation) -> Response<Body> {
+pub(crate) fn relay(
+    daemon: &Arc<Daemon>,
+    caller: &Caller,
+    generation: Generation,
+    record: StreamRecord,
+) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
-    let relay = Relay { daemon: daemon.clone(), generation, sender };
+    let permit = caller.permit.clone();
+    let relay = Relay { daemon: daemon.clone(), generation, permit, record, sender };
     daemon.spawner.detach(relay.run());
     let mut response = Response::new(body);
     let headers = response.headers_mut();
@@ -64,7 +73,9 @@
 /// Answers with the whole text at once.
 pub(crate) async fn collect(
     daemon: &Arc<Daemon>,
+    caller: &Caller,
     mut generation: Generation,
+    record: &RequestRecord,
 ) -> Result<Response<Body>, CallError> {
     let mut text = String::new();
     loop {
@@ -75,6 +86,7 @@
         let next = async { generation.next().await.map_err(CallError::from) };
         let token = future::or(handed_over, next).await?;
         daemon.metrics.tokens.inc();
+        caller.permit.charge_tokens(1, daemon.clock.now_ms());
         text.push_str(&token.text);
         if token.finish.is_some() {
             let whole = Token { text: Arc::from(text), ..token };
@@ -82,6 +94,7 @@
             let kind = HeaderValue::from_static("application/json");
             response.headers_mut().insert(CONTENT_TYPE, kind);
             set_outcome(&mut response, Outcome::Done);
+            record.whole();
             return Ok(response);
         }
     }
@@ -91,6 +104,8 @@
 struct Relay {
     daemon: Arc<Daemon>,
     generation: Generation,
+    permit: Arc<LimitPermit>,
+    record: StreamRecord,
     sender: Sender<Result<Bytes, BodyError>>,
 }
 
@@ -105,8 +120,12 @@
 impl Relay {
     async fn run(mut self) {
         match self.relay().await {
-            Ok(()) | Err(RelayEnd::Reader) => {}
+            Ok(()) => self.record.whole(),
+            Err(RelayEnd::Reader) => {}
             Err(RelayEnd::Told(error)) => {
+                if matches!(error, CallError::GenerationLost { .. }) {
+                    self.record.lost();
+                }
                 let _ = send(&self.daemon, &self.sender, error_event(&error)).await;
             }
         }
@@ -116,6 +135,10 @@
         loop {
             let token = self.next().await?;
             self.daemon.metrics.tokens.inc();
+            self.permit.charge_tokens(1, self.daemon.clock.now_ms());
+            if token.finish.is_none() {
+                self.record.token();
+            }
             let cursor = self.daemon.cursors.seal(&self.generation.cursor());
             let event = token_event(self.generation.model(), &token, &cursor);
             send(&self.daemon, &self.sender, event).await?;
@@ -127,7 +150,7 @@
 
     /// The next token; comments go to the reader meanwhile, so that a lost one is noticed.
     async fn next(&mut self) -> Result<Token, RelayEnd> {
-        let Self { daemon, generation, sender } = self;
+        let Self { daemon, generation, sender, .. } = self;
         let mut next = pin!(generation.next());
         loop {
             let reader_gone = async {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -5,17 +6,21 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use async_net::TcpListener;
-use comfreymast_base::Clock;
+use comfreymast_base::{Clock, DaemonName};
 use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve, sleep_ms};
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::burn::BurnState;
 use crate::callers::cursor::CursorSeal;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::{Settings, callers, events, load_watch, log_follower, operators, peers, vm_watch};
+use crate::{
+    Settings, burn, callers, events, limits, load_watch, log_follower, operators, peers, vm_watch,
+};
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
 
@@ -36,6 +41,10 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// What it may use of organisations' limits.
+    pub(crate) limits: Limits,
+    /// Service levels kept and missed.
+    pub(crate) burn: BurnState,
     /// What it counts.
     pub(crate) metrics: Metrics,
     /// Closed when it is to go.
@@ -69,6 +78,16 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Daemons on the VM list that were heard lately, this one included.
+    pub(crate) fn live_daemons(&self) -> BTreeSet<DaemonName> {
+        let directory = self.directory.load();
+        let now_ms = self.clock.now_ms();
+        let table = self.peers.table();
+        let listed = directory.daemons.iter().map(|vm| DaemonName::from(vm.name.as_str()));
+        let others = listed.filter(|name| table.live(name, now_ms).is_some());
+        others.chain([self.settings.name.clone()]).collect()
+    }
+
     /// Lets callers in.
     pub(crate) fn become_ready(&self) {
         if !self.ready.swap(true, Ordering::AcqRel) {
@@ -144,9 +163,11 @@
         spawner.spawn(log_follower::follow(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(burn::fold(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
         spawner.spawn(peers::send_heartbeats(daemon.clone())),
+        spawner.spawn(limits::report_forever(daemon.clone())),
         spawner.spawn(serve(
             spawner.clone(),
             operators,
@@ -196,6 +217,8 @@
         ledger: LedgerState::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        limits: Limits::default(),
+        burn: BurnState::default(),
         metrics: Metrics::new(),
         stop,
         ready: AtomicBool::new(false),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -64,4 +64,5 @@
     STREAM_SUPERSEDED = 607 Info "reader has moved to another daemon";
     CURSOR_REFUSED = 608 Warn "cursor refused";
     READER_STALLED = 609 Info "reader that does not read was cut";
+    BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,11 +8,13 @@
 //!
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
+mod burn;
 mod callers;
 mod daemon;
 mod directory;
 pub mod events;
 mod ledger_state;
+mod limits;
 mod load_watch;
 mod log_follower;
 mod metrics;
--- a/crates/daemon/tests/cursor.rs
+++ b/crates/daemon/tests/cursor.rs
@@ -1,6 +1,6 @@
 //! The cursor that a reader gives back: it opens as it was sealed, and nothing else opens.
 
-use comfreymast_base::{GenerationId, Model, Organisation, Upstream};
+use comfreymast_base::{GenerationId, Kind, Model, Organisation, Upstream};
 use comfreymast_daemon::{Cursor, CursorError, CursorSeal};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -10,12 +10,13 @@
 }
 
 fn cursor() -> impl Strategy<Value = Cursor> {
-    let names = (".{0,24}", ".{0,24}", ".{0,24}");
+    let names = (".{0,24}", ".{0,24}", ".{0,24}", ".{0,24}");
     let numbers = (any::<u64>(), any::<u32>(), any::<u64>(), any::<u64>());
     (names, any::<[u8; 16]>(), numbers).prop_map(|(names, generation, numbers)| Cursor {
         organisation: Organisation::from(names.0),
         upstream: Upstream::from(names.1),
         model: Model::from(names.2),
+        kind: Kind::from(names.3),
         generation: GenerationId::from_bytes(generation),
         fence: numbers.0,
         read_tokens: numbers.1,
