--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -49,6 +49,7 @@
         "vms-interval-ms" => &daemon.vms_interval_ms,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
+        "header-timeout-ms" => &daemon.header_timeout_ms,
         "keepalive-ms" => &daemon.keepalive_ms,
         "reader-stall-ms" => &daemon.reader_stall_ms,
         "drain-grace-ms" => &daemon.drain_grace_ms,
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -49,6 +49,8 @@
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
             optional --silence-ms silence_ms: String
+            /// How long a request's head may take, 100 to 600000; default 10000.
+            optional --header-timeout-ms header_timeout_ms: String
             /// Time between comments on a quiet stream, 100 to 600000; default 10000.
             optional --keepalive-ms keepalive_ms: String
             /// How long a caller may leave data unread, 100 to 600000; default 30000.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -199,7 +199,11 @@
 }
 
 fn caller_limits(settings: &Settings) -> ServeLimits {
-    ServeLimits { write_stall_ms: settings.reader_stall_ms, ..ServeLimits::default() }
+    ServeLimits {
+        header_timeout_ms: settings.header_timeout_ms,
+        write_stall_ms: settings.reader_stall_ms,
+        ..ServeLimits::default()
+    }
 }
 
 fn new_daemon(
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 19] = [
+pub const SETTINGS: [SettingSpec; 20] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -48,6 +48,7 @@
     optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
     optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
+    optional("header-timeout-ms", "10000", "How long a request's head may take, 100 to 600000"),
     optional("keepalive-ms", "10000", "Time between comments on a quiet stream, 100 to 600000"),
     optional("reader-stall-ms", "30000", "How long a caller may leave data unread, 100 to 600000"),
     optional("drain-grace-ms", "5000", "Time to serve on while not ready, 0 to 600000"),
@@ -86,6 +87,8 @@
     pub load_interval_ms: u64,
     /// How long an open stream may say nothing.
     pub silence_ms: u64,
+    /// How long the head of a request may take to arrive, and a connection be idle before it.
+    pub header_timeout_ms: u64,
     /// Time between comments on a stream that has no token to send.
     pub keepalive_ms: u64,
     /// How long a caller may leave data unread before it is cut.
@@ -185,6 +188,7 @@
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
         let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
         let silence_ms = self.number("silence-ms", 100..=600_000);
+        let header_timeout_ms = self.number("header-timeout-ms", 100..=600_000);
         let keepalive_ms = self.number("keepalive-ms", 100..=600_000);
         let reader_stall_ms = self.number("reader-stall-ms", 100..=600_000);
         let drain_grace_ms = self.number("drain-grace-ms", 0..=600_000);
@@ -205,6 +209,7 @@
             vms_interval_ms: vms_interval_ms?,
             load_interval_ms: load_interval_ms?,
             silence_ms: silence_ms?,
+            header_timeout_ms: header_timeout_ms?,
             keepalive_ms: keepalive_ms?,
             reader_stall_ms: reader_stall_ms?,
             drain_grace_ms: drain_grace_ms?,
--- a/crates/proof/src/client.rs
+++ b/crates/proof/src/client.rs
@@ -77,7 +77,7 @@
     }
 }
 
-type Events = Pin<
+pub(crate) type Events = Pin<
     Box<
         dyn Stream<Item = Result<eventsource_stream::Event, EventStreamError<hyper::Error>>> + Send,
     >,
@@ -93,6 +93,10 @@
 }
 
 impl Reader {
+    pub(crate) fn new(status: u16, headers: HeaderMap, events: Events) -> Self {
+        Self { status, headers, events }
+    }
+
     /// The next event; `None` at the end of the stream or when the connection broke.
     pub async fn next(&mut self) -> Option<SseEvent> {
         let event = within(CALL_LIMIT_MS, self.events.next()).await.ok()??.ok()?;
@@ -184,7 +188,7 @@
         let response = within(CALL_LIMIT_MS, connection.send(request)).await??;
         let (head, body) = response.into_parts();
         let events = Box::pin(BodyDataStream::new(body).eventsource());
-        Ok(Reader { status: head.status.as_u16(), headers: head.headers, events })
+        Ok(Reader::new(head.status.as_u16(), head.headers, events))
     }
 
     fn prepared(
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Process`] — one started process, ended with its handle.
 //! * [`Fleet`] — a log, a VM list, daemons, engines and plain servers on ports from the system.
 //! * [`Client`] — a caller that reads streams event by event.
+//! * [`Http2`] — one HTTP/2 connection of a caller.
 //! * [`Reading`] — a caller who comes back where a stream broke, and writes down what it saw.
 //! * [`Link`] — a TCP link whose connections go silent or are cut.
 //! * [`checks`] — checks of merged histories.
@@ -16,6 +17,7 @@
 mod client;
 mod documents;
 mod fleet;
+mod http2;
 mod link;
 mod process;
 mod reading;
@@ -24,6 +26,7 @@
 pub use client::{Answer, Client, Reader, SseEvent};
 pub use documents::contract;
 pub use fleet::{DaemonProcess, FLEET_KEY, Fleet, FleetOptions, OPERATOR_KEY, UpstreamProcess};
+pub use http2::Http2;
 pub use link::{Link, Way};
 pub use process::{Process, ProofError, program};
 pub use reading::{ComeBack, Reading, StreamEnd};
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -22,6 +22,12 @@
     /// A call failed.
     #[display("{_0}")]
     Call(comfreymast_net::DialError),
+    /// An exchange over HTTP/2 failed.
+    #[display("{_0}")]
+    Http(hyper::Error),
+    /// A request does not read.
+    #[display("{_0}")]
+    Request(hyper::http::Error),
     /// Something did not happen in time.
     #[display("not seen within {limit_ms} ms: {what}")]
     #[from(ignore)]
--- /dev/null
+++ b/crates/proof/tests/callers.rs
@@ -0,0 +1,116 @@
+//! Slow, silent and greedy callers, HTTP/2, and the shapes that completion clients expect.
+
+#![allow(clippy::unwrap_used)] // clippy sees helpers of tests as no tests
+
+mod common;
+
+use async_net::TcpStream;
+use comfreymast_net::{sleep_ms, within};
+use comfreymast_proof::{FleetOptions, Http2, Link, StreamEnd};
+use common::{KEY, Stage, daemon_flags, run};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde_json::Value;
+
+const LIMIT_MS: u64 = 20_000;
+
+fn options(flags: &[&str]) -> FleetOptions {
+    FleetOptions { engines: 1, daemon_flags: daemon_flags(flags), ..FleetOptions::default() }
+}
+
+/// A stream as raw HTTP/1.1.
+fn raw_request(prompt: &str) -> String {
+    let body = format!(r#"{{"model": "m", "prompt": "{prompt}", "stream": true}}"#);
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Waits until the daemon serves no stream on its engine.
+async fn wait_until_idle(stage: &Stage) {
+    let load = async || stage.fleet.page(&stage.fleet.engines[0].process, "/load").await;
+    let wait = async {
+        while load().await["running"] != 0 {
+            sleep_ms(20).await;
+        }
+    };
+    within(LIMIT_MS, wait).await.unwrap();
+}
+
+#[test]
+fn streams_and_errors_have_the_shape_of_completion_apis_over_http2() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(&[])).await;
+        let addr = stage.fleet.daemons[0].callers();
+        let mut http2 = Http2::connect(&spawner, addr, KEY).await.unwrap();
+        let body = r#"{"model": "m", "prompt": "tokens=9", "stream": true, "max_tokens": 5}"#;
+        // Two at once on one connection.
+        let mut first = http2.open("POST", "/v1/completions", body.to_owned()).await.unwrap();
+        let mut second = http2.open("POST", "/v1/completions", body.to_owned()).await.unwrap();
+        for reader in [&mut first, &mut second] {
+            assert_eq!(reader.status, 200);
+            assert_eq!(reader.headers["content-type"], "text/event-stream");
+            let events = reader.rest().await;
+            assert_eq!(events.len(), 7);
+            assert_eq!(events[6].data, "[DONE]");
+            let last: Value = serde_json::from_str(&events[5].data).unwrap();
+            assert_eq!(last["object"], "text_completion");
+            assert_eq!(last["model"], "m");
+            assert_eq!(last["choices"][0]["finish_reason"], "length");
+        }
+        let body = r#"{"model": "no such model", "prompt": "x"}"#;
+        let refused = http2.open("POST", "/v1/completions", body.to_owned()).await.unwrap();
+        assert_eq!(refused.status, 403);
+        assert_eq!(refused.headers["comfreymast-outcome"], "not_run");
+    });
+}
+
+#[test]
+fn a_reader_that_does_not_read_holds_nothing_for_long() {
+    run(|spawner| async move {
+        let flags = ["--reader-stall-ms", "500", "--keepalive-ms", "100"];
+        let stage = Stage::new(&spawner, options(&flags)).await;
+        let addr = stage.fleet.daemons[0].callers();
+        let mut stalled = TcpStream::connect(addr).await.unwrap();
+        stalled.write_all(raw_request("stalled, tokens=20000").as_bytes()).await.unwrap();
+        let mut reading = stage.read(0, 1, "report", "report, tokens=300").await;
+        // Another reader is not held up, and the engine is free once the stalled one is cut.
+        assert_eq!(reading.rest().await, StreamEnd::Done);
+        drop(stalled);
+        wait_until_idle(&stage).await;
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn a_caller_that_is_gone_without_a_word_is_noticed() {
+    run(|spawner| async move {
+        let flags = ["--reader-stall-ms", "500", "--keepalive-ms", "100"];
+        let stage = Stage::new(&spawner, options(&flags)).await;
+        let link = Link::start(&spawner, stage.fleet.daemons[0].callers()).await.unwrap();
+        let mut caller = TcpStream::connect(link.addr).await.unwrap();
+        caller.write_all(raw_request("gone, tokens=20000").as_bytes()).await.unwrap();
+        let mut head = [0; 64];
+        caller.read_exact(&mut head).await.unwrap();
+        link.cut_open();
+        wait_until_idle(&stage).await;
+    });
+}
+
+#[test]
+fn callers_that_say_nothing_or_too_little_are_closed() {
+    run(|spawner| async move {
+        let flags = ["--header-timeout-ms", "300"];
+        let stage = Stage::new(&spawner, options(&flags)).await;
+        let addr = stage.fleet.daemons[0].callers();
+        let half = "GET /drawings/1 HTTP/1.1\r\nhost: a long name of a host\r\n";
+        for said in ["", "P", "PRI * HTTP/2.0\r\n", half] {
+            let mut caller = TcpStream::connect(addr).await.unwrap();
+            caller.write_all(said.as_bytes()).await.unwrap();
+            let mut answer = Vec::new();
+            let closed = within(LIMIT_MS, caller.read_to_end(&mut answer)).await;
+            assert!(closed.is_ok(), "{said:?} is still open");
+        }
+    });
+}
--- a/crates/proof/tests/common/mod.rs
+++ b/crates/proof/tests/common/mod.rs
@@ -19,10 +19,10 @@
 
 /// Daemon flags that make a silent connection show within the time of a test.
 pub(crate) fn daemon_flags(more: &[&str]) -> Vec<String> {
-    let mut flags = FleetOptions::default().daemon_flags;
-    flags.extend(["--silence-ms", "400", "--drain-grace-ms", "0"].map(str::to_owned));
-    flags.extend(more.iter().map(|flag| (*flag).to_owned()));
-    flags
+    let quick = ["--silence-ms", "400", "--drain-grace-ms", "0"];
+    let quick = quick.chunks(2).filter(|flag| !more.contains(&flag[0])).flatten();
+    let flags = quick.chain(more).map(|flag| (*flag).to_owned());
+    FleetOptions::default().daemon_flags.into_iter().chain(flags).collect()
 }
 
 impl Stage {
