--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
@@ -13,13 +13,15 @@
 
 use crate::burn::BurnState;
 use crate::callers::cursor::CursorSeal;
+use crate::currency::Currency;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::{
-    Settings, burn, callers, events, limits, load_watch, log_follower, operators, peers, vm_watch,
+    Settings, burn, callers, events, limits, load_watch, log_follower, operators, peers,
+    snapshot_writer, vm_watch,
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
@@ -37,6 +39,10 @@
     pub(crate) log: LogClient,
     /// What it has folded from the log.
     pub(crate) ledger: LedgerState,
+    /// The oldest offset that the log still keeps.
+    pub(crate) log_start_offset: AtomicU64,
+    /// Whether its contracts are up to date.
+    pub(crate) currency: Currency,
     /// The VMs it knows.
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
@@ -73,6 +79,16 @@
         let _ = self.streams.recv().await;
     }
 
+    /// True while its contracts are up to date, so that it may serve.
+    pub(crate) fn is_current(&self) -> bool {
+        self.currency.is_current(self.clock.now_ms())
+    }
+
+    /// True once the fold was up to date for the first time; before that it says nothing.
+    pub(crate) fn has_folded(&self) -> bool {
+        self.ready.load(Ordering::Acquire)
+    }
+
     /// True when the daemon is on its way out.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -161,6 +177,8 @@
     let (operators_running, operators_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
         spawner.spawn(log_follower::follow(daemon.clone())),
+        spawner.spawn(snapshot_writer::write(daemon.clone())),
+        spawner.spawn(peers::catch_up(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
         spawner.spawn(burn::fold(daemon.clone())),
@@ -219,6 +237,8 @@
         log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
         spawner,
         ledger: LedgerState::default(),
+        log_start_offset: AtomicU64::new(0),
+        currency: Currency::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
         limits: Limits::default(),
