--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -53,6 +53,8 @@
     }
 }
 
+/// Bytes that the kernel keeps for the other side of a connection to read.
+const SEND_BUFFER_BYTES: usize = 128 * 1024;
 const ACCEPT_PAUSE_MS: u64 = 20;
 
 /// Serves connections until `stop` closes, then finishes those in flight and returns.
@@ -118,6 +120,8 @@
         // Ends a connection whose other side is gone without a word.
         let unacknowledged_ms = u32::try_from(write_stall_ms).unwrap_or(u32::MAX);
         let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms);
+        // The kernel would let a slow reader hold megabytes.
+        let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
         let stream = GuardedStream::new(stream, header_timeout_ms, write_stall_ms);
         let handler = self.handler.clone();
         let service = service_fn(move |request| {
--- a/crates/proof/src/reading.rs
+++ b/crates/proof/src/reading.rs
@@ -90,6 +90,11 @@
         None
     }
 
+    /// Reads `count` more tokens, or until the stream ends.
+    pub async fn read_more(&mut self, count: usize) -> Option<StreamEnd> {
+        self.read(self.texts.len() + count).await
+    }
+
     /// Reads to the end of the stream.
     pub async fn rest(&mut self) -> StreamEnd {
         self.read(usize::MAX).await.unwrap_or(StreamEnd::Broken)
