Leave the bound on unread data to the kernel

Cause: with the bound on pending writes off, the test of a reader that does not read still passed: TCP_USER_TIMEOUT covers a closed window as well. Change: the bound in GuardedStream is removed.

--- a/crates/net/src/guarded.rs
+++ b/crates/net/src/guarded.rs
@@ -11,44 +11,21 @@
 /// The length of the HTTP/2 preface, which every head of HTTP/1.1 with its `host` exceeds.
 const FIRST_BYTES: usize = 24;
 
-/// A caller's TCP stream that fails when the caller neither speaks nor reads.
+/// A TCP stream that fails when the other side does not begin to speak.
 #[derive(Debug)]
 pub(crate) struct GuardedStream {
     stream: TcpStream,
     read_bytes: usize,
     first_bytes_deadline: Timer,
-    write_stall_ms: u64,
-    write_deadline: Option<Timer>,
 }
 
 impl GuardedStream {
-    /// Allows `first_bytes_ms` for the first bytes, and `write_stall_ms` for the other side to
-    /// take any byte that waits for it.
-    pub(crate) fn new(stream: TcpStream, first_bytes_ms: u64, write_stall_ms: u64) -> Self {
+    /// Allows `first_bytes_ms` for the first bytes.
+    pub(crate) fn new(stream: TcpStream, first_bytes_ms: u64) -> Self {
         Self {
             stream,
             read_bytes: 0,
             first_bytes_deadline: Timer::after(Duration::from_millis(first_bytes_ms)),
-            write_stall_ms,
-            write_deadline: None,
-        }
-    }
-
-    /// Passes on what a write did, and fails one that has waited for too long.
-    fn watched<T>(
-        &mut self,
-        context: &mut Context<'_>,
-        written: Poll<Result<T>>,
-    ) -> Poll<Result<T>> {
-        if written.is_ready() {
-            self.write_deadline = None;
-            return written;
-        }
-        let limit = Duration::from_millis(self.write_stall_ms);
-        let deadline = self.write_deadline.get_or_insert_with(|| Timer::after(limit));
-        match Pin::new(deadline).poll(context) {
-            Poll::Ready(_) => Poll::Ready(Err(Error::from(ErrorKind::TimedOut))),
-            Poll::Pending => Poll::Pending,
         }
     }
 }
@@ -79,8 +56,7 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.watched(context, written)
+        Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
     fn poll_write_vectored(
@@ -88,13 +64,11 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.watched(context, written)
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        let flushed = Pin::new(&mut self.stream).poll_flush(context);
-        self.watched(context, flushed)
+        Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -117,12 +117,12 @@
     async fn run(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let ServeLimits { header_timeout_ms, write_stall_ms, .. } = self.limits;
-        // Ends a connection whose other side is gone without a word.
+        // Ends a connection whose other side is gone without a word, or reads nothing.
         let unacknowledged_ms = u32::try_from(write_stall_ms).unwrap_or(u32::MAX);
         let _ = rustix::net::sockopt::set_tcp_user_timeout(&stream, unacknowledged_ms);
         // The kernel would let a slow reader hold megabytes.
         let _ = rustix::net::sockopt::set_socket_send_buffer_size(&stream, SEND_BUFFER_BYTES);
-        let stream = GuardedStream::new(stream, header_timeout_ms, write_stall_ms);
+        let stream = GuardedStream::new(stream, header_timeout_ms);
         let handler = self.handler.clone();
         let service = service_fn(move |request| {
             let answering = handler(request);
