--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -51,6 +51,7 @@
         "snapshot-records" => &daemon.snapshot_records,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
+        "call-limit-ms" => &daemon.call_limit_ms,
         "header-timeout-ms" => &daemon.header_timeout_ms,
         "keepalive-ms" => &daemon.keepalive_ms,
         "reader-stall-ms" => &daemon.reader_stall_ms,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod burn;
 mod callers;
+mod claims;
 mod currency;
 mod daemon;
 mod directory;
@@ -22,6 +23,7 @@
 pub mod operators;
 mod peers;
 mod recent_entries;
+mod retry_budgets;
 mod settings;
 mod snapshot_writer;
 mod upstream;
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,6 +30,8 @@
     pub(crate) tokens: Counter,
     /// Attempts on upstreams that failed.
     pub(crate) failed_attempts: Counter,
+    /// Attempts beyond the first.
+    pub(crate) retries: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
     /// From a request to its first token.
@@ -45,6 +47,7 @@
         let answers = Family::<AnswerLabels, Counter>::default();
         let tokens = Counter::default();
         let failed_attempts = Counter::default();
+        let retries = Counter::default();
         let requests_open = Gauge::default();
         registry.register("answers", "Final answers to callers", answers.clone());
         registry.register("tokens", "Tokens relayed to callers", tokens.clone());
@@ -53,6 +56,7 @@
             "Attempts on upstreams that failed",
             failed_attempts.clone(),
         );
+        registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("requests_open", "Requests in progress", requests_open.clone());
         let first_token_seconds = Histogram::new(FIRST_TOKEN_BUCKETS_S);
         let token_gap_seconds = Histogram::new(TOKEN_GAP_BUCKETS_S);
@@ -71,6 +75,7 @@
             answers,
             tokens,
             failed_attempts,
+            retries,
             requests_open,
             first_token_seconds,
             token_gap_seconds,
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -13,7 +13,9 @@
 
 use crate::chain::Chain;
 use crate::operations::Operations;
-use crate::{Applied, ContractEntry, Contracts, FoldedOperation, Ledger, Revision, Skip};
+use crate::{
+    Applied, Claims, ContractEntry, Contracts, FoldedOperation, Ledger, Quarantines, Revision, Skip,
+};
 
 /// Why a snapshot cannot be used.
 #[derive(Debug, Display, Error, From)]
@@ -27,6 +29,9 @@
     /// The state holds a document that is not a contract.
     #[display("the snapshot holds a bad contract: {_0}")]
     Contract(ContractError),
+    /// The state holds a bad claim or quarantine.
+    #[display("the snapshot holds a bad claim or quarantine: {_0}")]
+    Claim(Skip),
     /// The state holds a bad operation id.
     #[display("the snapshot holds a bad operation id: {_0}")]
     Operation(ParseIdError),
@@ -54,6 +59,9 @@
                 .iter()
                 .filter_map(|(id, operation)| operation_state(id, operation))
                 .collect(),
+            claims: self.claims.states(),
+            forgotten_claims: self.claims.forgotten_states(),
+            quarantines: self.quarantines.states(),
         };
         let state = state.encode_to_vec();
         Snapshot {
@@ -83,6 +91,8 @@
         for contract in state.contracts {
             contracts.insert(contract_entry(contract)?);
         }
+        let claims = Claims::restore(state.claims, state.forgotten_claims)?;
+        let quarantines = Quarantines::restore(state.quarantines)?;
         let mut operations = Operations::default();
         for operation in state.operations {
             let id = OperationId::try_from(&operation.operation_id[..])?;
@@ -92,6 +102,8 @@
             next_offset: state.next_offset,
             skipped_records: state.skipped_records,
             contracts,
+            claims,
+            quarantines,
             contract_operations: operations,
             chain: Chain::from_head(head),
             snapshot_offset: snapshot.upto_offset,
