Go round engines that cannot be reached

Cause: a dead engine has nothing outstanding, so it was chosen first; three of them used up the tries of a request. Change: a new connection's fate counts for or against its engine and an engine that just failed is chosen last; only engines that were reached count as refusals, and against the retry budget.

--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -61,7 +61,11 @@
 ) -> Option<Arc<UpstreamState>> {
     let directory = daemon.directory.load();
     let engines = directory.engines(&start.model);
-    let engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
+    let mut engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
+    let now_ms = daemon.clock.now_ms();
+    if engines.iter().any(|engine| !engine.is_avoided(now_ms)) {
+        engines.retain(|engine| !engine.is_avoided(now_ms));
+    }
     let candidates: Vec<_> = engines.iter().map(|engine| candidate(daemon, engine)).collect();
     let chosen = least_outstanding(&candidates)?;
     engines.get(chosen).map(|engine| Arc::clone(engine))
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -19,8 +19,8 @@
 use crate::upstream::{AttachError, EngineStream, StartError, StartFailure, StreamError};
 use crate::upstream::{cancel, fence};
 
-/// Engines tried before a request that none has run is refused.
-const MAX_STARTS: usize = 3;
+/// Engines that may refuse a request before its caller is refused.
+const MAX_REFUSALS: u32 = 3;
 /// Failures in a row, without a token between them, after which a generation is given up.
 const MAX_FAILURES: u32 = 6;
 /// Silences in a row after which another engine is preferred to the silent one.
@@ -101,7 +101,7 @@
     // ------------------------------------------------------------------------------------------
     // Ways to get one
 
-    /// Starts a generation on the first of a few engines that takes it.
+    /// Starts a generation on the first engine that takes it.
     pub(crate) async fn begin(
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
@@ -113,12 +113,12 @@
         let start = ask.start(GenerationId::random(), fence::first());
         let refused = CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let mut tried = Vec::new();
-        for _ in 0..MAX_STARTS {
+        let mut refusals = 0;
+        loop {
             let engine = choose(daemon, &start, &tried).ok_or_else(|| refused.clone())?;
-            let may_try =
-                tried.is_empty() || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
-            if !may_try {
-                break;
+            let may_retry = || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
+            if refusals > 0 && (refusals == MAX_REFUSALS || !may_retry()) {
+                return Err(refused);
             }
             tried.push(engine.addr);
             claim.dispatching();
@@ -127,6 +127,8 @@
                 Err(error @ StartError::NotRun { .. }) => {
                     claim.refused();
                     attempt_failed(daemon, &engine, &error);
+                    // Knocking at an engine that is not there is no load on anybody.
+                    refusals += u32::from(!error.is_unsent());
                     continue;
                 }
                 Err(error @ StartError::Unknown { .. }) => {
@@ -143,7 +145,6 @@
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
         }
-        Err(refused)
     }
 
     /// Attaches to the generation that `cursor` names, after the tokens its reader has.
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -5,7 +5,7 @@
 
 use arc_swap::ArcSwap;
 use comfreymast_base::{DaemonName, DataCentre, Model, Service, Upstream};
-use comfreymast_decide::retry::UpstreamHealth;
+use comfreymast_decide::retry::{SlowStartOptions, UpstreamHealth};
 use comfreymast_platform::{Vm, VmRole, VmState};
 use comfreymast_wire::engine::Load;
 
@@ -117,6 +117,11 @@
 }
 
 impl UpstreamState {
+    /// True while it should get nothing, since a new connection to it failed a moment ago.
+    pub(crate) fn is_avoided(&self, now_ms: u64) -> bool {
+        self.live.health.weight_permille(SlowStartOptions::default(), now_ms) == 0
+    }
+
     /// Counts one request on this upstream until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>) -> Outstanding {
         self.live.outstanding.fetch_add(1, Ordering::AcqRel);
--- a/crates/daemon/src/upstream/engine_stream.rs
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -2,14 +2,14 @@
 use std::sync::Arc;
 
 use comfreymast_base::GenerationId;
-use comfreymast_net::{DialError, Elapsed, dial, empty, json, request, within};
+use comfreymast_net::{Body, DialError, Elapsed, dial, empty, json, request, within};
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error, From};
 use eventsource_stream::{EventStreamError, Eventsource};
 use futures_lite::{Stream, StreamExt};
 use http_body_util::BodyDataStream;
-use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
 
 use crate::daemon::Daemon;
 use crate::directory::{Outstanding, UpstreamState};
@@ -34,6 +34,14 @@
     },
 }
 
+impl StartError {
+    /// True when no byte reached the engine.
+    pub(crate) fn is_unsent(&self) -> bool {
+        let Self::NotRun { reason: StartFailure::Exchange(error) } = self else { return false };
+        error.is_unsent()
+    }
+}
+
 /// What happened to the request that starts a generation.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum StartFailure {
@@ -113,15 +121,15 @@
         start: &StartGeneration,
     ) -> Result<Self, StartError> {
         let running = engine.begin();
-        let mut connection = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS)
-            .await
-            .map_err(|error| StartError::NotRun { reason: error.into() })?;
-        let request = request(engine.addr, "POST", "/v1/completions", json(start));
         let silence_ms = daemon.settings.silence_ms;
-        let reply = within(silence_ms, connection.send(request))
-            .await
-            .map_err(|elapsed| StartError::Unknown { reason: elapsed.into() })?
-            .map_err(|error| StartError::Unknown { reason: error.into() })?;
+        let request = request(engine.addr, "POST", "/v1/completions", json(start));
+        let reply = match exchange(daemon, engine, request).await {
+            Ok(reply) => reply,
+            Err(StartFailure::Exchange(error)) if error.is_unsent() => {
+                return Err(StartError::NotRun { reason: error.into() });
+            }
+            Err(reason) => return Err(StartError::Unknown { reason }),
+        };
         match reply.status() {
             status if status.is_success() => {}
             // An engine answers these before it runs anything.
@@ -152,14 +160,9 @@
     ) -> Result<Self, AttachError> {
         let running = engine.begin();
         let silence_ms = daemon.settings.silence_ms;
-        let mut connection =
-            dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await.map_err(StartFailure::from)?;
         let path = format!("/v1/generations/{generation}?from={from}&fence={fence}");
         let request = request(engine.addr, "GET", &path, empty());
-        let reply = within(silence_ms, connection.send(request))
-            .await
-            .map_err(StartFailure::from)?
-            .map_err(StartFailure::from)?;
+        let reply = exchange(daemon, engine, request).await?;
         match reply.status() {
             status if status.is_success() => {}
             StatusCode::NOT_FOUND => return Err(AttachError::Gone),
@@ -191,6 +194,26 @@
     }
 }
 
+/// Sends a request on a new connection. How that went is what counts for or against the engine;
+/// a connection that falls silent later does not.
+async fn exchange(
+    daemon: &Daemon,
+    engine: &UpstreamState,
+    request: Request<Body>,
+) -> Result<Response<Incoming>, StartFailure> {
+    let sent = async {
+        let mut connection = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await?;
+        Ok(within(daemon.settings.silence_ms, connection.send(request)).await??)
+    };
+    let reply = sent.await;
+    let now_ms = daemon.clock.now_ms();
+    match &reply {
+        Ok(_) => engine.live.health.answered(now_ms),
+        Err(_) => engine.live.health.failed(now_ms),
+    }
+    reply
+}
+
 fn count(tokens: &[Arc<str>]) -> u32 {
     u32::try_from(tokens.len()).unwrap_or(u32::MAX)
 }
--- a/crates/proof/src/documents.rs
+++ b/crates/proof/src/documents.rs
@@ -2,7 +2,7 @@
 
 /// A contract of `organisation` for the holder of `key`: kind `report` on model `m`, which may be
 /// repeated; kind `study`, which may not; calls to service `s` under `/drawings`, and under
-/// `/saves`, which may not be repeated.
+/// `/saves`, which may not be repeated. Its limits are wide, so that no proof meets them.
 #[must_use]
 pub fn contract(organisation: &str, key: &str) -> String {
     let hash = KeyHash::of(key);
@@ -10,6 +10,11 @@
         r#"
 organisation = "{organisation}"
 
+[limits]
+concurrent_requests = 1000
+requests_per_s = 1000
+tokens_per_s = 1000000
+
 [[keys]]
 name = "site"
 sha256 = "{hash}"
--- a/crates/proof/tests/streams.rs
+++ b/crates/proof/tests/streams.rs
@@ -172,3 +172,21 @@
         stage.assert_tokens_hold();
     });
 }
+
+#[test]
+fn new_work_goes_round_engines_that_cannot_be_reached() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(6)).await;
+        for engine in &mut stage.fleet.engines[1..] {
+            engine.process.kill();
+        }
+        // The VM list still has them all.
+        for request in 0..20 {
+            let prompt = format!("report {request}, tokens=3");
+            let mut reading = stage.read(0, request, "report", &prompt).await;
+            assert_eq!(reading.status(), 200, "{}", stage.log_of(0));
+            assert_eq!(reading.rest().await, StreamEnd::Done);
+        }
+        stage.assert_tokens_hold();
+    });
+}
