Quarantine requests that kill engines, and nobody who shared them

Cause: a request that crashes its engine was sent again by its caller or resumed by a daemon, and took one engine after the other with all that ran there.

Ruled out: two deaths alone (a stream that was resumed beside the culprit has two as well); running suspects alone (a busy fleet has no empty engine); one death per retry of a dead address (a first try counted a dead engine twice while its daemon kept dialling it).

Change: each daemon tells its peers which of its requests were on an engine that refuses connections. Of those that shared a death the one with the most deaths, two at least and more than any other, is quarantined by a record on the log; progress between deaths clears, engines that die without it ask for a third. Suspects avoid engines that run other suspects. A generation that may not go on elsewhere is given up as soon as its engine is known dead.

--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -92,6 +92,17 @@
         /// Tell a daemon to finish its requests and stop.
         cmd drain {}
 
+        /// Requests that are refused because engines died of them.
+        cmd quarantine {
+            /// List quarantined requests.
+            cmd list-quarantined list {}
+            /// Let a request run again.
+            cmd lift {
+                /// Its fingerprint, as `list` prints it.
+                required fingerprint: String
+            }
+        }
+
         /// Report on service levels.
         cmd report {
             /// How fast each organisation's error budget burns, over all daemons.
--- a/crates/comfreymast/src/main.rs
+++ b/crates/comfreymast/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod help;
 mod output;
+mod quarantine;
 mod report;
 
 use std::process::ExitCode;
@@ -49,6 +50,7 @@
         ComfreymastCmd::Status(_) => fleet::status(flags, output),
         ComfreymastCmd::Drain(_) => fleet::drain(flags, output),
         ComfreymastCmd::Report(command) => report::run(flags, &command.subcommand, output),
+        ComfreymastCmd::Quarantine(command) => quarantine::run(flags, &command.subcommand, output),
         ComfreymastCmd::Config(_) => fleet::config(output),
     }
 }
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -77,6 +77,15 @@
     /// The request was run once, and its answer was not kept.
     #[display("the request was run by an earlier attempt, whose answer was not kept")]
     AnswerNotKept,
+    /// Engines died of this request.
+    #[display("the request is quarantined, because engines died while they ran it")]
+    Quarantined,
+    /// Engines died while they ran this request, and it is not clear yet whether of it.
+    #[display("engines died while they ran the request; whether of it is not clear yet")]
+    Suspected {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
@@ -119,8 +128,9 @@
             Self::NotReady
             | Self::NoUpstream { .. }
             | Self::LogUnavailable { .. }
+            | Self::Suspected { .. }
             | Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
-            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Self::KeyExpired
             | Self::ClaimUnknown { .. }
             | Self::AnswerNotKept
@@ -148,6 +158,8 @@
             Self::KeyExpired => "key_expired",
             Self::ClaimUnknown { .. } => "claim_unknown",
             Self::AnswerNotKept => "answer_not_kept",
+            Self::Quarantined => "quarantined",
+            Self::Suspected { .. } => "suspected",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::GenerationLost { .. } => "generation_lost",
             Self::GenerationGone => "generation_gone",
@@ -181,7 +193,9 @@
             | Self::LimitReached { .. }
             | Self::NoUpstream { .. }
             | Self::LogUnavailable { .. }
-            | Self::KeyReused => Outcome::NotRun,
+            | Self::KeyReused
+            | Self::Quarantined
+            | Self::Suspected { .. } => Outcome::NotRun,
         }
     }
 
@@ -193,6 +207,7 @@
             Self::LimitReached { retry_after_ms, .. }
             | Self::NoUpstream { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
+            | Self::Suspected { retry_after_ms }
             | Self::ClaimUnknown { retry_after_ms }
             | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
             Self::HandedOver => Some(0),
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -17,6 +17,7 @@
 use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
+use crate::quarantine::{check, fingerprint};
 
 /// Runs one completion: reads it, chooses an engine, starts the generation and relays it.
 pub(crate) async fn run(
@@ -39,6 +40,7 @@
     ask: Ask,
     record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
+    check(daemon, &ask.work.model, &ask.prompt)?;
     let claim = match admit(daemon, &ask.asked).await? {
         Admission::Replay(answer) => return Ok(answer),
         Admission::Run(claim) => claim,
@@ -61,7 +63,12 @@
 ) -> Option<Arc<UpstreamState>> {
     let directory = daemon.directory.load();
     let engines = directory.engines(&start.model);
-    let engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
+    let mut engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
+    let fingerprint = || fingerprint(&start.model, &start.prompt);
+    let avoided = daemon.quarantine.engines_to_avoid(fingerprint, daemon.clock.now_ms());
+    if engines.iter().any(|engine| !avoided.contains(&engine.addr)) {
+        engines.retain(|engine| !avoided.contains(&engine.addr));
+    }
     let candidates: Vec<_> = engines.iter().map(|engine| candidate(daemon, engine)).collect();
     let chosen = least_outstanding(&candidates)?;
     engines.get(chosen).map(|engine| Arc::clone(engine))
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -16,6 +16,7 @@
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::events;
+use crate::quarantine::{self, Placed};
 use crate::upstream::{AttachError, EngineStream, StartError, StartFailure, StreamError};
 use crate::upstream::{cancel, fence};
 
@@ -66,6 +67,8 @@
     cancel_on_drop: bool,
     /// The right to run it; a reader who comes back has none to give.
     claim: Permit,
+    /// Set while it is suspected of killing engines.
+    placed: Option<Placed>,
     deadline_ms: u64,
     request_digest: u64,
     text_digest: u64,
@@ -85,6 +88,8 @@
     silences: u32,
     /// The engine has no such generation, or cannot be reached.
     engine_lost: bool,
+    /// The peers know of the engine's death.
+    death_noted: bool,
 }
 
 impl Trouble {
@@ -137,6 +142,7 @@
             let mut generation = Self::new(daemon, organisation, start, engine, stream);
             generation.tried = tried;
             generation.claim = claim;
+            generation.place();
             generation.allow(ask);
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
@@ -229,6 +235,7 @@
             may_continue: false,
             cancel_on_drop: false,
             claim: Permit::unclaimed(false),
+            placed: None,
             deadline_ms: u64::MAX,
             text_digest,
             tried: vec![engine.addr],
@@ -368,6 +375,13 @@
                 self.trouble.failures += 1;
                 self.trouble.engine_lost = true;
                 attempt_failed(&self.daemon, &self.engine, &error);
+                // An engine dies once, however often it is tried again.
+                if !std::mem::replace(&mut self.trouble.death_noted, true)
+                    && quarantine::confirm_death(&self.daemon, &self.engine, &self.start).await
+                    && !self.may_continue
+                {
+                    return Err(self.gave_up());
+                }
                 if !self.may_continue {
                     self.trouble.back_off().await;
                 }
@@ -377,6 +391,11 @@
     }
 
     async fn continue_elsewhere(&mut self) -> Result<(), GenerationError> {
+        self.placed = None;
+        let StartGeneration { model, prompt, .. } = &self.start;
+        if quarantine::settle(&self.daemon, model, prompt).await.is_err() {
+            return Err(self.gave_up());
+        }
         let Some(engine) = choose(&self.daemon, &self.start, &self.tried) else {
             self.trouble.failures += 1;
             self.trouble.back_off().await;
@@ -385,8 +404,10 @@
         cancel(&self.daemon, &self.engine, self.start.generation, self.start.fence);
         self.engine = engine;
         self.tried.push(self.engine.addr);
+        self.place();
         self.start.fence = fence::next_attempt(self.start.fence);
         self.trouble.silences = 0;
+        self.trouble.death_noted = false;
         match EngineStream::start(&self.daemon, &self.engine, &self.start).await {
             Ok(stream) => {
                 let from = self.read_tokens();
@@ -407,6 +428,14 @@
         Ok(())
     }
 
+    /// Notes where it runs, if it is suspected of killing engines.
+    fn place(&mut self) {
+        let StartGeneration { model, prompt, .. } = &self.start;
+        let fingerprint = || quarantine::fingerprint(model, prompt);
+        let now_ms = self.daemon.clock.now_ms();
+        self.placed = self.daemon.quarantine.place(&self.engine, fingerprint, now_ms);
+    }
+
     fn gave_up(&self) -> GenerationError {
         let read_tokens = self.read_tokens();
         events::GENERATION_LOST
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::quarantine::QuarantineState;
 use crate::retry_budgets::RetryBudgets;
 use crate::{
     Settings, burn, callers, claims, events, limits, load_watch, log_follower, operators, peers,
@@ -48,6 +49,8 @@
     pub(crate) limits: Limits,
     /// Claims on their way to the log.
     pub(crate) claims: ClaimLog,
+    /// Requests that may kill engines.
+    pub(crate) quarantine: QuarantineState,
     /// What organisations may retry.
     pub(crate) retry_budgets: RetryBudgets,
     /// Service levels kept and missed.
@@ -228,6 +231,7 @@
         peers: Peers::new(&settings),
         limits: Limits::default(),
         claims: ClaimLog::default(),
+        quarantine: QuarantineState::default(),
         retry_budgets: RetryBudgets::default(),
         burn: BurnState::default(),
         metrics: Metrics::new(),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -66,5 +66,8 @@
     READER_STALLED = 609 Info "reader that does not read was cut";
     CLAIM_END_LOST = 701 Warn "end of a claim lost";
     CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
+    ENGINE_DEATH = 711 Warn "engine died of a request or beside it";
+    QUARANTINE_DECLARED = 712 Error "request quarantined";
+    QUARANTINE_LIFTED = 713 Info "quarantine lifted";
     BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/daemon/src/ledger_state.rs
+++ b/crates/daemon/src/ledger_state.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use comfreymast_ledger::{Applied, Contracts, Ledger};
+use comfreymast_ledger::{Applied, Contracts, Ledger, Quarantines};
 use event_listener::Event;
 
 /// The ledger of this daemon, and what requests read of it without a lock.
@@ -11,6 +11,7 @@
 pub(crate) struct LedgerState {
     ledger: Mutex<Ledger>,
     contracts: ArcSwap<Contracts>,
+    quarantines: ArcSwap<Quarantines>,
     next_offset: AtomicU64,
     changed: Event,
 }
@@ -21,6 +22,11 @@
         self.contracts.load_full()
     }
 
+    /// The quarantined requests.
+    pub(crate) fn quarantines(&self) -> Arc<Quarantines> {
+        self.quarantines.load_full()
+    }
+
     /// The first offset that is not yet in force here.
     pub(crate) fn next_offset(&self) -> u64 {
         self.next_offset.load(Ordering::Acquire)
@@ -41,6 +47,9 @@
         if applied.iter().any(|(_, applied)| matches!(applied, Applied::Contract { .. })) {
             self.contracts.store(Arc::new(ledger.contracts().clone()));
         }
+        if applied.iter().any(|(_, applied)| matches!(applied, Applied::Quarantine { .. })) {
+            self.quarantines.store(Arc::new(ledger.quarantines().clone()));
+        }
         self.next_offset.store(ledger.next_offset(), Ordering::Release);
         drop(ledger);
         self.changed.notify(usize::MAX);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod quarantine;
 mod retry_budgets;
 mod settings;
 mod upstream;
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use comfreymast_base::hex;
 use comfreymast_ledger::{Applied, Skip};
 use comfreymast_net::sleep_ms;
 use comfreymast_wire::log::ReadReply;
@@ -42,6 +43,9 @@
         >= reply.end_offset;
     if !entries.is_empty() {
         for (offset, applied) in daemon.ledger.apply(&entries) {
+            if let Applied::Quarantine { fingerprint, active: false } = &applied {
+                daemon.quarantine.forget(fingerprint);
+            }
             log_applied(offset, &applied);
         }
         daemon.peers.announce();
@@ -63,7 +67,12 @@
         Applied::Skipped(skip) => {
             events::RECORD_SKIPPED.log(format_args!("offset {offset}: {skip}"));
         }
-        Applied::Quarantine { .. } => {}
+        Applied::Quarantine { fingerprint, active: true } => {
+            events::QUARANTINE_DECLARED.log(format_args!("{}", hex::encode(fingerprint)));
+        }
+        Applied::Quarantine { fingerprint, active: false } => {
+            events::QUARANTINE_LIFTED.log(format_args!("{}", hex::encode(fingerprint)));
+        }
         Applied::Claim { .. } | Applied::ClaimEnded => {}
         Applied::Duplicate | Applied::Ignored => {}
     }
--- a/crates/daemon/src/operators/front.rs
+++ b/crates/daemon/src/operators/front.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use subtle::ConstantTimeEq;
 
-use super::{OperatorError, StatusReply, contracts, publish};
+use super::{OperatorError, StatusReply, contracts, publish, quarantine};
 use crate::burn;
 use crate::daemon::Daemon;
 
@@ -39,6 +39,10 @@
             let organisation = (*organisation).to_owned();
             publish::put(&daemon, &organisation, request).await
         }
+        (&Method::GET, ["quarantine"]) => quarantine::list(&daemon),
+        (&Method::DELETE, ["quarantine", fingerprint]) => {
+            quarantine::lift(&daemon, fingerprint).await
+        }
         _ => error(StatusCode::NOT_FOUND, "not_found", "no such page on the operators' port"),
     }
 }
--- a/crates/daemon/src/operators/mod.rs
+++ b/crates/daemon/src/operators/mod.rs
@@ -5,8 +5,10 @@
 mod contracts;
 pub(crate) mod front;
 mod publish;
+mod quarantine;
 mod replies;
 
 pub use replies::{
-    ContractSummary, ContractView, OperatorError, PublishReply, RevisionView, StatusReply,
+    ContractSummary, ContractView, OperatorError, PublishReply, QuarantineView, RevisionView,
+    StatusReply,
 };
--- a/crates/daemon/src/operators/replies.rs
+++ b/crates/daemon/src/operators/replies.rs
@@ -57,6 +57,19 @@
     pub lagging: Vec<String>,
 }
 
+/// One line of `GET /quarantine`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantineView {
+    /// SHA-256 of model and prompt.
+    pub fingerprint: String,
+    /// Engines that died while they ran it.
+    pub deaths: u32,
+    /// The daemon that declared it.
+    pub daemon: String,
+    /// When, in milliseconds since the Unix epoch.
+    pub declared_unix_ms: u64,
+}
+
 /// `GET /status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusReply {
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -13,6 +13,7 @@
 use super::links::heartbeat;
 use super::proof::is_proven;
 use crate::daemon::Daemon;
+use crate::quarantine::take_suspicion;
 use crate::{events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
@@ -59,7 +60,7 @@
     }
 }
 
-async fn read_link(daemon: &Daemon, stream: TcpStream) -> Result<(), InboundError> {
+async fn read_link(daemon: &Arc<Daemon>, stream: TcpStream) -> Result<(), InboundError> {
     let mut frames = PeerFrames::new(stream);
     let nonce: [u8; NONCE_BYTES] = rand::random();
     let challenge = Challenge { nonce: nonce.to_vec().into() };
@@ -84,13 +85,14 @@
 }
 
 /// Takes in one message of a proven peer.
-fn take(daemon: &Daemon, from: &DaemonName, body: peer_message::Body) {
+fn take(daemon: &Arc<Daemon>, from: &DaemonName, body: peer_message::Body) {
     match body {
         peer_message::Body::Heartbeat(heartbeat) => take_heartbeat(daemon, heartbeat),
         peer_message::Body::LimitReport(report) => limits::take_report(daemon, from, &report),
         peer_message::Body::LimitGrant(grant) => limits::take_grant(daemon, &grant),
         peer_message::Body::BurnQuery(query) => answer_burn_query(daemon, from, &query),
         peer_message::Body::BurnReply(reply) => daemon.burn.take_reply(reply),
+        peer_message::Body::Suspicion(suspicion) => take_suspicion(daemon, from, &suspicion),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
--- /dev/null
+++ b/crates/daemon/src/quarantine/declare.rs
@@ -0,0 +1,53 @@
+use bytes::Bytes;
+use comfreymast_base::OperationId;
+use comfreymast_decide::quarantine::Fingerprint;
+use comfreymast_net::within;
+use comfreymast_platform::LogError;
+use comfreymast_wire::log::{Quarantine, Record, record};
+use derive_more::{Display, Error, From};
+use prost::Message;
+
+use crate::daemon::Daemon;
+
+/// How long an appended record may take to come back from the log.
+const FOLD_LIMIT_MS: u64 = 5_000;
+
+/// Why a quarantine was not declared or lifted.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum DeclareError {
+    /// Nothing was written.
+    #[display("{_0}")]
+    Log(LogError),
+    /// The record may be on the log.
+    #[display("the log does not tell whether the change took effect; try again")]
+    #[from(ignore)]
+    Unknown,
+}
+
+/// Quarantines a request after `deaths`, or lifts its quarantine where there are none.
+///
+/// Writing the same twice does no harm.
+pub(crate) async fn declare(
+    daemon: &Daemon,
+    fingerprint: Fingerprint,
+    deaths: Option<u32>,
+) -> Result<(), DeclareError> {
+    let operation = OperationId::random();
+    let quarantine = Quarantine {
+        fingerprint: fingerprint.to_vec().into(),
+        active: deaths.is_some(),
+        deaths: deaths.unwrap_or(0),
+        daemon: daemon.settings.name.to_string(),
+        declared_unix_ms: daemon.clock.unix_ms(),
+    };
+    let record = Record {
+        operation_id: operation.to_vec().into(),
+        body: Some(record::Body::Quarantine(quarantine)),
+    };
+    match daemon.log.append(vec![Bytes::from(record.encode_to_vec())]).await {
+        Ok(_) | Err(LogError::Unknown { .. } | LogError::Malformed { .. }) => {}
+        Err(error) => return Err(error.into()),
+    }
+    let folding = daemon.ledger.wait_for(|ledger| ledger.operation(operation).map(|_| ()));
+    within(FOLD_LIMIT_MS, folding).await.map_err(|_| DeclareError::Unknown)
+}
--- /dev/null
+++ b/crates/daemon/src/quarantine/suspicion.rs
@@ -0,0 +1,83 @@
+use std::sync::Arc;
+
+use comfreymast_base::{DaemonName, Upstream};
+use comfreymast_decide::quarantine::{QuarantineOptions, Report};
+use comfreymast_net::{DialError, dial, sleep_ms};
+use comfreymast_wire::engine::StartGeneration;
+use comfreymast_wire::peer::{Suspicion, peer_message};
+
+use super::check::fingerprint;
+use super::declare::declare;
+use crate::daemon::Daemon;
+use crate::directory::UpstreamState;
+use crate::events;
+
+const DIAL_LIMIT_MS: u64 = 500;
+const JUDGE_SLACK_MS: u64 = 20;
+const DECLARE_RETRY_MS: u64 = 1_000;
+
+/// Blames a request for its engine's death, if the engine is dead.
+///
+/// Only a refused connection is a death: a silent or cut link says nothing of the engine, and an
+/// engine that is leaving goes for another reason. Returns true when the engine is dead.
+pub(crate) async fn confirm_death(
+    daemon: &Arc<Daemon>,
+    engine: &UpstreamState,
+    start: &StartGeneration,
+) -> bool {
+    let dialled = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await;
+    if !matches!(dialled, Err(DialError::Connect { .. })) {
+        return false;
+    }
+    let directory = daemon.directory.load_full();
+    if directory.upstreams.get(&engine.name).is_none_or(|known| known.leaving) {
+        return true;
+    }
+    let report = Report {
+        fingerprint: fingerprint(&start.model, &start.prompt),
+        // A VM that comes back under its old name has another address.
+        upstream: Upstream::from(format!("{}@{}", engine.name, engine.addr)),
+        progress_tokens: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
+    };
+    events::ENGINE_DEATH.log(format_args!("{}", engine.name));
+    let suspicion = Suspicion {
+        fingerprint: report.fingerprint.to_vec().into(),
+        upstream: report.upstream.to_string(),
+        progress_tokens: report.progress_tokens,
+        daemon: daemon.settings.name.to_string(),
+    };
+    daemon.peers.broadcast(&peer_message::Body::Suspicion(suspicion));
+    suspect(daemon, report);
+    true
+}
+
+/// Takes in what a peer blames for an engine's death.
+pub(crate) fn take_suspicion(daemon: &Arc<Daemon>, from: &DaemonName, suspicion: &Suspicion) {
+    let Ok(fingerprint) = suspicion.fingerprint[..].try_into() else {
+        log::debug!("{from} sent a suspicion without a fingerprint");
+        return;
+    };
+    let upstream = Upstream::from(suspicion.upstream.as_str());
+    suspect(daemon, Report { fingerprint, upstream, progress_tokens: suspicion.progress_tokens });
+}
+
+fn suspect(daemon: &Arc<Daemon>, report: Report) {
+    let now_ms = daemon.clock.now_ms();
+    daemon.quarantine.update(|table| table.report(&report, now_ms));
+    let judging = judge(daemon.clone());
+    daemon.spawner.detach(judging);
+}
+
+/// Judges once the reports of all daemons had time to come.
+async fn judge(daemon: Arc<Daemon>) {
+    sleep_ms(QuarantineOptions::default().settle_ms + JUDGE_SLACK_MS).await;
+    let now_ms = daemon.clock.now_ms();
+    for (fingerprint, deaths) in daemon.quarantine.update(|table| table.judge(now_ms)) {
+        // All daemons judge alike; the first record counts and the others change nothing.
+        while daemon.ledger.quarantines().get(&fingerprint).is_none()
+            && declare(&daemon, fingerprint, Some(deaths)).await.is_err()
+        {
+            sleep_ms(DECLARE_RETRY_MS).await;
+        }
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`quarantine`] — which request kills the engines that run it.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
 //! * [`routing`] — which upstream gets a request.
 
 pub mod limits;
 pub mod membership;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
--- a/crates/ledger/src/quarantine.rs
+++ b/crates/ledger/src/quarantine.rs
@@ -37,6 +37,12 @@
         self.entries.get(fingerprint)
     }
 
+    /// True when no request is quarantined.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Every quarantined request.
     pub fn iter(&self) -> impl Iterator<Item = (&Fingerprint, &QuarantineEntry)> {
         self.entries.iter()
--- a/crates/proof/src/checks/claims.rs
+++ b/crates/proof/src/checks/claims.rs
@@ -54,7 +54,8 @@
 }
 
 /// What an upstream started, if the event says so.
-pub(crate) fn started(event: &Event) -> Option<&str> {
+#[must_use]
+pub fn started(event: &Event) -> Option<&str> {
     match event {
         Event::CallStart { body, .. } => Some(body),
         Event::GenerationStart { prompt, .. } => Some(prompt),
