--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -47,6 +47,9 @@
         /// When to come back.
         retry_after_ms: u64,
     },
+    /// The daemon may hold contracts that were replaced.
+    #[display("this daemon has no word from the log or its peers, so its contracts may be old")]
+    NotCurrent,
     /// No upstream can take it now.
     #[display("no upstream can take the request now")]
     NoUpstream {
@@ -126,6 +129,7 @@
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
+            | Self::NotCurrent
             | Self::NoUpstream { .. }
             | Self::LogUnavailable { .. }
             | Self::Suspected { .. }
@@ -152,6 +156,7 @@
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
             Self::LimitReached { .. } => "limit_reached",
+            Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
             Self::LogUnavailable { .. } => "log_unavailable",
             Self::KeyReused => "key_reused",
@@ -190,6 +195,7 @@
             | Self::TooLong { .. }
             | Self::TooSlow { .. }
             | Self::NotReady
+            | Self::NotCurrent
             | Self::LimitReached { .. }
             | Self::NoUpstream { .. }
             | Self::LogUnavailable { .. }
@@ -203,7 +209,7 @@
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_MS),
+            Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
             Self::LimitReached { retry_after_ms, .. }
             | Self::NoUpstream { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
--- a/crates/daemon/src/claims/admit.rs
+++ b/crates/daemon/src/claims/admit.rs
@@ -170,7 +170,7 @@
 }
 
 fn folded(ledger: &Ledger, operation: OperationId) -> Option<Claimed> {
-    match ledger.operation(operation)?.1 {
+    match ledger.operation(operation)?.applied {
         Applied::Claim { won: true } => Some(Claimed::Won),
         _ => Some(Claimed::Lost),
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 mod burn;
 mod callers;
 mod claims;
+mod currency;
 mod daemon;
 mod directory;
 pub mod events;
@@ -22,8 +23,10 @@
 pub mod operators;
 mod peers;
 mod quarantine;
+mod recent_entries;
 mod retry_budgets;
 mod settings;
+mod snapshot_writer;
 mod upstream;
 mod vm_watch;
 
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -1,4 +1,5 @@
 //! Retry budgets, and the return of an upstream that failed.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use comfreymast_decide::retry::{
     FULL_PERMILLE, RetryBudget, RetryOptions, SlowStartOptions, UpstreamHealth, WeighedUpstream,
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -169,6 +169,12 @@
         self.forget_answers();
     }
 
+    /// Remembers that claims of `organisation` up to `claimed_unix_ms` were forgotten.
+    pub(crate) fn note_forgotten(&mut self, organisation: Organisation, claimed_unix_ms: u64) {
+        let latest = self.forgotten_unix_ms.entry(organisation).or_default();
+        *latest = (*latest).max(claimed_unix_ms);
+    }
+
     /// The latest time of a forgotten claim, by organisation.
     pub fn forgotten(&self) -> impl Iterator<Item = (&Organisation, u64)> {
         self.forgotten_unix_ms.iter().map(|(organisation, unix_ms)| (organisation, *unix_ms))
@@ -176,8 +182,7 @@
 
     fn forget(&mut self, offset: u64) {
         let Some((key, entry)) = self.remove(offset) else { return };
-        let latest = self.forgotten_unix_ms.entry(key.organisation).or_default();
-        *latest = (*latest).max(entry.claimed_unix_ms);
+        self.note_forgotten(key.organisation, entry.claimed_unix_ms);
     }
 
     fn remove(&mut self, offset: u64) -> Option<(ClaimKey, ClaimEntry)> {
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -1,4 +1,5 @@
 //! The fold of claims.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use bytes::Bytes;
 use comfreymast_base::{OperationId, Organisation};
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -11,13 +11,17 @@
 //! * [`checks`] — checks of merged histories.
 //! * [`contract`] — a contract document.
 //! * [`Cli`] — the `comfreymast` command against one daemon.
+//! * [`Operator`] — an operator that calls the operators' ports directly.
+//! * [`contract_register`] — checks contracts as a compare-and-set register.
 
 pub mod checks;
 mod cli;
 mod client;
+pub mod contract_register;
 mod documents;
 mod fleet;
 mod link;
+mod operator;
 mod process;
 mod reading;
 mod recorded_client;
@@ -27,6 +31,7 @@
 pub use documents::contract;
 pub use fleet::{DaemonProcess, FLEET_KEY, Fleet, FleetOptions, OPERATOR_KEY, UpstreamProcess};
 pub use link::{Link, Way};
+pub use operator::{Change, Operator};
 pub use process::{Process, ProofError, program};
 pub use reading::{ComeBack, Reading, StreamEnd};
 pub use recorded_client::{Recorded, RecordedClient};
