--- a/crates/proof/tests/claims.rs
+++ b/crates/proof/tests/claims.rs
@@ -6,14 +6,19 @@
 
 use std::collections::BTreeSet;
 
+use bytes::Bytes;
 use claims_support::{check, lines, log_stat, start, wait_for_log, wait_for_run};
+use comfreymast_base::{Clock, OperationId};
 use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_fakes::plain_service::ServiceFaults;
 use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_platform::LogClient;
 use comfreymast_proof::checks::claims;
 use comfreymast_proof::{Answer, Fleet, FleetOptions, Recorded, RecordedClient};
+use comfreymast_wire::log::{Claim, Record, record};
 use futures_lite::StreamExt;
 use futures_lite::stream;
+use prost::Message;
 
 const THREADS: usize = 4;
 
@@ -416,3 +421,98 @@
         assert_eq!(claims::runs(&lines(&fleet), "a long report"), 1);
     });
 }
+
+#[test]
+fn claims_of_one_daemon_share_an_append() {
+    const REQUESTS: u64 = 200;
+    const MIN_APPEND_INTERVAL_MS: u64 = 50;
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(2)).await;
+        let (appends, records) =
+            (log_stat(&fleet, "appends").await, log_stat(&fleet, "records").await);
+        let clock = Clock::system();
+        let mut calls = Vec::new();
+        for number in 0..REQUESTS {
+            let (client, addr) = (client.clone(), fleet.daemons[0].callers());
+            calls.push(spawner.spawn(async move {
+                let body = format!("save {number}");
+                client.post_once(addr, "/boards/1", &body).await.unwrap().status
+            }));
+        }
+        for call in calls {
+            assert_eq!(call.await, 200);
+        }
+        // Each request has a claim and an end.
+        wait_for_log(&fleet, "records", records + 2 * REQUESTS - 1).await;
+        let took_ms = clock.now_ms();
+        let appends = log_stat(&fleet, "appends").await - appends;
+        println!("{REQUESTS} requests, {appends} appends, {took_ms} ms");
+        assert!(appends <= took_ms / MIN_APPEND_INTERVAL_MS + 2, "{appends} in {took_ms} ms");
+        check(&fleet);
+    });
+}
+
+#[test]
+fn a_new_fleet_gives_the_answers_of_the_old_one() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (mut fleet, client) = start(&spawner, servers(1)).await;
+        let answer = client.post_once(fleet.daemons[0].callers(), "/boards/1", "save").await;
+        let answer = answer.unwrap();
+        let again = client.post_once(fleet.daemons[1].callers(), "/boards/1", "save").await;
+        assert_eq!(again.unwrap().body, answer.body);
+        // All daemons are replaced, one after the other.
+        for index in 0..fleet.daemons.len() {
+            let fresh = fleet.start_daemon(&format!("fresh{index}")).unwrap();
+            fleet.daemons[index] = fresh;
+            fleet.publish_vms().await.unwrap();
+        }
+        fleet.wait_until_settled().await.unwrap();
+        for daemon in &fleet.daemons {
+            let again = client.post_once(daemon.callers(), "/boards/1", "save").await.unwrap();
+            assert_eq!((again.status, &again.body), (200, &answer.body));
+        }
+        check(&fleet);
+    });
+}
+
+/// A key that tells when it was drawn is refused once claims of that time are forgotten.
+#[test]
+fn a_retry_that_comes_too_late_is_told_that_nobody_knows() {
+    const MAX_CLAIMS_PER_ORGANISATION: u64 = 8_192;
+    const DRAWN_IN_2024: &str = "018f0000-0000-7000-8000-000000000000";
+    const CLAIMED_UNIX_MS: u64 = 1_780_000_000_000;
+    Spawner::run(THREADS, |spawner| async move {
+        let (fleet, client) = start(&spawner, servers(1)).await;
+        let late = Recorded {
+            addr: fleet.daemons[1].callers(),
+            method: "POST",
+            path: "/boards/1",
+            headers: &[("idempotency-key", DRAWN_IN_2024)],
+            body: "save",
+            what: "save",
+        };
+        // While nothing is forgotten, no key is too old.
+        assert_eq!(client.call(&late).await.unwrap().status, 200);
+        let flood = (0..=MAX_CLAIMS_PER_ORGANISATION).map(|number| {
+            let mut key_hash = vec![0; 32];
+            key_hash[..8].copy_from_slice(&number.to_be_bytes());
+            let claim = Claim {
+                organisation: "estudio-norte".to_owned(),
+                key_hash: key_hash.into(),
+                request_hash: vec![0; 32].into(),
+                claimed_unix_ms: CLAIMED_UNIX_MS,
+                ..Claim::default()
+            };
+            let operation_id = OperationId::random().to_vec().into();
+            let record = Record { operation_id, body: Some(record::Body::Claim(claim)) };
+            Bytes::from(record.encode_to_vec())
+        });
+        let log_addr = fleet.log.listening().parse().unwrap();
+        LogClient::new(spawner.clone(), log_addr, 5_000).append(flood.collect()).await.unwrap();
+        wait_for_fold(&fleet).await;
+        let answer = client.call(&late).await.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (409, "unknown"));
+        assert_eq!(answer.json()["error"]["code"], "key_expired");
+        check(&fleet);
+    });
+}
