--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, unreachable_pub, clippy::all)]
 
 use std::path::PathBuf;
+use std::sync::LazyLock;
 
 xflags::xflags! {
     /// Serves generations of unknown length on crowded engines.
@@ -105,6 +106,17 @@
         /// Tell a daemon to finish its requests and stop.
         cmd drain {}
 
+        /// Requests that are refused because engines died of them.
+        cmd quarantine {
+            /// List quarantined requests.
+            cmd list-quarantined list {}
+            /// Let a request run again.
+            cmd lift {
+                /// Its fingerprint, as `list` prints it.
+                required fingerprint: String
+            }
+        }
+
         /// Report on service levels.
         cmd report {
             /// How fast each organisation's error budget burns, over all daemons.
@@ -119,7 +131,12 @@
     }
 }
 
+/// Commands are types, so no two may have one name: the second `list` has a name of its own, and
+/// `list` as its alias, which is all that the help shows.
+static HELP: LazyLock<String> = LazyLock::new(|| Comfreymast::HELP_.replace(LIST_NAMES, "list"));
+const LIST_NAMES: &str = "list-quarantined | list";
+
 /// The help text of all commands.
 pub(crate) fn help_text() -> &'static str {
-    Comfreymast::HELP_
+    &HELP
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 pub mod operators;
 mod peers;
+mod quarantine;
 mod recent_entries;
 mod retry_budgets;
 mod settings;
