--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -3,10 +3,18 @@
 //! Nothing here is shipped.
 //!
 //! * `demo` — what `scripts/demo.sh` shows.
+//! * `slope` — what a daemon uses at a few sizes.
+//! * `relay`, `core`, `memory` — what a daemon adds, how much a core relays, what it holds.
 
+mod bench_fleet;
 mod demo;
 mod failure;
 mod flags;
+mod memory;
+mod paced_engine;
+mod relay;
+mod slope;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -20,6 +28,10 @@
     let done = Spawner::run(THREADS, |spawner| async move {
         match flags.subcommand {
             ComfreymastLoadCmd::Demo(_) => demo::run(&spawner).await,
+            ComfreymastLoadCmd::Relay(_) => relay::added(&spawner).await,
+            ComfreymastLoadCmd::Core(core) => relay::core(&spawner, core.tokens, core.rounds).await,
+            ComfreymastLoadCmd::Slope(slope) => slope::run(&spawner, &slope.name).await,
+            ComfreymastLoadCmd::Memory(_) => memory::run(&spawner).await,
         }
     });
     match done {
