--- a/crates/daemon/src/ledger_state.rs
+++ b/crates/daemon/src/ledger_state.rs
@@ -3,7 +3,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use comfreymast_ledger::{Applied, Contracts, Ledger, SnapshotError};
+use comfreymast_ledger::{Applied, Contracts, Ledger, Quarantines, SnapshotError};
 use comfreymast_wire::log::Snapshot;
 use event_listener::Event;
 
@@ -14,6 +14,7 @@
 pub(crate) struct LedgerState {
     ledger: Mutex<Ledger>,
     contracts: ArcSwap<Contracts>,
+    quarantines: ArcSwap<Quarantines>,
     next_offset: AtomicU64,
     recent: Mutex<RecentEntries>,
     changed: Event,
@@ -25,6 +26,11 @@
         self.contracts.load_full()
     }
 
+    /// The quarantined requests.
+    pub(crate) fn quarantines(&self) -> Arc<Quarantines> {
+        self.quarantines.load_full()
+    }
+
     /// The first offset that is not yet in force here.
     pub(crate) fn next_offset(&self) -> u64 {
         self.next_offset.load(Ordering::Acquire)
@@ -48,6 +54,9 @@
         if applied.iter().any(|(_, applied)| matches!(applied, Applied::Contract { .. })) {
             self.contracts.store(Arc::new(ledger.contracts().clone()));
         }
+        if applied.iter().any(|(_, applied)| matches!(applied, Applied::Quarantine { .. })) {
+            self.quarantines.store(Arc::new(ledger.quarantines().clone()));
+        }
         self.next_offset.store(ledger.next_offset(), Ordering::Release);
         drop(ledger);
         self.changed.notify(usize::MAX);
@@ -67,6 +76,7 @@
         *ledger = restored;
         self.recent().clear();
         self.contracts.store(Arc::new(ledger.contracts().clone()));
+        self.quarantines.store(Arc::new(ledger.quarantines().clone()));
         self.next_offset.store(ledger.next_offset(), Ordering::Release);
         drop(ledger);
         self.changed.notify(usize::MAX);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`quarantine`] — which request kills the engines that run it.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
 //! * [`routing`] — which upstream gets a request.
 
@@ -11,5 +12,6 @@
 pub mod limits;
 pub mod list_guard;
 pub mod membership;
+pub mod quarantine;
 pub mod retry;
 pub mod routing;
--- a/crates/load/src/slope/records.rs
+++ b/crates/load/src/slope/records.rs
@@ -21,7 +21,6 @@
         daemon: DAEMON.to_owned(),
         incarnation: UNIX_MS,
         claimed_unix_ms: UNIX_MS,
-        ..Claim::default()
     };
     let outcome = ClaimOutcome {
         organisation: ORGANISATION.to_owned(),
@@ -57,5 +56,5 @@
 
 fn record_bytes(body: record::Body) -> usize {
     let operation_id = Bytes::from(vec![7; ID_BYTES]);
-    Record { operation_id, body: Some(body), ..Record::default() }.encoded_len()
+    Record { operation_id, body: Some(body) }.encoded_len()
 }
