--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -53,6 +53,7 @@
         "silence-ms" => &daemon.silence_ms,
         "call-limit-ms" => &daemon.call_limit_ms,
         "header-timeout-ms" => &daemon.header_timeout_ms,
+        "body-timeout-ms" => &daemon.body_timeout_ms,
         "keepalive-ms" => &daemon.keepalive_ms,
         "reader-stall-ms" => &daemon.reader_stall_ms,
         "drain-grace-ms" => &daemon.drain_grace_ms,
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -57,6 +57,8 @@
             optional --call-limit-ms call_limit_ms: String
             /// How long a request's head may take, 100 to 600000; default 10000.
             optional --header-timeout-ms header_timeout_ms: String
+            /// How long a request's body may take, 100 to 600000; default 30000.
+            optional --body-timeout-ms body_timeout_ms: String
             /// Time between comments on a quiet stream, 100 to 600000; default 10000.
             optional --keepalive-ms keepalive_ms: String
             /// How long a caller may leave data unread, 100 to 600000; default 30000.
--- a/crates/daemon/src/callers/ask.rs
+++ b/crates/daemon/src/callers/ask.rs
@@ -14,7 +14,6 @@
 use crate::claims::Asked;
 use crate::daemon::Daemon;
 
-const BODY_LIMIT_MS: u64 = 30_000;
 const KIND_HEADER: &str = "comfreymast-kind";
 
 /// The body of `POST /v1/completions`; other fields of completion APIs are ignored.
@@ -100,8 +99,9 @@
 
 /// Reads a caller's body within the bounds of length and time.
 pub(crate) async fn read_body(daemon: &Daemon, body: Incoming) -> Result<Bytes, CallError> {
-    match within(BODY_LIMIT_MS, collect(body, daemon.settings.max_body_bytes)).await {
-        Err(_) => Err(CallError::TooSlow { limit_ms: BODY_LIMIT_MS }),
+    let limit_ms = daemon.settings.body_timeout_ms;
+    match within(limit_ms, collect(body, daemon.settings.max_body_bytes)).await {
+        Err(_) => Err(CallError::TooSlow { limit_ms }),
         Ok(Err(BodyError::TooLong { limit_bytes })) => Err(CallError::TooLong { limit_bytes }),
         Ok(Err(error)) => Err(CallError::Malformed { reason: error.to_string() }),
         Ok(Ok(body)) => Ok(body),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 23] = [
+pub const SETTINGS: [SettingSpec; 24] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -56,6 +56,7 @@
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
     optional("call-limit-ms", "30000", "How long a plain service may take, 100 to 600000"),
     optional("header-timeout-ms", "10000", "How long a request's head may take, 100 to 600000"),
+    optional("body-timeout-ms", "30000", "How long a request's body may take, 100 to 600000"),
     optional("keepalive-ms", "10000", "Time between comments on a quiet stream, 100 to 600000"),
     optional("reader-stall-ms", "30000", "How long a caller may leave data unread, 100 to 600000"),
     optional("drain-grace-ms", "5000", "Time to serve on while not ready, 0 to 600000"),
@@ -102,6 +103,8 @@
     pub call_limit_ms: u64,
     /// How long the head of a request may take to arrive, and a connection be idle before it.
     pub header_timeout_ms: u64,
+    /// How long the body of a request may take to arrive.
+    pub body_timeout_ms: u64,
     /// Time between comments on a stream that has no token to send.
     pub keepalive_ms: u64,
     /// How long a caller may leave data unread before it is cut.
@@ -205,6 +208,7 @@
         let silence_ms = self.number("silence-ms", 100..=600_000);
         let call_limit_ms = self.number("call-limit-ms", 100..=600_000);
         let header_timeout_ms = self.number("header-timeout-ms", 100..=600_000);
+        let body_timeout_ms = self.number("body-timeout-ms", 100..=600_000);
         let keepalive_ms = self.number("keepalive-ms", 100..=600_000);
         let reader_stall_ms = self.number("reader-stall-ms", 100..=600_000);
         let drain_grace_ms = self.number("drain-grace-ms", 0..=600_000);
@@ -229,6 +233,7 @@
             silence_ms: silence_ms?,
             call_limit_ms: call_limit_ms?,
             header_timeout_ms: header_timeout_ms?,
+            body_timeout_ms: body_timeout_ms?,
             keepalive_ms: keepalive_ms?,
             reader_stall_ms: reader_stall_ms?,
             drain_grace_ms: drain_grace_ms?,
--- a/crates/proof/tests/callers.rs
+++ b/crates/proof/tests/callers.rs
@@ -126,3 +126,22 @@
         }
     });
 }
+
+#[test]
+fn bodies_that_are_too_slow_or_too_long_are_refused_as_not_run() {
+    run(|spawner| async move {
+        let flags = ["--body-timeout-ms", "300", "--max-body-bytes", "2048"];
+        let stage = Stage::new(&spawner, options(&flags)).await;
+        let addr = stage.fleet.daemons[0].callers();
+        let long = format!(r#"{{"model": "m", "prompt": "{}"}}"#, "x".repeat(4_096));
+        let answer = stage.client.call(addr, "POST", "/v1/completions", &[], &long).await.unwrap();
+        assert_eq!((answer.status, answer.outcome.as_str()), (413, "not_run"));
+
+        let mut slow = TcpStream::connect(addr).await.unwrap();
+        let request = raw_request("slow, tokens=9");
+        slow.write_all(&request.as_bytes()[..request.len() - 1]).await.unwrap();
+        let mut answer = [0; 12];
+        within(LIMIT_MS, slow.read_exact(&mut answer)).await.unwrap().unwrap();
+        assert_eq!(&answer, b"HTTP/1.1 408");
+    });
+}
--- a/crates/proof/tests/streams.rs
+++ b/crates/proof/tests/streams.rs
@@ -190,3 +190,51 @@
         stage.assert_tokens_hold();
     });
 }
+
+#[test]
+fn streams_go_on_when_their_engine_freezes_and_wakes() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(2)).await;
+        let mut report = stage.read(0, 1, "report", "report, tokens=600").await;
+        assert_eq!(report.read(10).await, None);
+        let engine = &stage.fleet.engines[stage.engine_of("report, tokens=600").await].process;
+        engine.signal("STOP").unwrap();
+        assert_eq!(report.read_more(100).await, None, "{}", stage.log_of(0));
+        // It still has the old attempt, and the order to cancel it.
+        engine.signal("CONT").unwrap();
+        assert_eq!(report.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+        assert_eq!(starts_of(&stage.fleet.lines(), "report, tokens=600"), 2);
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn a_frozen_engine_that_gets_a_request_first_runs_nothing_twice() {
+    run(|spawner| async move {
+        for kind in ["report", "study"] {
+            let stage = Stage::new(&spawner, options(2)).await;
+            for engine in &stage.fleet.engines {
+                engine.process.signal("STOP").unwrap();
+            }
+            let prompt = format!("{kind}, tokens=100");
+            let mut reading = stage.read(0, 1, kind, &prompt).await;
+            if kind == "study" {
+                let lost = StreamEnd::Error("generation_lost".to_owned());
+                assert_eq!(reading.rest().await, lost, "{}", stage.log_of(0));
+            }
+            for engine in &stage.fleet.engines {
+                engine.process.signal("CONT").unwrap();
+            }
+            // The engines may now run what they got while they were frozen.
+            for engine in &stage.fleet.engines {
+                assert!(stage.fleet.page(&engine.process, "/load").await.is_object());
+            }
+            if kind == "study" {
+                assert!(starts_of(&stage.fleet.lines(), &prompt) <= 1);
+            } else {
+                assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+            }
+            stage.assert_tokens_hold();
+        }
+    });
+}
