Ask for as many slots as the rates need

Cause: a contract's rates come with slots, and a daemon asked for slots by requests in progress only. One caller with quick lookups through one daemon was refused at a few requests a second while the rest of the rate lay idle: crates/proof/tests/contract_in_force.rs got 429 on requests_per_s. Ruled out: a higher floor (it is a static split again). Change: demand for requests and tokens is metered and asked for as slots; a request waits a moment for its owner before it is refused for a rate. The meter keeps what was used instead of a time, so a rate that rises pays an old debt faster. The proofs of contracts set a rate that their polling does not reach. A proof that watches revisions stops watching a daemon before it is killed: the system gave its port to another process once (read 0 after 8). With the demand off, one_caller_through_one_daemon still passes, by waiting; so that proof shows the waiting only.

--- a/crates/daemon/src/limits/acquire.rs
+++ b/crates/daemon/src/limits/acquire.rs
@@ -15,7 +15,9 @@
 /// When to come back after the slots were all in use.
 const SLOT_RETRY_MS: u64 = 1_000;
 
-/// Takes a slot for one request and charges the contract's request rate.
+/// Takes a slot for one request and charges the contract's rates.
+///
+/// Where this daemon's part does not suffice, the owner is asked for more at once.
 ///
 /// # Errors
 ///
@@ -28,56 +30,76 @@
     let listed = u32::try_from(daemon.directory.load().daemons.len()).unwrap_or(u32::MAX);
     let slots = contract.limits.concurrent_requests;
     limit.set_floor_slots(daemon.limits.options.floor_slots(slots, listed));
-    if !limit.share.try_acquire(limit.floor_slots(), daemon.clock.now_ms()) {
-        ask_owner(daemon, contract, &limit).await?;
-    }
+    limit.request_demand.add(1, daemon.clock.now_ms());
+    let asking = Asking { daemon, contract, limit: &limit };
+    asking.slot().await?;
     // From here on dropping the permit gives the slot back.
     let permit = LimitPermit::new(limit.clone(), contract.clone());
-    charge_rates(daemon, contract, &limit)?;
+    asking.rates().await?;
     Ok(permit)
 }
 
-async fn ask_owner(
-    daemon: &Arc<Daemon>,
-    contract: &Contract,
-    limit: &OrganisationLimit,
-) -> Result<(), CallError> {
-    let _waiting = limit.share.wait();
-    let acquired = async {
-        loop {
-            let granted = limit.granted.listen();
-            let now_ms = daemon.clock.now_ms();
-            if limit.share.try_acquire(limit.floor_slots(), now_ms) {
-                return;
-            }
-            if limit.may_ask(now_ms) {
-                report_one(daemon, &contract.organisation);
-            }
-            future::or(granted, sleep_ms(ASK_INTERVAL_MS)).await;
-        }
-    };
-    within(GRANT_WAIT_MS, acquired).await.map_err(|_| {
-        limit.share.want_more();
-        CallError::LimitReached { limit: "concurrent_requests", retry_after_ms: SLOT_RETRY_MS }
-    })
+/// One request that seeks its part of an organisation's limits.
+struct Asking<'a> {
+    daemon: &'a Arc<Daemon>,
+    contract: &'a Contract,
+    limit: &'a OrganisationLimit,
 }
 
-fn charge_rates(
-    daemon: &Daemon,
-    contract: &Contract,
-    limit: &OrganisationLimit,
-) -> Result<(), CallError> {
-    let now_ms = daemon.clock.now_ms();
-    let limits = &contract.limits;
-    let tokens = limit.part_of(limits, limits.tokens_per_s, now_ms);
-    let wait_ms = limit.tokens.wait_ms(tokens, now_ms);
-    if wait_ms > 0 {
-        limit.share.want_more();
-        return Err(CallError::LimitReached { limit: "tokens_per_s", retry_after_ms: wait_ms });
+impl Asking<'_> {
+    async fn slot(&self) -> Result<(), CallError> {
+        if self.try_slot() {
+            return Ok(());
+        }
+        let _waiting = self.limit.share.wait();
+        let refusal =
+            CallError::LimitReached { limit: "concurrent_requests", retry_after_ms: SLOT_RETRY_MS };
+        self.until(|| self.try_slot().then_some(())).await.ok_or(refusal)
+    }
+
+    fn try_slot(&self) -> bool {
+        self.limit.share.try_acquire(self.limit.floor_slots(), self.daemon.clock.now_ms())
+    }
+
+    async fn rates(&self) -> Result<(), CallError> {
+        match self.try_rates() {
+            Ok(()) => Ok(()),
+            Err(_) => match self.until(|| self.try_rates().ok()).await {
+                Some(()) => Ok(()),
+                None => self.try_rates(),
+            },
+        }
+    }
+
+    fn try_rates(&self) -> Result<(), CallError> {
+        let now_ms = self.daemon.clock.now_ms();
+        let limits = &self.contract.limits;
+        let tokens = self.limit.part_of(limits, limits.tokens_per_s, now_ms);
+        let wait_ms = self.limit.tokens.wait_ms(tokens, now_ms);
+        if wait_ms > 0 {
+            let limit = "tokens_per_s";
+            return Err(CallError::LimitReached { limit, retry_after_ms: wait_ms });
+        }
+        let requests = self.limit.part_of(limits, u64::from(limits.requests_per_s), now_ms);
+        self.limit.requests.try_charge(requests, 1, now_ms).map_err(|wait_ms| {
+            CallError::LimitReached { limit: "requests_per_s", retry_after_ms: wait_ms }
+        })
+    }
+
+    /// Asks the owner for more until `found` finds something, but not for long.
+    async fn until<T>(&self, found: impl Fn() -> Option<T>) -> Option<T> {
+        let finding = async {
+            loop {
+                let granted = self.limit.granted.listen();
+                if let Some(found) = found() {
+                    return found;
+                }
+                if self.limit.may_ask(self.daemon.clock.now_ms()) {
+                    report_one(self.daemon, &self.contract.organisation);
+                }
+                future::or(granted, sleep_ms(ASK_INTERVAL_MS)).await;
+            }
+        };
+        within(GRANT_WAIT_MS, finding).await.ok()
     }
-    let requests = limit.part_of(limits, u64::from(limits.requests_per_s), now_ms);
-    limit.requests.try_charge(requests, 1, now_ms).map_err(|wait_ms| {
-        limit.share.want_more();
-        CallError::LimitReached { limit: "requests_per_s", retry_after_ms: wait_ms }
-    })
 }
--- a/crates/daemon/src/limits/exchange.rs
+++ b/crates/daemon/src/limits/exchange.rs
@@ -88,12 +88,15 @@
     let limit = daemon.limits.of(organisation);
     let floor_slots = limit.floor_slots();
     let now_ms = daemon.clock.now_ms();
+    let contracts = daemon.ledger.contracts();
+    let entry = contracts.get(organisation.as_str());
+    let wanted = entry.map_or(0, |entry| limit.wanted(&entry.contract.limits, now_ms));
     let idle = limit.share.in_use() == 0 && now_ms > limit.share.used_ms() + KEEP_IDLE_MS / 2;
     LimitUse {
         organisation: organisation.to_string(),
         generation: limit.share.generation(),
         slots_held: limit.share.held(floor_slots, now_ms),
-        slots_wanted: if idle { 0 } else { limit.share.take_wanted(floor_slots) },
+        slots_wanted: if idle { 0 } else { wanted },
     }
 }
 
--- a/crates/daemon/src/limits/organisation_limit.rs
+++ b/crates/daemon/src/limits/organisation_limit.rs
@@ -1,10 +1,12 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use comfreymast_contract::Limits as ContractLimits;
-use comfreymast_decide::limits::{Rate, RateMeter, Share};
+use comfreymast_decide::limits::{Demand, Rate, RateMeter, Share};
 use event_listener::Event;
 
 const BURST_MS: u64 = 1_000;
+/// How much more of a rate is asked for than was used.
+const RATE_HEADROOM: f64 = 1.25;
 /// How often requests that wait for a slot may ask the owner, together.
 pub(crate) const ASK_INTERVAL_MS: u64 = 20;
 
@@ -17,6 +19,10 @@
     pub(crate) requests: RateMeter,
     /// Tokens made.
     pub(crate) tokens: RateMeter,
+    /// Requests asked for, refused ones included.
+    pub(crate) request_demand: Demand,
+    /// Tokens made, as demand.
+    pub(crate) token_demand: Demand,
     /// Notified at each grant.
     pub(crate) granted: Event,
     floor_slots: AtomicU32,
@@ -34,6 +40,18 @@
         self.floor_slots.store(slots, Ordering::Release);
     }
 
+    /// Slots this daemon could use beyond the floor: for the requests in progress or waiting, or
+    /// for the rates that come with slots, whichever is more.
+    pub(crate) fn wanted(&self, limits: &ContractLimits, now_ms: u64) -> u32 {
+        let floor_slots = self.floor_slots();
+        let of_requests = part(self.request_demand.per_s(now_ms), limits.requests_per_s.into());
+        let of_tokens = part(self.token_demand.per_s(now_ms), limits.tokens_per_s);
+        let slots = f64::from(limits.concurrent_requests);
+        let for_rates = (of_requests.max(of_tokens) * RATE_HEADROOM).min(1.0) * slots;
+        // Casting a float to an integer saturates.
+        self.share.wanted(floor_slots).max((for_rates.ceil() as u32).saturating_sub(floor_slots))
+    }
+
     /// True for one caller in each [`ASK_INTERVAL_MS`]: that one asks the owner for all.
     pub(crate) fn may_ask(&self, now_ms: u64) -> bool {
         let is_due = |asked_ms: u64| (now_ms >= asked_ms + ASK_INTERVAL_MS).then_some(now_ms);
@@ -47,3 +65,7 @@
         Rate { per_s: per_s as f64 * part, burst_ms: BURST_MS }
     }
 }
+
+fn part(used: u64, limit: u64) -> f64 {
+    used as f64 / limit.max(1) as f64
+}
--- a/crates/daemon/src/limits/permit.rs
+++ b/crates/daemon/src/limits/permit.rs
@@ -22,6 +22,7 @@
         let limits = &self.contract.limits;
         let rate = self.limit.part_of(limits, limits.tokens_per_s, now_ms);
         self.limit.tokens.charge(rate, tokens, now_ms);
+        self.limit.token_demand.add(tokens, now_ms);
     }
 }
 
--- a/crates/decide/src/limits/mod.rs
+++ b/crates/decide/src/limits/mod.rs
@@ -9,14 +9,17 @@
 //! * [`owner_of`] — which daemon owns an organisation's slots.
 //! * [`Grants`] — the owner's side: who holds how much.
 //! * [`Share`] — the holder's side: how much may be used here and now.
-//! * [`RateMeter`] — requests or tokens a second, lock-free.
+//! * [`RateMeter`] — requests or tokens a second against a rate, lock-free.
+//! * [`Demand`] — how many were asked for lately.
 
+mod demand;
 mod grants;
 mod options;
 mod owner;
 mod rate_meter;
 mod share;
 
+pub use demand::Demand;
 pub use grants::{Grants, Report};
 pub use options::LimitOptions;
 pub use owner::owner_of;
--- a/crates/decide/src/limits/share.rs
+++ b/crates/decide/src/limits/share.rs
@@ -27,7 +27,6 @@
     generation: AtomicU64,
     expires_ms: AtomicU64,
     in_use: AtomicU32,
-    refused: AtomicU32,
     waiting: AtomicU32,
     used_ms: AtomicU64,
 }
@@ -86,10 +85,10 @@
     }
 
     /// Slots that could be used now beyond the floor: those in use, and those that requests wait
-    /// for or were refused since the last call, but one to spare at least.
-    pub fn take_wanted(&self, floor_slots: u32) -> u32 {
-        let refused = self.refused.swap(0, Ordering::AcqRel);
-        let more = self.waiting.load(Ordering::Acquire).saturating_add(refused).max(1);
+    /// for, but one to spare at least.
+    #[must_use]
+    pub fn wanted(&self, floor_slots: u32) -> u32 {
+        let more = self.waiting.load(Ordering::Acquire).max(1);
         self.in_use().saturating_add(more).saturating_sub(floor_slots)
     }
 
@@ -99,11 +98,6 @@
         Waiting { share: self }
     }
 
-    /// Notes that the slots or the rates of the slots held here do not suffice.
-    pub fn want_more(&self) {
-        self.refused.fetch_add(1, Ordering::AcqRel);
-    }
-
     /// When a slot was last asked for.
     #[must_use]
     pub fn used_ms(&self) -> u64 {
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -90,7 +90,7 @@
                 let report = Report {
                     generation: share.generation(),
                     slots_held: share.held(0, self.now_ms),
-                    slots_wanted: share.take_wanted(0),
+                    slots_wanted: share.wanted(0),
                 };
                 self.reports[index].push_back((self.now_ms, report));
             }
@@ -211,7 +211,28 @@
     let meter = RateMeter::default();
     let rate = Rate { per_s: 100.0, burst_ms: 1_000 };
     meter.charge(rate, 300, 0);
-    assert_eq!(meter.wait_ms(rate, 0), 2_000);
-    assert_eq!(meter.try_charge(rate, 1, 0), Err(2_000));
-    assert_eq!(meter.try_charge(rate, 1, 2_000), Ok(()));
+    assert_eq!(meter.wait_ms(rate, 0), 2_001);
+    assert_eq!(meter.try_charge(rate, 1, 0), Err(2_001));
+    assert_eq!(meter.try_charge(rate, 1, 2_001), Ok(()));
+}
+
+#[test]
+fn a_rate_that_rises_pays_an_old_debt_faster() {
+    let meter = RateMeter::default();
+    let slow = Rate { per_s: 1.0, burst_ms: 1_000 };
+    let fast = Rate { per_s: 100.0, burst_ms: 1_000 };
+    assert_eq!(meter.try_charge(slow, 1, 0), Ok(()));
+    assert!(meter.try_charge(slow, 1, 0).is_err());
+    for _ in 0..90 {
+        assert_eq!(meter.try_charge(fast, 1, 0), Ok(()));
+    }
+}
+
+#[test]
+fn a_slow_rate_is_not_lost_to_frequent_calls() {
+    let meter = RateMeter::default();
+    let rate = Rate { per_s: 0.5, burst_ms: 1_000 };
+    assert_eq!(meter.try_charge(rate, 1, 0), Ok(()));
+    let first_ms = (0..10_000).find(|now_ms| meter.try_charge(rate, 1, *now_ms).is_ok());
+    assert_eq!(first_ms, Some(2));
 }
--- a/crates/proof/tests/contract_in_force.rs
+++ b/crates/proof/tests/contract_in_force.rs
@@ -165,10 +165,11 @@
         let operator = Operator::new(&spawner);
         let expiring = LogFaults { retention_records: 16, ..Default::default() };
         fleet.set_faults(&fleet.log, &expiring).await.unwrap();
-        let (floor, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
+        let floor = Arc::new(AtomicU64::new(0));
         let watch = |addr| {
+            let stop = Arc::new(AtomicBool::new(false));
             let watching = watch_revision(operator.clone(), addr, floor.clone(), stop.clone());
-            spawner.spawn(watching)
+            (stop, spawner.spawn(watching))
         };
         let mut watches: Vec<_> =
             fleet.daemons.iter().map(|daemon| watch(daemon.operators())).collect();
@@ -186,6 +187,10 @@
             fleet.wait_until_settled().await.unwrap();
             let mut old = fleet.daemons.remove(0);
             fleet.publish_vms().await.unwrap();
+            // Watched to its end, but no longer: the system may give its port to another process.
+            let (stop, watching) = watches.remove(0);
+            stop.store(true, Ordering::Release);
+            watching.await;
             old.process.kill();
         }
         let last = accepted(&operator, &fleet.daemons[0], &change(revision, true)).await;
@@ -193,9 +198,9 @@
         for daemon in &fleet.daemons {
             assert_eq!(operator.revision(daemon, ORGANISATION).await, last);
         }
-        stop.store(true, Ordering::Release);
-        for watch in watches {
-            watch.await;
+        for (stop, watching) in watches {
+            stop.store(true, Ordering::Release);
+            watching.await;
         }
         let start = fleet.read("n2.err");
         assert!(start.contains("E0207"), "the last daemon started from a snapshot: {start}");
--- a/crates/proof/tests/contracts_support/mod.rs
+++ b/crates/proof/tests/contracts_support/mod.rs
@@ -16,6 +16,9 @@
 organisation = "{ORGANISATION}"
 enabled = {enabled}
 
+[limits]
+requests_per_s = 100000
+
 [[keys]]
 name = "site"
 sha256 = "4c87c44e5ac0537924acfa2d882f1803b5300e6b28a05909f2cb5b70ed84d713"
--- a/crates/proof/tests/limits.rs
+++ b/crates/proof/tests/limits.rs
@@ -34,6 +34,12 @@
 priority = 7
 max_output_tokens = 20000
 repeatable = true
+
+[[routes]]
+prefix = "/drawings"
+service = "s"
+methods = ["GET"]
+repeatable = true
 "#
     )
 }
@@ -115,3 +121,18 @@
         assert!(most <= LIMIT, "{most} at once");
     });
 }
+
+#[test]
+fn one_caller_through_one_daemon_may_use_the_whole_rate() {
+    const LOOKUPS: u32 = 300;
+    Spawner::run(4, |spawner| async move {
+        let fleet = Fleet::start(&spawner, FleetOptions::default()).await.unwrap();
+        assert_eq!(fleet.put_contract(0, &contract(), &[]).unwrap().code, 0);
+        let client = Client::new(&spawner, "key-of-estudio-norte");
+        for lookup in 0..LOOKUPS {
+            let addr = fleet.daemons[0].callers();
+            let answer = client.call(addr, "GET", "/drawings/7", &[], "").await.unwrap();
+            assert_eq!(answer.status, 200, "lookup {lookup}: {:?}", answer.body);
+        }
+    });
+}
