--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -17,7 +17,6 @@
 use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
-use crate::quarantine::{check, fingerprint};
 
 /// Runs one completion: reads it, chooses an engine, starts the generation and relays it.
 pub(crate) async fn run(
@@ -40,7 +39,6 @@
     ask: Ask,
     record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
-    check(daemon, &ask.work.model, &ask.prompt)?;
     let claim = match admit(daemon, &ask.asked).await? {
         Admission::Replay(answer) => return Ok(answer),
         Admission::Run(claim) => claim,
@@ -49,7 +47,7 @@
     let organisation = &caller.contract.organisation;
     let generation = Generation::begin(daemon, organisation, &ask, claim).await?;
     if ask.stream {
-        return Ok(stream::relay(daemon, &caller, generation, Some(record.stream())));
+        return Ok(stream::relay(daemon, &caller, generation, record.stream()));
     }
     let collecting = stream::collect(daemon.clone(), caller, generation, record);
     if is_claimed { outlive_caller(daemon, collecting).await } else { collecting.await }
@@ -64,10 +62,9 @@
     let directory = daemon.directory.load();
     let engines = directory.engines(&start.model);
     let mut engines: Vec<_> = engines.filter(|engine| !tried.contains(&engine.addr)).collect();
-    let fingerprint = || fingerprint(&start.model, &start.prompt);
-    let avoided = daemon.quarantine.engines_to_avoid(fingerprint, daemon.clock.now_ms());
-    if engines.iter().any(|engine| !avoided.contains(&engine.addr)) {
-        engines.retain(|engine| !avoided.contains(&engine.addr));
+    let now_ms = daemon.clock.now_ms();
+    if engines.iter().any(|engine| !engine.is_avoided(now_ms)) {
+        engines.retain(|engine| !engine.is_avoided(now_ms));
     }
     let candidates: Vec<_> = engines.iter().map(|engine| candidate(daemon, engine)).collect();
     let chosen = least_outstanding(&candidates)?;
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use comfreymast_base::{GenerationId, Model, Organisation};
+use comfreymast_base::{GenerationId, Kind, Model, Organisation};
 use comfreymast_net::sleep_ms;
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error};
@@ -20,8 +20,8 @@
 use crate::upstream::{AttachError, EngineStream, StartError, StartFailure, StreamError};
 use crate::upstream::{cancel, fence};
 
-/// Engines tried before a request that none has run is refused.
-const MAX_STARTS: usize = 3;
+/// Engines that may refuse a request before its caller is refused.
+const MAX_REFUSALS: u32 = 3;
 /// Failures in a row, without a token between them, after which a generation is given up.
 const MAX_FAILURES: u32 = 6;
 /// Silences in a row after which another engine is preferred to the silent one.
@@ -60,6 +60,7 @@
 pub(crate) struct Generation {
     daemon: Arc<Daemon>,
     organisation: Organisation,
+    kind: Kind,
     /// What was asked; `resume` holds the tokens already read.
     start: StartGeneration,
     /// False while only the engine that runs it may go on with it.
@@ -105,7 +106,7 @@
     // ------------------------------------------------------------------------------------------
     // Ways to get one
 
-    /// Starts a generation on the first of a few engines that takes it.
+    /// Starts a generation on the first engine that takes it.
     pub(crate) async fn begin(
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
@@ -117,12 +118,12 @@
         let start = ask.start(GenerationId::random(), fence::first());
         let refused = CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let mut tried = Vec::new();
-        for _ in 0..MAX_STARTS {
+        let mut refusals = 0;
+        loop {
             let engine = choose(daemon, &start, &tried).ok_or_else(|| refused.clone())?;
-            let may_try =
-                tried.is_empty() || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
-            if !may_try {
-                break;
+            let may_retry = || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
+            if refusals > 0 && (refusals == MAX_REFUSALS || !may_retry()) {
+                return Err(refused);
             }
             tried.push(engine.addr);
             claim.dispatching();
@@ -131,6 +132,8 @@
                 Err(error @ StartError::NotRun { .. }) => {
                     claim.refused();
                     attempt_failed(daemon, &engine, &error);
+                    // Knocking at an engine that is not there is no load on anybody.
+                    refusals += u32::from(!error.is_unsent());
                     continue;
                 }
                 Err(error @ StartError::Unknown { .. }) => {
@@ -139,7 +142,8 @@
                     None
                 }
             };
-            let mut generation = Self::new(daemon, organisation, start, engine, stream);
+            let mut generation =
+                Self::new(daemon, organisation, &ask.work.kind, start, engine, stream);
             generation.tried = tried;
             generation.claim = claim;
             generation.place();
@@ -147,7 +151,6 @@
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
         }
-        Err(refused)
     }
 
     /// Attaches to the generation that `cursor` names, after the tokens its reader has.
@@ -171,9 +174,9 @@
             match attach(daemon, engine, cursor.generation, fence).await {
                 Ok(stream) => {
                     let engine = engine.clone();
-                    let organisation = &cursor.organisation;
+                    let Cursor { organisation, kind, .. } = cursor;
                     let mut generation =
-                        Self::new(daemon, organisation, start, engine, Some(stream));
+                        Self::new(daemon, organisation, kind, start, engine, Some(stream));
                     generation.request_digest = cursor.request_digest;
                     generation.catch_up(cursor).await?;
                     ask.into_iter().for_each(|ask| generation.allow(ask));
@@ -204,7 +207,8 @@
             .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
         // The first call for a token leaves `engine` for a chosen one.
         let engine = lost.unwrap_or(next);
-        let mut generation = Self::new(daemon, &cursor.organisation, start, engine, None);
+        let mut generation =
+            Self::new(daemon, &cursor.organisation, &cursor.kind, start, engine, None);
         let is_what_was_read = generation.read_tokens() == cursor.read_tokens
             && generation.text_digest == cursor.text_digest;
         if !is_what_was_read {
@@ -219,6 +223,7 @@
     fn new(
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
+        kind: &Kind,
         start: StartGeneration,
         engine: Arc<UpstreamState>,
         stream: Option<EngineStream>,
@@ -230,6 +235,7 @@
         Self {
             daemon: daemon.clone(),
             organisation: organisation.clone(),
+            kind: kind.clone(),
             request_digest: digest::of_request(&start.model, &start.prompt, start.max_tokens),
             start,
             may_continue: false,
@@ -306,6 +312,7 @@
             fence: self.start.fence,
             read_tokens: self.read_tokens(),
             model: self.start.model.clone(),
+            kind: self.kind.clone(),
             request_digest: self.request_digest,
             text_digest: self.text_digest,
         }
--- a/crates/daemon/src/callers/stream.rs
+++ b/crates/daemon/src/callers/stream.rs
@@ -53,17 +53,15 @@
 }
 
 /// Answers with server-sent events, one for each token.
-///
-/// `record` measures the stream; a reader who came back has none.
 pub(crate) fn relay(
     daemon: &Arc<Daemon>,
     caller: &Caller,
     generation: Generation,
-    record: Option<StreamRecord>,
+    record: StreamRecord,
 ) -> Response<Body> {
     let (sender, body) = channel(READER_CAPACITY);
     let permit = caller.permit.clone();
-    let relay = Relay { daemon: daemon.clone(), permit, record, generation, sender };
+    let relay = Relay { daemon: daemon.clone(), generation, permit, record, sender };
     daemon.spawner.detach(relay.run());
     let mut response = Response::new(body);
     let headers = response.headers_mut();
@@ -108,9 +106,9 @@
 /// Carries the tokens of one generation to one reader.
 struct Relay {
     daemon: Arc<Daemon>,
-    permit: Arc<LimitPermit>,
-    record: Option<StreamRecord>,
     generation: Generation,
+    permit: Arc<LimitPermit>,
+    record: StreamRecord,
     sender: Sender<Result<Bytes, BodyError>>,
 }
 
@@ -125,12 +123,11 @@
 impl Relay {
     async fn run(mut self) {
         match self.relay().await {
-            Ok(()) | Err(RelayEnd::Reader) => {}
+            Ok(()) => self.record.whole(),
+            Err(RelayEnd::Reader) => {}
             Err(RelayEnd::Told(error)) => {
-                if matches!(error, CallError::GenerationLost { .. })
-                    && let Some(record) = self.record.take()
-                {
-                    record.lost();
+                if matches!(error, CallError::GenerationLost { .. }) {
+                    self.record.lost();
                 }
                 let _ = send(&self.daemon, &self.sender, error_event(&error)).await;
             }
@@ -142,17 +139,14 @@
             let token = self.next().await?;
             self.daemon.metrics.tokens.inc();
             self.permit.charge_tokens(1, self.daemon.clock.now_ms());
-            if let Some(record) = self.record.as_mut().filter(|_| token.finish.is_none()) {
-                record.token();
+            if token.finish.is_none() {
+                self.record.token();
             }
             let cursor = self.daemon.cursors.seal(&self.generation.cursor());
             let event = token_event(self.generation.model(), &token, &cursor);
             send(&self.daemon, &self.sender, event).await?;
             if token.finish.is_some() {
                 self.generation.claim().done();
-                if let Some(record) = self.record.take() {
-                    record.whole();
-                }
                 return send(&self.daemon, &self.sender, Bytes::from_static(DONE)).await;
             }
         }
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -19,6 +19,7 @@
 pub const FLEET_KEY: &str = "fleet-key-of-the-proofs";
 
 const CALL_LIMIT_MS: u64 = 5_000;
+const NO_SNAPSHOT_MS: &str = "604800000";
 const MAX_REPLY_BYTES: usize = 1024 * 1024;
 const WAIT_LIMIT_MS: u64 = 20_000;
 const POLL_MS: u64 = 10;
@@ -205,6 +206,8 @@
         command.args(["--threads", "2", "--fleet-key", FLEET_KEY]);
         command.args(&self.options.daemon_flags);
         command.env("COMFREYMAST_OPERATOR_KEY", OPERATOR_KEY);
+        // A snapshot by age would come at any moment of a run; a flag sets another interval.
+        command.env("COMFREYMAST_SNAPSHOT_INTERVAL_MS", NO_SNAPSHOT_MS);
         command.env("RUST_LOG", &self.options.daemon_log);
         command.stderr(std::fs::File::create(self.folder.path().join(format!("{name}.err")))?);
         let process = Process::start(command)?;
