--- a/crates/ledger/examples/claim_costs.rs
+++ b/crates/ledger/examples/claim_costs.rs
@@ -10,7 +10,7 @@
 use comfreymast_wire::log::{Claim, ClaimEnd, ClaimOutcome, Record, record};
 use prost::Message;
 
-const CLAIMS: u64 = 65_536;
+const CLAIMS: u64 = 32_768;
 const ORGANISATIONS: u64 = 8_700;
 const ANSWER_BYTES: usize = 100;
 const KIB: u64 = 1_024;
--- a/crates/ledger/src/claims.rs
+++ b/crates/ledger/src/claims.rs
@@ -20,7 +20,7 @@
 
 impl Default for ClaimBounds {
     fn default() -> Self {
-        Self { claims: 65_536, claims_per_organisation: 8_192, answer_bytes: 8 * 1024 * 1024 }
+        Self { claims: 32_768, claims_per_organisation: 8_192, answer_bytes: 2 * 1024 * 1024 }
     }
 }
 
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 
 const MAX_CLAIMS_PER_ORGANISATION: u64 = 8_192;
-const MAX_CLAIMS: usize = 65_536;
+const MAX_CLAIMS: usize = 32_768;
 
 fn operation(number: u64) -> OperationId {
     let mut bytes = [0; 16];
@@ -145,7 +145,7 @@
 #[test]
 fn recorded_answers_stay_bounded_and_their_claims_stay() {
     const BODY: &[u8] = &[b'x'; 4_096];
-    const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+    const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
     let mut ledger = Ledger::default();
     for number in 0..3_000 {
         let key = key("a", number);
