Count a death that a frozen daemon reports late only once

Cause: a daemon that was frozen while an engine died reported the death after it woke up, seconds later.

Ruled out: one death for each address for ever (a VM may come back at its address and die again); a longer window (a freeze has no bound).

Change: a report says how long ago its daemon last heard the engine. An engine that was not heard after its last death has not died again.

Test: a_late_report_of_a_frozen_daemon_counts_no_second_death failed with the old rule (two deaths counted) and passes.

--- a/crates/daemon/src/quarantine/suspicion.rs
+++ b/crates/daemon/src/quarantine/suspicion.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use comfreymast_base::{DaemonName, Upstream};
 use comfreymast_decide::quarantine::{QuarantineOptions, Report};
@@ -33,11 +34,12 @@
     if directory.upstreams.get(&engine.name).is_none_or(|known| known.leaving) {
         return true;
     }
+    let last_alive_ms = engine.live.load_at_ms.load(Ordering::Acquire);
     let report = Report {
         fingerprint: fingerprint(&start.model, &start.prompt),
-        // A VM that comes back under its old name has another address.
         upstream: Upstream::from(format!("{}@{}", engine.name, engine.addr)),
         progress_tokens: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
+        last_alive_ms,
     };
     events::ENGINE_DEATH.log(format_args!("{}", engine.name));
     let suspicion = Suspicion {
@@ -45,6 +47,7 @@
         upstream: report.upstream.to_string(),
         progress_tokens: report.progress_tokens,
         daemon: daemon.settings.name.to_string(),
+        silent_ms: daemon.clock.now_ms().saturating_sub(last_alive_ms),
     };
     daemon.peers.broadcast(&peer_message::Body::Suspicion(suspicion));
     suspect(daemon, report);
@@ -58,7 +61,13 @@
         return;
     };
     let upstream = Upstream::from(suspicion.upstream.as_str());
-    suspect(daemon, Report { fingerprint, upstream, progress_tokens: suspicion.progress_tokens });
+    let report = Report {
+        fingerprint,
+        upstream,
+        progress_tokens: suspicion.progress_tokens,
+        last_alive_ms: daemon.clock.now_ms().saturating_sub(suspicion.silent_ms),
+    };
+    suspect(daemon, report);
 }
 
 fn suspect(daemon: &Arc<Daemon>, report: Report) {
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -24,7 +24,7 @@
     pub window_ms: u64,
     /// How long the reports of one death may take to come from all daemons.
     pub settle_ms: u64,
-    /// Reports on one engine that are this close are of one death.
+    /// An engine that was alive this much later than at its last death has died again.
     pub same_death_ms: u64,
     /// A request that got this much further than at its last death is cleared of it.
     pub progress_tokens: u32,
@@ -57,6 +57,8 @@
     pub upstream: Upstream,
     /// How many tokens of the answer there were.
     pub progress_tokens: u32,
+    /// When the engine last said something to whoever reports, in the time of this table.
+    pub last_alive_ms: u64,
 }
 
 /// What the deaths so far mean for a request that comes now.
@@ -114,7 +116,7 @@
     /// Takes in one report. A second one on the same death and request changes nothing.
     pub fn report(&mut self, report: &Report, now_ms: u64) {
         self.expire(now_ms);
-        let death = self.death(&report.upstream, now_ms);
+        let death = self.death(report, now_ms);
         if self.deaths[death].counts.contains_key(&report.fingerprint) {
             return;
         }
@@ -200,17 +202,20 @@
         })
     }
 
-    fn death(&mut self, upstream: &Upstream, now_ms: u64) -> usize {
+    /// The death that is reported. A daemon that was frozen reports late, but cannot have seen the
+    /// engine alive after its death.
+    fn death(&mut self, report: &Report, now_ms: u64) -> usize {
         let same_death_ms = self.options.same_death_ms;
         let is_same = |death: &Death| {
-            death.upstream == *upstream && now_ms.saturating_sub(death.first_ms) <= same_death_ms
+            let alive_ms = report.last_alive_ms.saturating_sub(death.first_ms);
+            death.upstream == report.upstream && alive_ms <= same_death_ms
         };
         if let Some(index) = self.deaths.iter().rposition(is_same) {
             self.deaths[index].last_ms = now_ms;
             return index;
         }
         self.deaths.push_back(Death {
-            upstream: upstream.clone(),
+            upstream: report.upstream.clone(),
             first_ms: now_ms,
             last_ms: now_ms,
             counts: BTreeMap::new(),
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -26,6 +26,7 @@
             fingerprint: *fingerprint,
             upstream: Upstream::from(upstream),
             progress_tokens: *progress_tokens,
+            last_alive_ms: now_ms,
         };
         table.report(&report, now_ms);
         // All daemons hear each other's reports, some of them twice.
@@ -40,8 +41,12 @@
     assert_eq!(table.standing(&CULPRIT, 0), Standing::Clear);
     assert!(die(&mut table, "e0", &[(CULPRIT, 0)], 0).is_empty());
     assert_eq!(table.standing(&CULPRIT, SETTLED_MS), Standing::Suspect);
-    let report =
-        Report { fingerprint: CULPRIT, upstream: Upstream::from("e1"), progress_tokens: 0 };
+    let report = Report {
+        fingerprint: CULPRIT,
+        upstream: Upstream::from("e1"),
+        progress_tokens: 0,
+        last_alive_ms: 10_000,
+    };
     table.report(&report, 10_000);
     assert_eq!(table.standing(&CULPRIT, 10_000), Standing::Unsettled);
     assert_eq!(table.judge(10_000 + SETTLED_MS), [(CULPRIT, 2)]);
@@ -49,6 +54,24 @@
     assert!(table.judge(20_000).is_empty());
 }
 
+#[test]
+fn a_late_report_is_of_the_same_death() {
+    let mut table = SuspicionTable::default();
+    die(&mut table, "e0", &[(CULPRIT, 5)], 1_000);
+    // A daemon that was frozen heard the engine last before it died.
+    let late = Report {
+        fingerprint: CULPRIT,
+        upstream: Upstream::from("e0"),
+        progress_tokens: 0,
+        last_alive_ms: 900,
+    };
+    table.report(&late, 60_000);
+    assert!(table.judge(60_000 + SETTLED_MS).is_empty());
+    // The engine came back under its old address, and died again.
+    table.report(&Report { last_alive_ms: 69_000, ..late }, 70_000);
+    assert_eq!(table.judge(70_000 + SETTLED_MS), [(CULPRIT, 2)]);
+}
+
 #[test]
 fn who_shared_one_death_is_not_blamed() {
     let mut table = SuspicionTable::default();
--- a/crates/proof/tests/quarantine.rs
+++ b/crates/proof/tests/quarantine.rs
@@ -16,6 +16,9 @@
 const THREADS: usize = 4;
 const CULPRIT: &str = "crash-the-engine please";
 const MAX_DEAD_ENGINES: usize = 3;
+/// Longer than a verdict takes.
+const JUDGED_MS: u64 = 1_000;
+const POLL_MS: u64 = 50;
 
 fn options() -> FleetOptions {
     FleetOptions { engines: 6, servers: 0, ..FleetOptions::default() }
@@ -199,3 +202,35 @@
         }
     });
 }
+
+/// A daemon that was frozen when an engine died reports the death late; that is not a second one.
+#[test]
+fn a_late_report_of_a_frozen_daemon_counts_no_second_death() {
+    Spawner::run(THREADS, |spawner| async move {
+        let (mut fleet, _) = start(&spawner, FleetOptions { engines: 1, ..options() }).await;
+        let client = Client::new(&spawner, claims_support::KEY);
+        let mut readers = Vec::new();
+        for daemon in &fleet.daemons[..2] {
+            let headers = [("comfreymast-kind", "report")];
+            let prompt = "innocent, tokens=9000";
+            let mut reader = client.stream(daemon.callers(), "m", prompt, &headers).await.unwrap();
+            assert!(reader.next().await.is_some());
+            readers.push(reader);
+        }
+        fleet.daemons[0].process.signal("STOP").unwrap();
+        fleet.engines[0].process.kill();
+        // By then the report of the second daemon is old.
+        let lost = || {
+            let status = fleet.daemons[1].cli().run(&["status", "--format", "json"]).unwrap();
+            status.stdout.contains("\"silent_peers\": [\n    \"d0\"\n  ]")
+        };
+        fleet.wait_for("a lost daemon", lost).await.unwrap();
+        fleet.daemons[0].process.signal("CONT").unwrap();
+        let reported = || fleet.read("d0.err").contains("E0711");
+        fleet.wait_for("the late report", reported).await.unwrap();
+        for _ in 0..JUDGED_MS / POLL_MS {
+            assert_eq!(quarantined(&fleet.daemons[1]), serde_json::json!([]));
+            sleep_ms(POLL_MS).await;
+        }
+    });
+}
