--- a/crates/daemon/src/snapshot_writer.rs
+++ b/crates/daemon/src/snapshot_writer.rs
@@ -20,16 +20,17 @@
 /// Appends a snapshot whenever one is due and no other daemon was faster, until the daemon ends.
 pub(crate) async fn write(daemon: Arc<Daemon>) {
     let interval_ms = daemon.settings.snapshot_interval_ms;
+    let started_unix_ms = daemon.clock.unix_ms();
     loop {
         sleep_ms(CHECK_MS.min(interval_ms)).await;
-        let Some(due) = due(&daemon) else { continue };
+        let Some(due) = due(&daemon, started_unix_ms) else { continue };
         let spread_ms = match due {
             Due::Urgent => URGENT_SPREAD_MS,
             Due::Regular => interval_ms / SPREAD_DIVISOR,
         };
         let wait_ms = rand::rng().random_range(0..=spread_ms);
         sleep_ms(wait_ms).await;
-        if self::due(&daemon).is_some() {
+        if self::due(&daemon, started_unix_ms).is_some() {
             append(&daemon).await;
         }
     }
@@ -44,7 +45,7 @@
     Urgent,
 }
 
-fn due(daemon: &Daemon) -> Option<Due> {
+fn due(daemon: &Daemon, started_unix_ms: u64) -> Option<Due> {
     // A daemon that is not up to date would snapshot an old fold.
     if !daemon.is_ready() || !daemon.currency.is_current(daemon.clock.now_ms()) {
         return None;
@@ -57,7 +58,9 @@
         return Some(Due::Urgent);
     }
     let folded = daemon.ledger.next_offset() - snapshot_offset;
-    let age_ms = daemon.clock.unix_ms().saturating_sub(taken_unix_ms);
+    // A log without a snapshot gets its first one an interval after the start.
+    let since_ms = if taken_unix_ms == 0 { started_unix_ms } else { taken_unix_ms };
+    let age_ms = daemon.clock.unix_ms().saturating_sub(since_ms);
     let is_due = folded >= daemon.settings.snapshot_records
         || (daemon.ledger.next_offset() > 0 && age_ms >= daemon.settings.snapshot_interval_ms);
     is_due.then_some(Due::Regular)
