Open peer links anew that have gone silent, and announce contracts only

Cause: a peer connection that carries nothing any more was kept for good, so heartbeats stopped and no change was accepted; every batch of claims sent a heartbeat to every peer at once.

Change: a link whose peer has echoed no heartbeat for 2 s is opened anew; only a contract that came in force is announced at once.

--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -80,18 +80,22 @@
     }
 }
 
-/// Folds `entries`, logs what they did and tells the peers.
+/// Folds `entries`, logs what they did and tells the peers of changed contracts.
 pub(crate) fn put_in_force(daemon: &Daemon, entries: &[(u64, Bytes)]) {
     if entries.is_empty() {
         return;
     }
-    for (offset, applied) in daemon.ledger.apply(entries) {
-        if let Applied::Quarantine { fingerprint, active: false } = &applied {
+    let applied = daemon.ledger.apply(entries);
+    for (offset, applied) in &applied {
+        if let Applied::Quarantine { fingerprint, active: false } = applied {
             daemon.quarantine.forget(fingerprint);
         }
-        log_applied(offset, &applied);
+        log_applied(*offset, applied);
+    }
+    // A publisher waits for this; other records can wait for the next heartbeat.
+    if applied.iter().any(|(_, applied)| matches!(applied, Applied::Contract { .. })) {
+        daemon.peers.announce();
     }
-    daemon.peers.announce();
 }
 
 /// Puts a snapshot in force if it holds more than the fold; returns whether it did.
--- a/crates/daemon/src/peers/links.rs
+++ b/crates/daemon/src/peers/links.rs
@@ -19,6 +19,10 @@
 const LINK_TIMEOUT_MS: u64 = 2_000;
 const REDIAL_PAUSE_MS: u64 = 200;
 const LINK_CHECK_MS: u64 = 100;
+/// A link on which the peer echoes nothing for this long, and for this many heartbeats, is opened
+/// anew.
+const NO_ECHO_MS: u64 = 2_000;
+const MISSED_HEARTBEATS: u64 = 8;
 
 /// Why a link ended.
 #[derive(Debug, Display, Error, From)]
@@ -32,6 +36,13 @@
     /// The stream failed.
     #[display("{_0}")]
     Frames(FrameError),
+    /// The peer echoes no heartbeat of late: this connection may carry nothing any more.
+    #[display("the peer has echoed nothing for {silent_ms} ms")]
+    #[from(ignore)]
+    NoEcho {
+        /// For how long.
+        silent_ms: u64,
+    },
     /// The peer did not begin with a challenge.
     #[display("the peer sent no challenge")]
     NoChallenge,
@@ -156,9 +167,19 @@
     within(LINK_TIMEOUT_MS, frames.write(&hello)).await??;
     *connected = true;
     events::PEER_CONNECTED.log(format_args!("{name} at {addr}"));
+    let connected_ms = daemon.clock.now_ms();
     while let Ok(message) = messages.recv().await {
+        check_echo(daemon, name, connected_ms)?;
         within(LINK_TIMEOUT_MS, frames.write(&message)).await??;
         daemon.metrics.control_sent("peers", message.encoded_len());
     }
     Ok(())
 }
+
+/// Fails when the peer has long echoed no heartbeat; a new connection may work.
+fn check_echo(daemon: &Daemon, name: &DaemonName, connected_ms: u64) -> Result<(), LinkError> {
+    let echoed_ms = daemon.peers.echoed_ms(name).unwrap_or(0).max(connected_ms);
+    let silent_ms = daemon.clock.now_ms().saturating_sub(echoed_ms);
+    let limit_ms = NO_ECHO_MS.max(daemon.settings.heartbeat_interval_ms * MISSED_HEARTBEATS);
+    if silent_ms > limit_ms { Err(LinkError::NoEcho { silent_ms }) } else { Ok(()) }
+}
--- a/crates/daemon/src/peers/state.rs
+++ b/crates/daemon/src/peers/state.rs
@@ -11,7 +11,7 @@
 use crate::Settings;
 
 /// How many of its own heartbeats a daemon remembers the time of.
-const MAX_SENT: usize = 256;
+const MAX_SENT: usize = 1_024;
 
 /// The latest heartbeat of this daemon that a peer had heard when it sent its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +30,8 @@
     sent: Mutex<VecDeque<(u64, u64)>>,
     table: Mutex<PeerTable>,
     links: Mutex<BTreeMap<DaemonName, Sender<PeerMessage>>>,
+    /// When the latest heartbeat that each peer echoed was made.
+    echoed: Mutex<BTreeMap<DaemonName, u64>>,
     was_current: AtomicBool,
     announced: Event,
     heard: Event,
@@ -45,6 +47,7 @@
             sent: Mutex::default(),
             table: Mutex::new(PeerTable::new(MembershipOptions::default())),
             links: Mutex::default(),
+            echoed: Mutex::default(),
             was_current: AtomicBool::new(true),
             announced: Event::new(),
             heard: Event::new(),
@@ -78,7 +81,21 @@
             return None;
         }
         let sent = self.sent();
-        sent.iter().find(|(sequence, _)| *sequence == echo.sequence).map(|(_, at_ms)| *at_ms)
+        sent.iter().rev().find(|(sequence, _)| *sequence == echo.sequence).map(|(_, at_ms)| *at_ms)
+    }
+
+    /// A peer echoed the heartbeat that was made at `sent_ms`.
+    pub(crate) fn note_echo(&self, peer: &DaemonName, sent_ms: u64) {
+        self.echoed().insert(peer.clone(), sent_ms);
+    }
+
+    /// When the latest heartbeat that `peer` echoed was made.
+    pub(crate) fn echoed_ms(&self, peer: &DaemonName) -> Option<u64> {
+        self.echoed().get(peer).copied()
+    }
+
+    fn echoed(&self) -> MutexGuard<'_, BTreeMap<DaemonName, u64>> {
+        self.echoed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn sent(&self) -> MutexGuard<'_, VecDeque<(u64, u64)>> {
@@ -120,7 +137,6 @@
     }
 
     /// Sends to every peer that this daemon has a link to.
-    #[allow(dead_code, reason = "heartbeats differ by peer; other messages are the same for all")]
     pub(crate) fn broadcast(&self, body: &peer_message::Body) {
         for link in self.links().values() {
             let _ = link.try_send(PeerMessage { body: Some(body.clone()) });
--- a/crates/proof/tests/membership.rs
+++ b/crates/proof/tests/membership.rs
@@ -12,7 +12,7 @@
 use comfreymast_fakes::vm_list::VmListFaults;
 use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_platform::VmState;
-use comfreymast_proof::{Client, Fleet, FleetOptions, Operator};
+use comfreymast_proof::{Client, Fleet, FleetOptions, Link, Operator, Way};
 
 use contract_support::{KEY, accepted, change, logged, options};
 
@@ -194,3 +194,26 @@
         assert_eq!((answer.status, &answer.json()["lagging"]), (202, &serde_json::json!(["d2"])));
     });
 }
+
+#[test]
+fn a_peer_link_that_goes_silent_for_good_is_opened_anew() {
+    Spawner::run(4, |spawner| async move {
+        let options = FleetOptions { daemons: 2, ..options() };
+        let mut fleet = Fleet::start(&spawner, options).await.unwrap();
+        let operator = Operator::new(&spawner);
+        // A daemon that starts from now on reaches d0 through a link of the test.
+        let link = Link::start(&spawner, fleet.daemons[0].vm.peers_addr.unwrap()).await.unwrap();
+        fleet.daemons[0].vm.peers_addr = Some(link.addr);
+        let late = fleet.start_daemon("d2").unwrap();
+        fleet.daemons.push(late);
+        fleet.publish_vms().await.unwrap();
+        fleet.wait_until_settled().await.unwrap();
+        let before = link.accepted();
+        assert!(before > 0);
+        link.silence_open(Way::There);
+        logged(&fleet, "d2", "echoed nothing").await;
+        fleet.wait_for("a new link", || link.accepted() > before).await.unwrap();
+        fleet.wait_until_settled().await.unwrap();
+        accepted(&operator, &fleet.daemons[0], &change(0, true)).await;
+    });
+}
