Let a daemon that wakes find out that its reader is elsewhere

Cause: with engines that ignore fences, a daemon that woke after its engine was killed began the generation on the engine of the reader's new daemon, replaced it there, and followed it to the next one until all had been tried: generation_lost. Seen in 1 of 2 runs of a_daemon_wakes_after_the_engine_was_killed under load, and in 2 of 4 of a_reader_is_carried_to_an_engine_where_its_old_daemon_has_gone_on, where the older daemon's cancel ended the newer order. Ruled out: the quarantine (its record names one death only); the checker. Change: an engine is asked for the generation before a daemon goes on there, and before it is cancelled where it has fewer tokens than were read; a higher fence ends the older stream.

--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -183,7 +183,7 @@
                     return Ok(generation);
                 }
                 Err(AttachError::Superseded) => return Err(CallError::Superseded),
-                Err(AttachError::Gone | AttachError::Failed(_)) => {}
+                Err(AttachError::Gone | AttachError::Replaced | AttachError::Failed(_)) => {}
             }
         }
         let ask = ask.filter(|ask| ask.asked.repeatable).ok_or(CallError::GenerationGone)?;
@@ -382,6 +382,13 @@
                 self.trouble.failures += 1;
                 self.trouble.engine_lost = true;
                 attempt_failed(&self.daemon, &self.engine, &error);
+                // Leaving an engine cancels what it runs, which must not be a newer order.
+                if matches!(error, AttachError::Replaced)
+                    && EngineStream::is_superseded(&self.daemon, &self.engine, generation, fence)
+                        .await
+                {
+                    return Err(self.superseded());
+                }
                 // An engine dies once, however often it is tried again.
                 if !std::mem::replace(&mut self.trouble.death_noted, true)
                     && quarantine::confirm_death(&self.daemon, &self.engine, &self.start).await
@@ -412,7 +419,12 @@
         self.engine = engine;
         self.tried.push(self.engine.addr);
         self.place();
-        self.start.fence = fence::next_attempt(self.start.fence);
+        // Asked under the old fence, so that an engine with an older order takes the new one.
+        let StartGeneration { generation, fence, .. } = self.start;
+        if EngineStream::is_superseded(&self.daemon, &self.engine, generation, fence).await {
+            return Err(self.superseded());
+        }
+        self.start.fence = fence::next_attempt(fence);
         self.trouble.silences = 0;
         self.trouble.death_noted = false;
         match EngineStream::start(&self.daemon, &self.engine, &self.start).await {
--- a/crates/daemon/src/upstream/engine_stream.rs
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -66,6 +66,9 @@
     /// The engine serves an order with a higher fence.
     #[display("the engine serves a newer order")]
     Superseded,
+    /// The engine has fewer tokens than were read: another order took the place of this one.
+    #[display("the engine has begun the generation anew")]
+    Replaced,
     /// The engine could not be asked.
     #[display("{_0}")]
     Failed(StartFailure),
@@ -167,12 +170,28 @@
             status if status.is_success() => {}
             StatusCode::NOT_FOUND => return Err(AttachError::Gone),
             StatusCode::CONFLICT => return Err(AttachError::Superseded),
+            StatusCode::RANGE_NOT_SATISFIABLE => return Err(AttachError::Replaced),
             status => return Err(AttachError::Failed(status.into())),
         }
         let events = events(reply.into_body());
         Ok(Self { events, generation, fence, next_index: from, silence_ms, running })
     }
 
+    /// True when `engine` obeys a newer order for this generation.
+    ///
+    /// An engine that ignores fences would let an older order replace it, so it is asked first.
+    pub(crate) async fn is_superseded(
+        daemon: &Daemon,
+        engine: &Arc<UpstreamState>,
+        generation: GenerationId,
+        fence: u64,
+    ) -> bool {
+        match Self::attach(daemon, engine, generation, fence, 0).await {
+            Ok(mut known) => matches!(known.next().await, Err(StreamError::Superseded)),
+            Err(error) => matches!(error, AttachError::Superseded),
+        }
+    }
+
     /// The next token, or the end of the generation.
     pub(crate) async fn next(&mut self) -> Result<Token, StreamError> {
         let event = within(self.silence_ms, self.events.next()).await?;
--- a/crates/proof/tests/stream_fault_pairs.rs
+++ b/crates/proof/tests/stream_fault_pairs.rs
@@ -42,6 +42,34 @@
     });
 }
 
+#[test]
+fn a_reader_is_carried_to_an_engine_where_its_old_daemon_has_gone_on() {
+    run(|spawner| async move {
+        for flags in [&[][..], &["--ignore-fences"]] {
+            let mut stage = Stage::new(&spawner, options(3, flags)).await;
+            let prompt = "report, tokens=20000";
+            let mut reading = stage.read(0, 1, "report", prompt).await;
+            assert_eq!(reading.read(10).await, None);
+            stage.fleet.daemons[0].process.signal("STOP").unwrap();
+            let addr = stage.fleet.daemons[1].callers();
+            let mut back = reading.fork(addr, ComeBack::Post, 2).await.unwrap();
+            assert_eq!(back.read_more(20).await, None);
+            let first = stage.engine_of(prompt).await;
+            stage.fleet.engines[first].process.kill();
+            assert_eq!(back.read_more(20).await, None, "{}", stage.log_of(1));
+            let second = stage.engine_of(prompt).await;
+            stage.fleet.daemons[0].process.signal("CONT").unwrap();
+            // What the old daemon does now is its reader's to see: it goes on alone, or is told.
+            let _ = reading.read_more(200).await;
+            let faults = EngineFaults { stall: true, ..EngineFaults::default() };
+            let stalled = &stage.fleet.engines[second].process;
+            stage.fleet.set_faults(stalled, &faults).await.unwrap();
+            assert_eq!(back.read_more(1_000).await, None, "{}", stage.log_of(1));
+            stage.assert_tokens_hold();
+        }
+    });
+}
+
 #[test]
 fn a_study_stays_one_run_when_its_daemon_wakes_after_the_engine_was_killed() {
     run(|spawner| async move {
