Date a load report by its request; hold the fold of claims against a model

Change: a load report is as old as the request for it. A proptest holds claims and their ends in any order against a model of one holder for each key.

--- a/crates/daemon/src/load_watch.rs
+++ b/crates/daemon/src/load_watch.rs
@@ -23,10 +23,12 @@
 }
 
 async fn read(daemon: Arc<Daemon>, engine: Arc<UpstreamState>) {
+    // A daemon that was frozen may find an old answer: a report is as old as its request.
+    let asked_ms = daemon.clock.now_ms();
     // An engine that does not answer keeps its last report, which ages.
     if let Ok(load) = report(&daemon, &engine).await {
         engine.live.load.store(Arc::new(load));
-        engine.live.load_at_ms.store(daemon.clock.now_ms(), Ordering::Release);
+        engine.live.load_at_ms.store(asked_ms, Ordering::Release);
     }
 }
 
--- a/crates/ledger/tests/claims.rs
+++ b/crates/ledger/tests/claims.rs
@@ -1,10 +1,14 @@
 //! The fold of claims.
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+use std::collections::HashMap;
+
 use bytes::Bytes;
 use comfreymast_base::{OperationId, Organisation};
 use comfreymast_ledger::{Applied, ClaimKey, ClaimResult, Ledger};
 use comfreymast_wire::log::{Claim, ClaimEnd, ClaimOutcome, Record, record};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use prost::Message;
 
 const MAX_CLAIMS_PER_ORGANISATION: u64 = 8_192;
@@ -158,3 +162,78 @@
     let latest = ledger.claims().get(&key("a", 2_999)).unwrap();
     assert!(matches!(latest.end, Some(ClaimResult::Done(Some(_)))));
 }
+
+// ------------------------------------------------------------------------------------------------
+// Against a model
+
+/// One record: a claim on a key, or an end of the claim that an earlier record made.
+#[derive(Clone, Debug)]
+enum Step {
+    Claim { key: u64 },
+    End { of: usize, end: ClaimEnd },
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let ends = prop::sample::select(vec![ClaimEnd::Done, ClaimEnd::NotRun, ClaimEnd::Unknown]);
+    prop_oneof![
+        (0..3_u64).prop_map(|key| Step::Claim { key }),
+        (0..40_usize, ends).prop_map(|(of, end)| Step::End { of, end }),
+    ]
+}
+
+/// Who holds a key, and whether the request has ended for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Holder {
+    operation: u64,
+    ended: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_has_one_holder_until_that_one_says_it_was_not_run(
+        steps in prop::collection::vec(any_step(), 1..40),
+    ) {
+        let mut ledger = Ledger::default();
+        let mut holders: HashMap<u64, Holder> = HashMap::new();
+        let mut claimed_keys = HashMap::new();
+        for (index, step) in steps.iter().enumerate() {
+            let id = index as u64;
+            match step {
+                Step::Claim { key: number } => {
+                    claimed_keys.insert(index, *number);
+                    let is_free = !holders.contains_key(number);
+                    let offset = ledger.next_offset();
+                    let applied = ledger.apply(offset, &claim(id, &key("a", *number)));
+                    prop_assert_eq!(applied, won(is_free));
+                    holders.entry(*number).or_insert(Holder { operation: id, ended: false });
+                }
+                Step::End { of, end: how } => {
+                    let Some(number) = claimed_keys.get(of) else { continue };
+                    let holder = holders.get(number).copied();
+                    let has_a_say = holder == Some(Holder { operation: *of as u64, ended: false });
+                    let record = end(id, &key("a", *number), *of as u64, *how, b"");
+                    let applied = ledger.apply(ledger.next_offset(), &record);
+                    let expected = if has_a_say { Applied::ClaimEnded } else { Applied::Ignored };
+                    prop_assert_eq!(applied, expected);
+                    match how {
+                        _ if !has_a_say => {}
+                        ClaimEnd::NotRun => {
+                            holders.remove(number);
+                        }
+                        _ => {
+                            let ended = Holder { operation: *of as u64, ended: true };
+                            holders.insert(*number, ended);
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
