--- a/crates/proof/tests/contract_in_force.rs
+++ b/crates/proof/tests/contract_in_force.rs
@@ -1,16 +1,17 @@
 //! An accepted contract is in force on every daemon that serves, and never reverts.
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-mod contracts_support;
+mod contract_support;
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_net::{Spawner, sleep_ms};
-use comfreymast_proof::{Answer, Client, DaemonProcess, Fleet, Operator};
+use comfreymast_proof::{Answer, Client, DaemonProcess, Fleet, FleetOptions, Operator};
 
-use contracts_support::{KEY, ORGANISATION, accepted, change, options};
+use contract_support::{KEY, ORGANISATION, accepted, change, options};
 
 /// One lookup through a daemon.
 async fn look_up(client: &Client, daemon: &DaemonProcess) -> Answer {
@@ -111,15 +112,15 @@
     });
 }
 
-#[test]
-fn the_fleet_keeps_serving_through_an_outage_of_the_log() {
+/// Serves for longer than evidence from the log counts, with the log down.
+fn serves_through_an_outage(daemons: usize) {
     Spawner::run(4, |spawner| async move {
-        let fleet = Fleet::start(&spawner, options()).await.unwrap();
+        let options = FleetOptions { daemons, ..options() };
+        let fleet = Fleet::start(&spawner, options).await.expect("a fleet");
         let (operator, client) = (Operator::new(&spawner), Client::new(&spawner, KEY));
         accepted(&operator, &fleet.daemons[0], &change(0, true)).await;
         let down = LogFaults { down: true, ..Default::default() };
-        fleet.set_faults(&fleet.log, &down).await.unwrap();
-        // Longer than evidence from the log counts.
+        fleet.set_faults(&fleet.log, &down).await.expect("a fleet");
         let clock = comfreymast_base::Clock::system();
         while clock.now_ms() < 6_000 {
             for daemon in &fleet.daemons {
@@ -131,6 +132,16 @@
     });
 }
 
+#[test]
+fn the_fleet_keeps_serving_through_an_outage_of_the_log() {
+    serves_through_an_outage(3);
+}
+
+#[test]
+fn a_lone_daemon_keeps_serving_through_an_outage_of_the_log() {
+    serves_through_an_outage(1);
+}
+
 /// Reads a daemon's revision again and again; it may never fall, nor be below what was accepted
 /// before the read began.
 async fn watch_revision(
@@ -156,6 +167,32 @@
     highest
 }
 
+/// A task that reads one daemon's revision.
+struct Watch {
+    stop: Arc<AtomicBool>,
+    reading: async_executor::Task<u64>,
+}
+
+impl Watch {
+    fn start(
+        spawner: &Spawner,
+        operator: &Operator,
+        daemon: &DaemonProcess,
+        floor: &Arc<AtomicU64>,
+    ) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (operator, addr) = (operator.clone(), daemon.operators());
+        let reading = watch_revision(operator, addr, floor.clone(), stop.clone());
+        Self { stop, reading: spawner.spawn(reading) }
+    }
+
+    /// Ends before its daemon does: the system may give the port to a daemon of another fleet.
+    async fn end(self) -> u64 {
+        self.stop.store(true, Ordering::Release);
+        self.reading.await
+    }
+}
+
 #[test]
 fn nothing_reverts_while_all_daemons_are_replaced_and_the_log_expires() {
     const REPLACED: usize = 3;
@@ -165,13 +202,9 @@
         let operator = Operator::new(&spawner);
         let expiring = LogFaults { retention_records: 16, ..Default::default() };
         fleet.set_faults(&fleet.log, &expiring).await.unwrap();
-        let (floor, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let watch = |addr| {
-            let watching = watch_revision(operator.clone(), addr, floor.clone(), stop.clone());
-            spawner.spawn(watching)
-        };
-        let mut watches: Vec<_> =
-            fleet.daemons.iter().map(|daemon| watch(daemon.operators())).collect();
+        let floor = Arc::new(AtomicU64::new(0));
+        let watch = |daemon: &DaemonProcess| Watch::start(&spawner, &operator, daemon, &floor);
+        let mut watches: VecDeque<_> = fleet.daemons.iter().map(&watch).collect();
         let mut revision = 0;
         for replaced in 0..REPLACED {
             for round in 0..CHANGES_EACH {
@@ -180,12 +213,14 @@
                 floor.store(revision, Ordering::Release);
             }
             let new = fleet.start_daemon(&format!("n{replaced}")).unwrap();
-            watches.push(watch(new.operators()));
+            watches.push_back(watch(&new));
             fleet.daemons.push(new);
             fleet.publish_vms().await.unwrap();
             fleet.wait_until_settled().await.unwrap();
             let mut old = fleet.daemons.remove(0);
             fleet.publish_vms().await.unwrap();
+            let watched = watches.pop_front().unwrap();
+            assert_eq!(watched.end().await, revision);
             old.process.kill();
         }
         let last = accepted(&operator, &fleet.daemons[0], &change(revision, true)).await;
@@ -193,9 +228,8 @@
         for daemon in &fleet.daemons {
             assert_eq!(operator.revision(daemon, ORGANISATION).await, last);
         }
-        stop.store(true, Ordering::Release);
         for watch in watches {
-            watch.await;
+            watch.end().await;
         }
         let start = fleet.read("n2.err");
         assert!(start.contains("E0207"), "the last daemon started from a snapshot: {start}");
--- a/crates/proof/tests/log_retention.rs
+++ b/crates/proof/tests/log_retention.rs
@@ -1,13 +1,13 @@
 //! Records expire and the log has outages: no daemon folds less than the others, or nothing.
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
-mod contracts_support;
+mod contract_support;
 
 use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_net::Spawner;
 use comfreymast_proof::{Client, Fleet, FleetOptions, Operator};
 
-use contracts_support::{KEY, accepted, change, contracts, filler, logged, options};
+use contract_support::{KEY, accepted, change, contracts, filler, logged, options};
 
 const ORGANISATIONS: [&str; 4] = ["a", "b", "c", "d"];
 
