--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -78,7 +78,8 @@
         self.has_loaded() && !self.is_draining()
     }
 
-    /// True once the log was read to its end. A daemon that drains serves what still comes.
+    /// True once the log was read to its end; before that the fold says nothing. A daemon that
+    /// drains serves what still comes.
     pub(crate) fn has_loaded(&self) -> bool {
         self.ready.load(Ordering::Acquire)
     }
@@ -93,11 +94,6 @@
         self.currency.is_current(self.clock.now_ms())
     }
 
-    /// True once the fold was up to date for the first time; before that it says nothing.
-    pub(crate) fn has_folded(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
-    }
-
     /// True when the daemon is on its way out.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
--- a/crates/daemon/src/operators/contracts.rs
+++ b/crates/daemon/src/operators/contracts.rs
@@ -39,7 +39,7 @@
         let read = read_to_end(daemon).await;
         read.map_err(|reason| unavailable("log_unavailable", &reason.to_string()))?;
     }
-    if !daemon.has_folded() {
+    if !daemon.has_loaded() {
         let message = "this daemon has read neither the log nor a peer to the end yet";
         return Err(unavailable("not_ready", message));
     }
--- a/crates/daemon/src/peers/catch_up.rs
+++ b/crates/daemon/src/peers/catch_up.rs
@@ -60,7 +60,7 @@
 
 /// Logs once when this daemon stops serving for want of evidence, and once when it resumes.
 fn note_currency(daemon: &Daemon) {
-    if !daemon.has_folded() {
+    if !daemon.has_loaded() {
         return;
     }
     let current = daemon.is_current();
@@ -78,7 +78,7 @@
 /// Answers a peer: the records it lacks, or a snapshot if they are no longer kept.
 pub(super) fn send_entries(daemon: &Daemon, peer: &DaemonName, from_offset: u64) {
     // A fold that never was up to date is not handed on.
-    if !daemon.has_folded() || from_offset >= daemon.ledger.next_offset() {
+    if !daemon.has_loaded() || from_offset >= daemon.ledger.next_offset() {
         return;
     }
     let page = daemon.ledger.recent().page(from_offset);
--- a/crates/daemon/src/vm_watch.rs
+++ b/crates/daemon/src/vm_watch.rs
@@ -65,7 +65,7 @@
     let now_ms = daemon.clock.now_ms();
     let hears_others =
         daemon.peers.table().heard_within(daemon.currency.max_age_ms(), now_ms).next().is_some();
-    if is_listed_alone && !held && !hears_others && daemon.has_folded() {
+    if is_listed_alone && !held && !hears_others && daemon.has_loaded() {
         daemon.currency.peer_agreed(asked_ms);
     }
 }
