Admit generations by the memory they are expected to need

Cause: engines whose memory fills push running generations aside, and the daemon chose by counts of requests alone.

--- /dev/null
+++ b/crates/decide/src/admission.rs
@@ -0,0 +1,488 @@
+//! Which engine takes a generation, when, and what is refused.
+//!
+//! An answer's length is unknown when it starts, and an engine whose memory fills pushes a running
+//! generation aside. So [`Admission`] starts a generation only where the expected peak of memory
+//! stays under a bound; the rest waits at the daemon, by priority, then by what the organisation
+//! was given lately, then by deadline. What cannot start soon enough is refused at once.
+//!
+//! An engine's use is what this daemon runs there, what peers say they run there, and what the
+//! engine's lagged report shows beyond the two.
+//!
+//! One value serves one daemon. Facts go in by [`Admission::report`], [`Admission::peer_use`],
+//! [`Admission::progress`] and [`Admission::finish`]; [`Admission::decide`] gives what to do now.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use comfreymast_base::{DaemonName, Kind, Model, Organisation, Upstream};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::admission_engine::{Engine, PeerUse};
+pub use crate::admission_engine::{EngineFacts, EngineReport};
+use crate::admission_pace::Pace;
+use crate::admission_profile::MemoryProfile;
+use crate::fairness::{FairShares, FairnessOptions};
+use crate::lengths::{LengthCurve, LengthOptions, Lengths};
+use crate::prefix::{PrefixHints, PrefixOptions};
+use crate::queue::{WaitQueue, Waiting};
+
+/// How much one start that had to wait too long adds to the reserve.
+const RESERVE_STEP: f64 = 0.03;
+
+/// How full engines may get, and who goes first.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionOptions {
+    /// The part of an engine's memory that the expected peak may take.
+    pub memory_share: f64,
+    /// How many standard deviations count as expected.
+    pub deviations: f64,
+    /// The most of an engine's memory that work leaves to work of the highest active priority,
+    /// when that is kept waiting.
+    pub priority_reserve: f64,
+    /// The wait of work of the highest active priority that makes the reserve grow.
+    pub long_wait_ms: u64,
+    /// The part of that work that may wait longer.
+    pub long_wait_share: f64,
+    /// The part of memory that an organisation leaves to others once it had twice its share.
+    pub share_reserve: f64,
+    /// How much fuller an engine may be for a cached prefix, as a part of its memory.
+    pub prefix_worth: f64,
+    /// What each running generation counts beside memory, as a part of an engine's memory: it
+    /// makes each step longer.
+    pub running_worth: f64,
+    /// How much fuller an engine may be for being near, as a part of its memory.
+    pub near_worth: f64,
+    /// How many waiting requests are tried once one has found no room.
+    pub lookahead: usize,
+    /// The longest wait for an engine.
+    pub max_wait_ms: u64,
+    /// Engines compared for one request; all of them where there are no more.
+    pub choices: usize,
+    /// Generations of this daemon on an engine that has not reported yet.
+    pub unreported_running: usize,
+    /// After this long a peer's use no longer counts.
+    pub peer_use_ms: u64,
+    /// How old an engine's report may be.
+    pub report_lag_ms: u64,
+    /// How long an expected use is kept before it is computed again.
+    pub profile_ms: u64,
+    /// Whether organisations with less service go first.
+    pub fair: bool,
+    /// How lengths are learned.
+    pub lengths: LengthOptions,
+    /// How service is counted.
+    pub fairness: FairnessOptions,
+    /// How long cache hints are believed.
+    pub prefix: PrefixOptions,
+}
+
+impl Default for AdmissionOptions {
+    fn default() -> Self {
+        Self {
+            memory_share: 1.0,
+            deviations: 1.0,
+            priority_reserve: 0.5,
+            long_wait_ms: 500,
+            long_wait_share: 0.05,
+            share_reserve: 0.1,
+            prefix_worth: 0.05,
+            running_worth: 0.01,
+            near_worth: 0.01,
+            lookahead: 8,
+            max_wait_ms: 60_000,
+            choices: 64,
+            unreported_running: 4,
+            peer_use_ms: 2_000,
+            report_lag_ms: 4_000,
+            profile_ms: 100,
+            fair: true,
+            lengths: LengthOptions::default(),
+            fairness: FairnessOptions::default(),
+            prefix: PrefixOptions::default(),
+        }
+    }
+}
+
+/// One request within one [`Admission`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// What is known of a generation before it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Who asks.
+    pub organisation: Organisation,
+    /// The kind of work.
+    pub kind: Kind,
+    /// The model that must run it.
+    pub model: Model,
+    /// From 0, the first to wait, to 9.
+    pub priority: u8,
+    /// The prompt's length.
+    pub prompt_tokens: u32,
+    /// The hash of the part of the prompt that others share.
+    pub prefix: Option<u64>,
+    /// Tokens that exist already, when it continues elsewhere.
+    pub done_tokens: u32,
+    /// The most tokens of the answer.
+    pub max_tokens: u32,
+    /// When the whole answer must be there.
+    pub deadline_ms: u64,
+}
+
+/// What to do with a request now.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// Start it on this engine.
+    Start {
+        /// Which request.
+        ticket: Ticket,
+        /// Where.
+        engine: Upstream,
+    },
+    /// Refuse it. It was not run.
+    Refuse {
+        /// Which request.
+        ticket: Ticket,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// How a running generation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The model was done after this many tokens.
+    Whole {
+        /// The length of the whole answer.
+        tokens: u32,
+    },
+    /// It was cut short: nothing is learned from its length.
+    Cut,
+}
+
+/// What one daemon runs on one engine, as it tells its peers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineUse {
+    /// Where.
+    pub engine: Upstream,
+    /// How many generations.
+    pub requests: u32,
+    /// The memory they are expected to hold.
+    pub profile: MemoryProfile,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    work: Work,
+    engine: Upstream,
+    curve: Arc<LengthCurve>,
+    /// As it counts in its engine's use.
+    profile: MemoryProfile,
+    started_ms: u64,
+    done_tokens: u32,
+    charged_tokens: f64,
+}
+
+/// The admission of one daemon.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    options: AdmissionOptions,
+    engines: BTreeMap<Upstream, Engine>,
+    running: HashMap<Ticket, Running>,
+    queue: WaitQueue,
+    lengths: Lengths,
+    shares: FairShares,
+    prefixes: PrefixHints,
+    pace: Pace,
+    /// The part of memory that lower priorities leave free now.
+    reserve: f64,
+    next_ticket: u64,
+    profiles_at_ms: Option<u64>,
+    random: SmallRng,
+}
+
+impl Admission {
+    /// No engines, no work. `seed` settles which engines are compared.
+    #[must_use]
+    pub fn new(options: AdmissionOptions, seed: u64) -> Self {
+        Self {
+            engines: BTreeMap::new(),
+            running: HashMap::new(),
+            queue: WaitQueue::default(),
+            lengths: Lengths::new(options.lengths),
+            shares: FairShares::new(options.fairness),
+            prefixes: PrefixHints::new(options.prefix),
+            pace: Pace::default(),
+            reserve: 0.0,
+            next_ticket: 0,
+            profiles_at_ms: None,
+            random: SmallRng::seed_from_u64(seed),
+            options,
+        }
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Facts
+
+    /// The engines that exist now. What is known of those that stay is kept.
+    pub fn set_engines(&mut self, engines: Vec<EngineFacts>) {
+        let mut known = std::mem::take(&mut self.engines);
+        for facts in engines {
+            let name = facts.name.clone();
+            let engine = known.remove(&name).unwrap_or_default().with_facts(facts);
+            self.engines.insert(name, engine);
+        }
+        self.profiles_at_ms = None;
+    }
+
+    /// An engine said how full it was, some time ago.
+    pub fn report(&mut self, engine: &Upstream, report: EngineReport) {
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.report = Some(report);
+        }
+    }
+
+    /// A peer said what it runs on engines.
+    pub fn peer_use(&mut self, peer: &DaemonName, uses: &[EngineUse], now_ms: u64) {
+        for engine in self.engines.values_mut() {
+            engine.peers.remove(peer);
+        }
+        for EngineUse { engine, requests, profile } in uses {
+            if let Some(engine) = self.engines.get_mut(engine) {
+                let running = usize::try_from(*requests).unwrap_or(usize::MAX);
+                let profile = profile.clone();
+                engine.peers.insert(peer.clone(), PeerUse { heard_ms: now_ms, running, profile });
+            }
+        }
+    }
+
+    /// What this daemon runs on each engine, for its peers.
+    #[must_use]
+    pub fn own_use(&mut self, now_ms: u64) -> Vec<EngineUse> {
+        self.refresh_profiles(now_ms);
+        let used = self.engines.iter().filter(|(_, engine)| engine.own_running > 0);
+        used.map(|(name, engine)| EngineUse {
+            engine: name.clone(),
+            requests: u32::try_from(engine.own_running).unwrap_or(u32::MAX),
+            profile: engine.own.clone(),
+        })
+        .collect()
+    }
+
+    /// A prefix was kept by an engine, or dropped, at a moment that may be long past.
+    pub fn cache_event(&mut self, engine: &Upstream, prefix: u64, kept: bool, at_ms: u64) {
+        if kept {
+            self.prefixes.seen(prefix, engine, at_ms);
+        } else {
+            self.prefixes.dropped(prefix, engine, at_ms);
+        }
+    }
+
+    /// A running generation has this many tokens now.
+    pub fn progress(&mut self, ticket: Ticket, done_tokens: u32) {
+        if let Some(running) = self.running.get_mut(&ticket) {
+            running.done_tokens = running.done_tokens.max(done_tokens);
+        }
+    }
+
+    /// A running generation has ended.
+    pub fn finish(&mut self, ticket: Ticket, end: End, now_ms: u64) {
+        let Some(running) = self.running.remove(&ticket) else { return };
+        let Running { work, .. } = &running;
+        if let Some(engine) = self.engines.get_mut(&running.engine) {
+            engine.end(&running.profile);
+        }
+        let made_tokens = match end {
+            End::Whole { tokens } => {
+                self.lengths.observe(&work.organisation, &work.kind, tokens);
+                let made = tokens.saturating_sub(work.done_tokens);
+                self.pace.finished(made, now_ms.saturating_sub(running.started_ms));
+                made
+            }
+            End::Cut => running.done_tokens.saturating_sub(work.done_tokens),
+        };
+        let unused_tokens = f64::from(made_tokens) - running.charged_tokens;
+        self.shares.charge(&work.organisation, unused_tokens, now_ms);
+    }
+
+    // ------------------------------------------------------------------------------------------
+    // Decisions
+
+    /// Takes in a request. [`Admission::decide`] says what becomes of it.
+    pub fn arrive(&mut self, work: Work, now_ms: u64) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let curve = self.lengths.curve(&work.organisation, &work.kind, work.max_tokens);
+        let expected_tokens = curve.expected_remaining(f64::from(work.done_tokens));
+        let profile = MemoryProfile::of_generation(&curve, work.prompt_tokens, work.done_tokens);
+        let since_ms = now_ms;
+        self.queue.push(Waiting { ticket, work, since_ms, expected_tokens, curve, profile });
+        ticket
+    }
+
+    /// The caller of a waiting request has gone.
+    pub fn withdraw(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
+    }
+
+    /// The number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Starts what fits and refuses what cannot be done in time. Call it after each arrival and
+    /// each end, and every 50 ms while requests wait.
+    pub fn decide(&mut self, now_ms: u64) -> Vec<Decision> {
+        if self.queue.len() == 0 {
+            return Vec::new();
+        }
+        self.refresh_profiles(now_ms);
+        let equal_tokens = self.shares.equal_share_tokens(now_ms);
+        let order = self.queue.order(&self.shares, self.options.fair, now_ms);
+        let mut decisions = Vec::new();
+        let mut without_room = 0;
+        for ticket in order {
+            let room = if without_room > self.options.lookahead {
+                None
+            } else {
+                self.find_room(ticket, equal_tokens, now_ms)
+            };
+            if let Some(engine) = room {
+                self.start(ticket, &engine, now_ms);
+                decisions.push(Decision::Start { ticket, engine });
+                continue;
+            }
+            without_room += 1;
+            if let Some(retry_after_ms) = self.refusal(ticket, now_ms) {
+                self.queue.remove(ticket);
+                decisions.push(Decision::Refuse { ticket, retry_after_ms });
+            }
+        }
+        decisions
+    }
+
+    fn find_room(&mut self, ticket: Ticket, equal_tokens: f64, now_ms: u64) -> Option<Upstream> {
+        let Waiting { work, profile, .. } = self.queue.get(ticket)?;
+        let bound_share = self.bound_share(work, equal_tokens, now_ms);
+        let mut engines: Vec<_> =
+            self.engines.iter().filter(|(_, engine)| engine.takes(&work.model)).collect();
+        while engines.len() > self.options.choices.max(1) {
+            engines.swap_remove(self.random.random_range(0..engines.len()));
+        }
+        let options = &self.options;
+        let scored = engines.into_iter().filter_map(|(name, engine)| {
+            let used_share = engine.share_with(profile, bound_share, options)?;
+            let cached =
+                work.prefix.map_or(0.0, |prefix| self.prefixes.likelihood(prefix, name, now_ms));
+            let near_worth = if engine.facts.is_near { options.near_worth } else { 0.0 };
+            let running = engine.running as f64 * options.running_worth;
+            Some((used_share + running - cached * options.prefix_worth - near_worth, name))
+        });
+        scored.min_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, name)| name.clone())
+    }
+
+    /// The part of an engine's memory that this work may see used.
+    fn bound_share(&self, work: &Work, equal_tokens: f64, now_ms: u64) -> f64 {
+        let options = &self.options;
+        if work.done_tokens > 0 {
+            return options.memory_share;
+        }
+        let is_highest = work.priority >= self.pace.highest_priority(now_ms);
+        let priority_reserve = if is_highest { 0.0 } else { self.reserve };
+        let served_tokens = self.shares.served_tokens(&work.organisation, now_ms);
+        let beyond = served_tokens / equal_tokens.max(1.0) - 1.0;
+        let share_reserve = options.share_reserve * beyond.clamp(0.0, 1.0);
+        let share_reserve = if options.fair { share_reserve } else { 0.0 };
+        options.memory_share - priority_reserve - share_reserve
+    }
+
+    fn start(&mut self, ticket: Ticket, engine_name: &Upstream, now_ms: u64) {
+        let Some(waiting) = self.queue.remove(ticket) else { return };
+        let Waiting { work, since_ms, expected_tokens, curve, profile, .. } = waiting;
+        self.adapt_reserve(work.priority, now_ms.saturating_sub(since_ms), now_ms);
+        if let Some(engine) = self.engines.get_mut(engine_name) {
+            engine.start(&profile);
+        }
+        if let Some(prefix) = work.prefix {
+            self.prefixes.seen(prefix, engine_name, now_ms);
+        }
+        self.shares.charge(&work.organisation, expected_tokens, now_ms);
+        self.pace.started(work.priority, expected_tokens, now_ms);
+        let running = Running {
+            engine: engine_name.clone(),
+            curve,
+            profile,
+            started_ms: now_ms,
+            done_tokens: work.done_tokens,
+            charged_tokens: expected_tokens,
+            work,
+        };
+        self.running.insert(ticket, running);
+    }
+
+    /// Grows the reserve while too much work of the highest priority waits too long.
+    ///
+    /// It settles where just the allowed part waits longer than allowed.
+    fn adapt_reserve(&mut self, priority: u8, waited_ms: u64, now_ms: u64) {
+        let options = &self.options;
+        if priority < self.pace.highest_priority(now_ms) {
+            return;
+        }
+        let step = if waited_ms > options.long_wait_ms {
+            RESERVE_STEP
+        } else {
+            -RESERVE_STEP * options.long_wait_share / (1.0 - options.long_wait_share)
+        };
+        self.reserve = (self.reserve + step).clamp(0.0, options.priority_reserve);
+    }
+
+    /// When to come back, if waiting on is of no use.
+    fn refusal(&self, ticket: Ticket, now_ms: u64) -> Option<u64> {
+        const MIN_RETRY_MS: u64 = 1_000;
+        const MAX_RETRY_MS: u64 = 120_000;
+        let waiting = self.queue.get(ticket)?;
+        let work = &waiting.work;
+        let waited_ms = now_ms.saturating_sub(waiting.since_ms);
+        // What others are ahead of was estimated on arrival; later only the time itself counts.
+        let ahead_ms = if waited_ms == 0 {
+            let others_tokens = self.queue.tokens_before(work.priority) - waiting.expected_tokens;
+            self.pace.wait_ms(work.priority, others_tokens.max(0.0), now_ms)
+        } else {
+            0
+        };
+        let runs_ms = self.pace.run_ms(waiting.expected_tokens);
+        let too_late = now_ms + ahead_ms + runs_ms > work.deadline_ms;
+        let too_long = waited_ms + ahead_ms > self.options.max_wait_ms && work.done_tokens == 0;
+        if !too_late && !too_long {
+            return None;
+        }
+        let excess_ms = (waited_ms + ahead_ms).saturating_sub(self.options.max_wait_ms / 2);
+        Some(excess_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS))
+    }
+
+    fn refresh_profiles(&mut self, now_ms: u64) {
+        let fresh = |at_ms: u64| now_ms.saturating_sub(at_ms) < self.options.profile_ms;
+        if self.profiles_at_ms.is_some_and(fresh) {
+            return;
+        }
+        self.profiles_at_ms = Some(now_ms);
+        for engine in self.engines.values_mut() {
+            engine.own = MemoryProfile::default();
+            engine.own_running = 0;
+        }
+        for running in self.running.values_mut() {
+            let Running { curve, work, done_tokens, .. } = running;
+            running.profile = MemoryProfile::of_generation(curve, work.prompt_tokens, *done_tokens);
+            if let Some(engine) = self.engines.get_mut(&running.engine) {
+                engine.own.add(&running.profile);
+                engine.own_running += 1;
+            }
+        }
+        for engine in self.engines.values_mut() {
+            engine.refresh(&self.options, now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/admission_engine.rs
@@ -0,0 +1,147 @@
+use std::collections::{HashMap, VecDeque};
+
+use comfreymast_base::{DaemonName, Model, Upstream};
+
+use crate::admission::AdmissionOptions;
+use crate::admission_profile::MemoryProfile;
+
+/// What the VM list says of an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineFacts {
+    /// Its name.
+    pub name: Upstream,
+    /// The models it has loaded.
+    pub models: Vec<Model>,
+    /// True when it is in this daemon's data centre.
+    pub is_near: bool,
+    /// True when it gets no new work.
+    pub leaving: bool,
+}
+
+/// What an engine said of itself, some time after it was true.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Memory in use.
+    pub used_tokens: u64,
+    /// Memory in all.
+    pub memory_tokens: u64,
+    /// Generations that wait for memory on the engine.
+    pub waiting: u32,
+}
+
+/// What a peer runs on an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerUse {
+    pub(crate) heard_ms: u64,
+    pub(crate) running: usize,
+    pub(crate) profile: MemoryProfile,
+}
+
+/// One engine and all that this daemon knows of its use.
+#[derive(Clone, Debug)]
+pub(crate) struct Engine {
+    pub(crate) facts: EngineFacts,
+    pub(crate) report: Option<EngineReport>,
+    pub(crate) own: MemoryProfile,
+    pub(crate) own_running: usize,
+    /// Generations of this daemon and its peers.
+    pub(crate) running: usize,
+    /// All that is known of its use.
+    pub(crate) used: MemoryProfile,
+    /// What each peer last said, and when.
+    pub(crate) peers: HashMap<DaemonName, PeerUse>,
+    /// Tokens in use that daemons accounted for, lately.
+    explained: VecDeque<(u64, f64)>,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        let facts = EngineFacts {
+            name: Upstream::from(""),
+            models: Vec::new(),
+            is_near: false,
+            leaving: true,
+        };
+        Self {
+            facts,
+            report: None,
+            own: MemoryProfile::default(),
+            own_running: 0,
+            running: 0,
+            used: MemoryProfile::default(),
+            peers: HashMap::new(),
+            explained: VecDeque::new(),
+        }
+    }
+}
+
+impl Engine {
+    pub(crate) fn with_facts(self, facts: EngineFacts) -> Self {
+        Self { facts, ..self }
+    }
+
+    pub(crate) fn takes(&self, model: &Model) -> bool {
+        !self.facts.leaving && self.facts.models.contains(model)
+    }
+
+    /// The part of memory that would be used at the peak, or `None` when that is over the bound.
+    pub(crate) fn share_with(
+        &self,
+        added: &MemoryProfile,
+        bound_share: f64,
+        options: &AdmissionOptions,
+    ) -> Option<f64> {
+        let Some(report) = self.report else {
+            // Its memory is not known yet: a few generations, no more.
+            let room = self.own_running < options.unreported_running;
+            return room.then_some(self.own_running as f64 / options.unreported_running as f64);
+        };
+        let empty = self.used.mean_tokens[0] < 1.0;
+        let peak_tokens = self.used.peak_with(added, options.deviations);
+        let share = peak_tokens / report.memory_tokens.max(1) as f64;
+        // An empty engine takes even what may be too long for it: there is no better place.
+        (empty || share <= bound_share).then_some(share)
+    }
+
+    /// Counts a generation that this daemon starts now.
+    pub(crate) fn start(&mut self, added: &MemoryProfile) {
+        self.own.add(added);
+        self.used.add(added);
+        self.own_running += 1;
+        self.running += 1;
+    }
+
+    /// No longer counts a generation that this daemon started.
+    pub(crate) fn end(&mut self, ended: &MemoryProfile) {
+        self.own.subtract(ended);
+        self.used.subtract(ended);
+        self.own_running = self.own_running.saturating_sub(1);
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Puts together what this daemon and its peers run and what the report shows beyond that.
+    pub(crate) fn refresh(&mut self, options: &AdmissionOptions, now_ms: u64) {
+        self.used = self.own.clone();
+        self.running = self.own_running;
+        self.peers.retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) <= options.peer_use_ms);
+        for peer in self.peers.values() {
+            self.used.add(&peer.profile);
+            self.running += peer.running;
+        }
+        self.explained.push_back((now_ms, self.used.mean_tokens[0]));
+        let old = |entry: &(u64, f64)| now_ms.saturating_sub(entry.0) > options.report_lag_ms;
+        while self.explained.front().is_some_and(old) {
+            self.explained.pop_front();
+        }
+        if let Some(report) = self.report {
+            self.used.add(&self.unexplained(report));
+        }
+    }
+
+    /// What the report shows beyond anything that daemons accounted for since it may have been
+    /// true.
+    fn unexplained(&self, report: EngineReport) -> MemoryProfile {
+        let explained = self.explained.iter().map(|(_, tokens)| *tokens).fold(0.0, f64::max);
+        MemoryProfile::constant((report.used_tokens as f64 - explained).max(0.0))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/admission_profile.rs
@@ -0,0 +1,87 @@
+//! What generations will hold of an engine's memory, now and later.
+
+use crate::lengths::LengthCurve;
+
+/// How far ahead a [`MemoryProfile`] looks, in tokens made from now on by each generation.
+pub const HORIZON_TOKENS: [f64; HORIZONS] = [
+    0.0, 64.0, 128.0, 256.0, 384.0, 512.0, 768.0, 1_024.0, 1_536.0, 2_048.0, 3_072.0, 4_096.0,
+    6_144.0, 8_192.0, 12_288.0, 16_384.0,
+];
+/// The number of moments a [`MemoryProfile`] describes.
+pub const HORIZONS: usize = 16;
+
+/// The memory that some generations are expected to hold at each horizon, in tokens.
+///
+/// Profiles of independent generations add up: so do their means and their variances.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct MemoryProfile {
+    /// Expected tokens at each horizon.
+    pub mean_tokens: [f64; HORIZONS],
+    /// Variance at each horizon, in tokens squared.
+    pub variance: [f64; HORIZONS],
+}
+
+impl MemoryProfile {
+    /// The profile of one generation with this prompt and output so far.
+    ///
+    /// At a horizon it holds everything it has by then, or nothing if it has ended.
+    #[must_use]
+    pub fn of_generation(curve: &LengthCurve, prompt_tokens: u32, done_tokens: u32) -> Self {
+        let done = f64::from(done_tokens);
+        let held = f64::from(prompt_tokens) + done;
+        let mut profile = Self::default();
+        for (at, more) in HORIZON_TOKENS.into_iter().enumerate() {
+            let runs = curve.conditional_survival(done, more);
+            let tokens = held + more;
+            profile.mean_tokens[at] = tokens * runs;
+            profile.variance[at] = tokens * tokens * runs * (1.0 - runs);
+        }
+        profile
+    }
+
+    /// A profile that stays at `tokens`.
+    #[must_use]
+    pub fn constant(tokens: f64) -> Self {
+        Self { mean_tokens: [tokens; HORIZONS], variance: [0.0; HORIZONS] }
+    }
+
+    /// Adds the generations of another profile.
+    pub fn add(&mut self, other: &Self) {
+        for at in 0..HORIZONS {
+            self.mean_tokens[at] += other.mean_tokens[at];
+            self.variance[at] += other.variance[at];
+        }
+    }
+
+    /// Takes away generations that were added before.
+    pub fn subtract(&mut self, other: &Self) {
+        for at in 0..HORIZONS {
+            self.mean_tokens[at] = (self.mean_tokens[at] - other.mean_tokens[at]).max(0.0);
+            self.variance[at] = (self.variance[at] - other.variance[at]).max(0.0);
+        }
+    }
+
+    /// The two profiles together.
+    #[must_use]
+    pub fn with(mut self, other: &Self) -> Self {
+        self.add(other);
+        self
+    }
+
+    /// The highest expected use plus `deviations` standard deviations, over all horizons.
+    #[must_use]
+    pub fn peak_tokens(&self, deviations: f64) -> f64 {
+        let moments = self.mean_tokens.iter().zip(&self.variance);
+        moments.map(|(mean, variance)| mean + deviations * variance.sqrt()).fold(0.0, f64::max)
+    }
+
+    /// The peak of this profile and another together.
+    #[must_use]
+    pub fn peak_with(&self, other: &Self, deviations: f64) -> f64 {
+        let at = |at: usize| {
+            let variance = self.variance[at] + other.variance[at];
+            self.mean_tokens[at] + other.mean_tokens[at] + deviations * variance.sqrt()
+        };
+        (0..HORIZONS).map(at).fold(0.0, f64::max)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/fairness.rs
@@ -0,0 +1,72 @@
+//! Which organisation is served next, and which has had more than its share.
+
+use std::collections::HashMap;
+
+use comfreymast_base::Organisation;
+
+/// How service is counted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FairnessOptions {
+    /// After this long without service an organisation's count is a third.
+    pub memory_ms: f64,
+}
+
+impl Default for FairnessOptions {
+    fn default() -> Self {
+        Self { memory_ms: 120_000.0 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Service {
+    tokens: f64,
+    at_ms: u64,
+}
+
+/// The tokens that each organisation was given lately. Old service fades.
+#[derive(Clone, Debug, Default)]
+pub struct FairShares {
+    options: FairnessOptions,
+    served: HashMap<Organisation, Service>,
+}
+
+impl FairShares {
+    /// Nothing served yet.
+    #[must_use]
+    pub fn new(options: FairnessOptions) -> Self {
+        Self { options, served: HashMap::new() }
+    }
+
+    /// Counts tokens given to an organisation; a negative number takes back what it did not use.
+    pub fn charge(&mut self, organisation: &Organisation, tokens: f64, now_ms: u64) {
+        let tokens = (self.served_tokens(organisation, now_ms) + tokens).max(0.0);
+        self.served.insert(organisation.clone(), Service { tokens, at_ms: now_ms });
+    }
+
+    /// What an organisation was given lately.
+    #[must_use]
+    pub fn served_tokens(&self, organisation: &Organisation, now_ms: u64) -> f64 {
+        self.served.get(organisation).map_or(0.0, |service| self.faded(*service, now_ms))
+    }
+
+    /// The equal share of each organisation that was served lately, in tokens.
+    #[must_use]
+    pub fn equal_share_tokens(&self, now_ms: u64) -> f64 {
+        const ACTIVE_TOKENS: f64 = 1.0;
+        let all = self.served.values().map(|service| self.faded(*service, now_ms));
+        let active: Vec<f64> = all.filter(|tokens| *tokens >= ACTIVE_TOKENS).collect();
+        active.iter().sum::<f64>() / active.len().max(1) as f64
+    }
+
+    /// Forgets organisations whose service has faded to nothing.
+    pub fn forget_idle(&mut self, now_ms: u64) {
+        const FORGET_FACTOR: f64 = 10.0;
+        let limit_ms = self.options.memory_ms * FORGET_FACTOR;
+        self.served.retain(|_, service| (now_ms.saturating_sub(service.at_ms) as f64) < limit_ms);
+    }
+
+    fn faded(&self, service: Service, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(service.at_ms) as f64;
+        service.tokens * (-age_ms / self.options.memory_ms).exp()
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,7 +1,20 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
 //! * [`membership`] — which daemons live, from their heartbeats.
-//! * [`routing`] — which upstream gets a request.
+//! * [`routing`] — which upstream gets a request, without a look at its memory.
+//! * [`lengths`] — how long an answer will be.
+//! * [`admission`] — which engine takes a generation, when, and what is refused.
+//! * [`admission_profile`] — what generations will hold of an engine's memory.
+//! * [`fairness`] — which organisation is served next.
+//! * [`prefix`] — which engine may still have a prompt's prefix.
 
+pub mod admission;
+mod admission_engine;
+mod admission_pace;
+pub mod admission_profile;
+pub mod fairness;
+pub mod lengths;
 pub mod membership;
+pub mod prefix;
+mod queue;
 pub mod routing;
--- /dev/null
+++ b/crates/decide/src/prefix.rs
@@ -0,0 +1,74 @@
+//! Which engine may still have a prompt's prefix in its cache.
+
+use std::collections::HashMap;
+
+use comfreymast_base::Upstream;
+
+/// How long a hint is believed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PrefixOptions {
+    /// After this long a hint counts for a third.
+    pub memory_ms: f64,
+    /// The most hints that are kept.
+    pub capacity: usize,
+}
+
+impl Default for PrefixOptions {
+    fn default() -> Self {
+        Self { memory_ms: 60_000.0, capacity: 20_000 }
+    }
+}
+
+/// When each prefix was last known to be on an engine.
+///
+/// Engines publish cache events late and with gaps, so an entry is a hint: it ages, and nothing
+/// but speed depends on it.
+#[derive(Clone, Debug, Default)]
+pub struct PrefixHints {
+    options: PrefixOptions,
+    seen_ms: HashMap<(u64, Upstream), u64>,
+}
+
+impl PrefixHints {
+    /// No hints yet.
+    #[must_use]
+    pub fn new(options: PrefixOptions) -> Self {
+        Self { options, seen_ms: HashMap::new() }
+    }
+
+    /// A prefix was read on an engine, or an engine said that it keeps it.
+    pub fn seen(&mut self, prefix: u64, engine: &Upstream, at_ms: u64) {
+        if self.seen_ms.len() >= self.options.capacity {
+            self.forget_old(at_ms);
+        }
+        let seen_ms = self.seen_ms.entry((prefix, engine.clone())).or_default();
+        *seen_ms = at_ms.max(*seen_ms);
+    }
+
+    /// An engine said that it dropped a prefix, at a moment that may be long past.
+    pub fn dropped(&mut self, prefix: u64, engine: &Upstream, at_ms: u64) {
+        let key = (prefix, engine.clone());
+        if self.seen_ms.get(&key).is_some_and(|seen_ms| *seen_ms <= at_ms) {
+            self.seen_ms.remove(&key);
+        }
+    }
+
+    /// How likely an engine is to have a prefix, from 0 to 1.
+    #[must_use]
+    pub fn likelihood(&self, prefix: u64, engine: &Upstream, now_ms: u64) -> f64 {
+        let seen_ms = self.seen_ms.get(&(prefix, engine.clone()));
+        seen_ms.map_or(0.0, |seen_ms| {
+            let age_ms = now_ms.saturating_sub(*seen_ms) as f64;
+            (-age_ms / self.options.memory_ms).exp()
+        })
+    }
+
+    /// Keeps the younger half.
+    fn forget_old(&mut self, now_ms: u64) {
+        let mut ages_ms: Vec<_> =
+            self.seen_ms.values().map(|seen_ms| now_ms.saturating_sub(*seen_ms)).collect();
+        ages_ms.sort_unstable();
+        let median_ms = ages_ms.get(ages_ms.len() / 2).copied().unwrap_or_default();
+        self.seen_ms.retain(|_, seen_ms| now_ms.saturating_sub(*seen_ms) < median_ms);
+    }
+}
--- a/crates/decide/src/routing.rs
+++ b/crates/decide/src/routing.rs
@@ -1,4 +1,11 @@
-//! Which upstream gets a request.
+//! Which upstream gets a request, without a look at its memory.
+//!
+//! Plain services are chosen by [`least_outstanding`]. For engines these are the baselines that
+//! [`crate::admission`] is measured against.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use comfreymast_base::{DaemonName, Upstream};
 
 /// One upstream that could take the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -11,6 +18,12 @@
     pub is_near: bool,
 }
 
+impl Candidate {
+    fn cost(&self) -> (u32, bool) {
+        (self.outstanding.max(self.reported), !self.is_near)
+    }
+}
+
 /// The index of the candidate with the least work; the nearer one among equals.
 ///
 /// ```
@@ -21,8 +34,39 @@
 /// ```
 #[must_use]
 pub fn least_outstanding(candidates: &[Candidate]) -> Option<usize> {
-    let cost =
-        |candidate: &Candidate| (candidate.outstanding.max(candidate.reported), !candidate.is_near);
     let indexed = candidates.iter().enumerate();
-    Some(indexed.min_by_key(|(_, candidate)| cost(candidate))?.0)
+    Some(indexed.min_by_key(|(_, candidate)| candidate.cost())?.0)
+}
+
+/// The index of the candidate whose turn it is.
+#[must_use]
+pub fn round_robin(candidates: &[Candidate], turn: usize) -> Option<usize> {
+    (!candidates.is_empty()).then(|| turn % candidates.len())
+}
+
+/// The better of the two candidates at `first` and `second`, which the caller draws.
+#[must_use]
+pub fn two_choices(candidates: &[Candidate], first: usize, second: usize) -> Option<usize> {
+    let (one, other) = (candidates.get(first)?, candidates.get(second)?);
+    Some(if other.cost() < one.cost() { second } else { first })
+}
+
+/// The upstreams that one daemon uses, when there are more than it can watch.
+///
+/// Rendezvous hashing: a daemon keeps its subset while others come and go, and each upstream ends
+/// up with about the same number of daemons.
+#[must_use]
+pub fn subset(daemon: &DaemonName, upstreams: &[Upstream], size: usize) -> Vec<Upstream> {
+    let weight = |upstream: &Upstream| {
+        let mut hasher = DefaultHasher::new();
+        (daemon, upstream).hash(&mut hasher);
+        hasher.finish()
+    };
+    let mut chosen = upstreams.to_vec();
+    if chosen.len() > size {
+        chosen.sort_by_cached_key(weight);
+        chosen.truncate(size);
+        chosen.sort();
+    }
+    chosen
 }
--- /dev/null
+++ b/crates/decide/tests/admission.rs
@@ -0,0 +1,211 @@
+//! Admission: what starts, what waits, what is refused.
+
+use comfreymast_base::{DaemonName, Kind, Model, Organisation, Upstream};
+use comfreymast_decide::admission::{
+    Admission, AdmissionOptions, Decision, End, EngineFacts, EngineReport, Ticket, Work,
+};
+
+const MEMORY_TOKENS: u64 = 10_000;
+const SEED: u64 = 1;
+
+fn work(organisation: &str, priority: u8) -> Work {
+    Work {
+        organisation: Organisation::from(organisation),
+        kind: Kind::from("report"),
+        model: Model::from("m"),
+        priority,
+        prompt_tokens: 500,
+        prefix: None,
+        done_tokens: 0,
+        max_tokens: 1_000,
+        deadline_ms: 600_000,
+    }
+}
+
+fn admission(engines: &[&str]) -> Admission {
+    let mut admission = Admission::new(AdmissionOptions::default(), SEED);
+    set_engines(&mut admission, engines, &[]);
+    for engine in engines {
+        report(&mut admission, engine, 0);
+    }
+    admission
+}
+
+fn set_engines(admission: &mut Admission, engines: &[&str], leaving: &[&str]) {
+    let facts = engines.iter().map(|name| EngineFacts {
+        name: Upstream::from(*name),
+        models: vec![Model::from("m")],
+        is_near: true,
+        leaving: leaving.contains(name),
+    });
+    admission.set_engines(facts.collect());
+}
+
+fn report(admission: &mut Admission, engine: &str, used_tokens: u64) {
+    let report = EngineReport { used_tokens, memory_tokens: MEMORY_TOKENS, waiting: 0 };
+    admission.report(&Upstream::from(engine), report);
+}
+
+fn engine_of(decision: &Decision) -> Option<&str> {
+    match decision {
+        Decision::Start { engine, .. } => Some(engine.as_str()),
+        Decision::Refuse { .. } => None,
+    }
+}
+
+/// Starts requests until one has to wait; returns those that started.
+fn fill(admission: &mut Admission, organisation: &str, priority: u8, now_ms: u64) -> Vec<Ticket> {
+    let mut started = Vec::new();
+    loop {
+        let ticket = admission.arrive(work(organisation, priority), now_ms);
+        let decisions = admission.decide(now_ms);
+        if !decisions.iter().any(|decision| engine_of(decision).is_some()) {
+            admission.withdraw(ticket);
+            return started;
+        }
+        started.push(ticket);
+    }
+}
+
+#[test]
+fn the_expected_peak_stays_under_the_bound() {
+    let mut admission = admission(&["e0"]);
+    for _ in 0..50 {
+        let ticket = admission.arrive(work("a", 9), 0);
+        admission.decide(0);
+        admission.finish(ticket, End::Whole { tokens: 900 }, 1_000);
+    }
+    let started = fill(&mut admission, "a", 9, 2_000);
+    // Each comes to 1,400 tokens of the engine's 10,000.
+    assert!((4..=9).contains(&started.len()), "{}", started.len());
+}
+
+#[test]
+fn waiting_work_starts_when_room_is_made_highest_priority_first() {
+    let mut admission = admission(&["e0"]);
+    let started = fill(&mut admission, "a", 9, 0);
+    admission.arrive(work("a", 9), 10);
+    let low = admission.arrive(work("b", 3), 10);
+    admission.withdraw(low);
+    let low = admission.arrive(work("b", 3), 10);
+    let high = admission.arrive(work("c", 9), 20);
+    assert!(admission.decide(20).iter().all(|decision| engine_of(decision).is_none()));
+    for ticket in started {
+        admission.finish(ticket, End::Whole { tokens: 100 }, 1_000);
+    }
+    let order: Vec<_> = admission
+        .decide(1_000)
+        .into_iter()
+        .filter_map(|decision| match decision {
+            Decision::Start { ticket, .. } => Some(ticket),
+            Decision::Refuse { .. } => None,
+        })
+        .collect();
+    let place = |ticket| order.iter().position(|started| *started == ticket);
+    assert!(place(high) < place(low), "{order:?}");
+    assert!(place(low).is_some());
+}
+
+#[test]
+fn an_organisation_with_less_service_goes_first() {
+    let mut admission = admission(&["e0"]);
+    let started = fill(&mut admission, "flood", 5, 0);
+    let flooding = admission.arrive(work("flood", 5), 10);
+    let other = admission.arrive(work("other", 5), 20);
+    for ticket in started {
+        admission.finish(ticket, End::Whole { tokens: 1_000 }, 30_000);
+    }
+    let decisions = admission.decide(5_000);
+    let first = decisions.first().map(|decision| match decision {
+        Decision::Start { ticket, .. } | Decision::Refuse { ticket, .. } => *ticket,
+    });
+    assert_eq!(first, Some(other));
+    assert_ne!(first, Some(flooding));
+}
+
+#[test]
+fn what_cannot_meet_its_deadline_is_refused_at_once_with_a_time_to_come_back() {
+    let mut admission = admission(&["e0"]);
+    fill(&mut admission, "a", 5, 0);
+    let late = Work { deadline_ms: 2_000, ..work("a", 5) };
+    let ticket = admission.arrive(late, 1_000);
+    let decisions = admission.decide(1_000);
+    let refusal = decisions.iter().find_map(|decision| match decision {
+        Decision::Refuse { ticket: refused, retry_after_ms } if *refused == ticket => {
+            Some(*retry_after_ms)
+        }
+        _ => None,
+    });
+    assert!(refusal.is_some_and(|retry_after_ms| retry_after_ms >= 1_000), "{decisions:?}");
+    assert_eq!(admission.waiting(), 0);
+}
+
+#[test]
+fn nothing_waits_longer_than_the_longest_wait() {
+    let mut admission = admission(&["e0"]);
+    fill(&mut admission, "a", 5, 0);
+    admission.arrive(work("b", 5), 0);
+    admission.decide(0);
+    let limit_ms = AdmissionOptions::default().max_wait_ms;
+    let decisions = admission.decide(limit_ms + 1);
+    assert!(matches!(decisions[..], [Decision::Refuse { .. }]), "{decisions:?}");
+}
+
+#[test]
+fn a_leaving_engine_gets_nothing() {
+    let mut admission = admission(&["e0", "e1"]);
+    set_engines(&mut admission, &["e0", "e1"], &["e0"]);
+    for _ in 0..3 {
+        admission.arrive(work("a", 5), 0);
+    }
+    let decisions = admission.decide(0);
+    assert_eq!(decisions.iter().map(engine_of).collect::<Vec<_>>(), [Some("e1"); 3]);
+}
+
+#[test]
+fn the_use_of_a_peer_counts_before_the_engine_reports_it() {
+    let (mut one, mut other) = (admission(&["e0"]), admission(&["e0"]));
+    fill(&mut one, "a", 9, 0);
+    let uses = one.own_use(0);
+    other.peer_use(&DaemonName::from("d0"), &uses, 0);
+    assert!(fill(&mut other, "a", 9, 0).len() <= 1);
+    // A peer that is lost stops counting; the report still does.
+    let later_ms = AdmissionOptions::default().peer_use_ms + 1;
+    assert!(!fill(&mut other, "a", 9, later_ms).is_empty());
+}
+
+#[test]
+fn use_that_only_the_report_shows_counts() {
+    let mut admission = admission(&["e0"]);
+    report(&mut admission, "e0", MEMORY_TOKENS - 100);
+    assert!(fill(&mut admission, "a", 9, 0).is_empty());
+}
+
+#[test]
+fn a_continued_generation_goes_before_fresh_work() {
+    let mut admission = admission(&["e0"]);
+    let started = fill(&mut admission, "a", 9, 0);
+    let fresh = admission.arrive(work("a", 9), 0);
+    let continued = admission.arrive(Work { done_tokens: 300, ..work("b", 1) }, 10);
+    admission.decide(10);
+    for ticket in &started[..4] {
+        admission.finish(*ticket, End::Cut, 20);
+    }
+    let decisions = admission.decide(200);
+    assert!(
+        matches!(decisions.first(), Some(Decision::Start { ticket, .. }) if *ticket == continued),
+        "{decisions:?}, fresh is {fresh:?}"
+    );
+}
+
+#[test]
+fn a_cached_prefix_attracts_work_until_the_hint_is_old() {
+    let mut admission = admission(&["e0", "e1"]);
+    let prefixed = Work { prefix: Some(7), ..work("a", 9) };
+    admission.cache_event(&Upstream::from("e1"), 7, true, 0);
+    admission.arrive(prefixed.clone(), 0);
+    assert_eq!(engine_of(&admission.decide(0)[0]), Some("e1"));
+    // The engine that has work by now loses against an empty one when the hint has faded.
+    admission.arrive(prefixed, 600_000);
+    assert_eq!(engine_of(&admission.decide(600_000)[0]), Some("e0"));
+}
--- a/crates/fakes/src/engine/mod.rs
+++ b/crates/fakes/src/engine/mod.rs
@@ -5,5 +5,6 @@
 //! * [`text`] — the words it writes, which show every splice of two generations.
 
 pub mod model;
+mod prefix_cache;
 pub mod process;
 pub mod text;
--- a/crates/fakes/src/engine/process.rs
+++ b/crates/fakes/src/engine/process.rs
@@ -212,6 +212,7 @@
                 generation: start.generation,
                 priority: start.priority,
                 prompt_tokens: text::prompt_tokens(&start.prompt),
+                prefix: text::prefix(&start.prompt),
                 done_tokens,
                 total_tokens,
             });
--- a/crates/fakes/src/engine/text.rs
+++ b/crates/fakes/src/engine/text.rs
@@ -3,8 +3,11 @@
 //! Each fresh generation draws a mark, and every token is `mark.index `. A reader who sees two
 //! marks saw two generations. A resumed generation takes the mark of the tokens it continues.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
+use super::model::Prefix;
+
 /// The token at `index` of the generation with this mark.
 #[must_use]
 pub fn token(mark: &str, index: u32) -> Arc<str> {
@@ -33,6 +36,15 @@
     u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
 }
 
+/// The part of a prompt that other prompts may share: its first lines, up to an empty one.
+#[must_use]
+pub fn prefix(prompt: &str) -> Option<Prefix> {
+    let (shared, _) = prompt.split_once("\n\n")?;
+    let mut hasher = DefaultHasher::new();
+    shared.hash(&mut hasher);
+    Some(Prefix { hash: hasher.finish(), tokens: prompt_tokens(shared) })
+}
+
 /// True when the engine that runs this prompt crashes.
 #[must_use]
 pub fn crashes(prompt: &str) -> bool {
