--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -8,14 +8,14 @@
 use crate::api::setting;
 use crate::failure::Failure;
 use crate::flags::{Comfreymast, Daemon};
+use crate::output::Format;
 
 /// `comfreymast daemon`.
-pub(crate) fn run(flags: &Comfreymast, daemon: &Daemon) -> Result<(), Failure> {
+pub(crate) fn run(flags: &Comfreymast, daemon: &Daemon, format: Format) -> Result<(), Failure> {
     let settings =
         Settings::read(|spec| setting(flag(flags, daemon, spec).as_deref(), &spec.env()))?;
     if daemon.check {
-        println!("the settings are good");
-        return Ok(());
+        return format.print_done("the settings are good");
     }
     env_logger::Builder::from_env(Env::default().default_filter_or("info")).init();
     let mut signals =
@@ -47,8 +47,14 @@
         "threads" => &daemon.threads,
         "heartbeat-interval-ms" => &daemon.heartbeat_interval_ms,
         "vms-interval-ms" => &daemon.vms_interval_ms,
+        "snapshot-interval-ms" => &daemon.snapshot_interval_ms,
+        "snapshot-records" => &daemon.snapshot_records,
         "load-interval-ms" => &daemon.load_interval_ms,
         "silence-ms" => &daemon.silence_ms,
+        "keepalive-ms" => &daemon.keepalive_ms,
+        "reader-stall-ms" => &daemon.reader_stall_ms,
+        "drain-grace-ms" => &daemon.drain_grace_ms,
+        "drain-limit-ms" => &daemon.drain_limit_ms,
         "max-body-bytes" => &daemon.max_body_bytes,
         _ => &None,
     };
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -6,8 +6,9 @@
 xflags::xflags! {
     /// Serves generations of unknown length on crowded engines.
     ///
-    /// Exit codes: 0 done, 1 failed, 2 bad usage, 3 conflict, 4 accepted but not everywhere yet,
-    /// 5 outcome unknown.
+    /// Exit codes: 0 done, 1 failed, 2 bad usage or settings, 3 conflict with another change,
+    /// 4 done but some daemons have not answered, 5 outcome unknown. A failure is told on standard
+    /// error, as JSON with `--format json`.
     cmd comfreymast {
         /// The operators' port of any daemon, IP:PORT (or COMFREYMAST_OPERATORS).
         optional --operators operators: String
@@ -18,7 +19,7 @@
         /// Print the version.
         optional --version
 
-        /// Run a daemon. Each flag has an environment variable COMFREYMAST_…; see `--help`.
+        /// Run a daemon. Each flag has an environment variable: --log-addr is COMFREYMAST_LOG_ADDR.
         cmd daemon {
             /// Check the settings and exit.
             optional --check
@@ -44,10 +45,22 @@
             optional --heartbeat-interval-ms heartbeat_interval_ms: String
             /// Time between reads of the VM list, 20 to 10000; default 500.
             optional --vms-interval-ms vms_interval_ms: String
+            /// Time between snapshots on the log, 100 to 604800000; at most a third of its retention; default 3600000.
+            optional --snapshot-interval-ms snapshot_interval_ms: String
+            /// Records between snapshots on the log, 10 to 100000000; default 100000.
+            optional --snapshot-records snapshot_records: String
             /// Time between load reports of an engine, 20 to 10000; default 200.
             optional --load-interval-ms load_interval_ms: String
             /// How long an open stream may say nothing, 100 to 600000; default 5000.
             optional --silence-ms silence_ms: String
+            /// Time between comments on a quiet stream, 100 to 600000; default 10000.
+            optional --keepalive-ms keepalive_ms: String
+            /// How long a caller may leave data unread, 100 to 600000; default 30000.
+            optional --reader-stall-ms reader_stall_ms: String
+            /// Time to serve on while not ready, 0 to 600000; default 5000.
+            optional --drain-grace-ms drain_grace_ms: String
+            /// When a drain hands streams over, 0 to 86400000; default 300000.
+            optional --drain-limit-ms drain_limit_ms: String
             /// The longest request body, 1024 to 268435456; default 4194304.
             optional --max-body-bytes max_body_bytes: String
         }
@@ -62,13 +75,20 @@
                 optional --base base: u64
                 /// Who publishes it.
                 optional --author author: String
-                /// The operation id of an earlier try, to ask for its outcome.
+                /// The operation id of an earlier try, to ask for its outcome; give the same --base.
                 optional --operation operation: String
             }
             /// Print the contract in force.
-            cmd get { required organisation: String }
+            cmd get {
+                required organisation: String
+                /// Read the log to its end first, so that no earlier change is missed.
+                optional --fresh
+            }
             /// List all contracts.
-            cmd list {}
+            cmd list {
+                /// Read the log to its end first, so that no earlier change is missed.
+                optional --fresh
+            }
             /// Print the latest revisions of a contract.
             cmd history { required organisation: String }
             /// Check a document without publishing it.
@@ -81,7 +101,21 @@
         /// Tell a daemon to finish its requests and stop.
         cmd drain {}
 
+        /// Report on service levels.
+        cmd report {
+            /// How fast each organisation's error budget burns, over all daemons.
+            cmd burn {
+                /// Also write a self-contained page with plots.
+                optional --html html: PathBuf
+            }
+        }
+
         /// Show every setting with its environment variable and default.
         cmd config {}
     }
 }
+
+/// The help text of all commands.
+pub(crate) fn help_text() -> &'static str {
+    Comfreymast::HELP_
+}
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -39,6 +39,17 @@
     /// The daemon is not ready, or drains.
     #[display("this daemon takes no new work")]
     NotReady,
+    /// The organisation has all that its contract allows.
+    #[display("the contract's limit {limit} is reached")]
+    LimitReached {
+        /// The field of the contract's limits.
+        limit: &'static str,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The daemon may hold contracts that were replaced.
+    #[display("this daemon has no word from the log or its peers, so its contracts may be old")]
+    NotCurrent,
     /// No upstream can take it now.
     #[display("no upstream can take the request now")]
     NoUpstream {
@@ -48,6 +59,30 @@
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
+    /// The generation broke off, and no engine could carry it on.
+    #[display("the generation broke off; come back with Last-Event-ID")]
+    GenerationLost {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// The engine that the cursor names has lost the generation.
+    #[display(
+        "the engine has lost the generation; a repeatable request goes on with its body and \
+         read_tokens"
+    )]
+    GenerationGone,
+    /// The reader has gone on through another connection.
+    #[display("the stream goes on through another connection")]
+    Superseded,
+    /// The cursor is not one of this caller's.
+    #[display("the cursor in Last-Event-ID is not one of this organisation's")]
+    CursorRefused,
+    /// The cursor belongs to another body, or to other tokens.
+    #[display("the cursor in Last-Event-ID does not belong to this request")]
+    CursorMismatch,
+    /// The daemon stops and hands its streams over.
+    #[display("this daemon stops; come back at once with Last-Event-ID")]
+    HandedOver,
 }
 
 impl CallError {
@@ -59,8 +94,14 @@
             Self::Malformed { .. } => StatusCode::BAD_REQUEST,
             Self::TooLong { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::TooSlow { .. } => StatusCode::REQUEST_TIMEOUT,
-            Self::NotReady | Self::NoUpstream { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady | Self::NotCurrent | Self::NoUpstream { .. } | Self::HandedOver => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::OutcomeUnknown | Self::GenerationLost { .. } => StatusCode::BAD_GATEWAY,
+            Self::GenerationGone => StatusCode::GONE,
+            Self::Superseded => StatusCode::CONFLICT,
+            Self::CursorRefused | Self::CursorMismatch => StatusCode::BAD_REQUEST,
         }
     }
 
@@ -74,15 +115,29 @@
             Self::TooLong { .. } => "too_long",
             Self::TooSlow { .. } => "too_slow",
             Self::NotReady => "not_ready",
+            Self::LimitReached { .. } => "limit_reached",
+            Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
             Self::OutcomeUnknown => "outcome_unknown",
+            Self::GenerationLost { .. } => "generation_lost",
+            Self::GenerationGone => "generation_gone",
+            Self::Superseded => "superseded",
+            Self::CursorRefused => "cursor_refused",
+            Self::CursorMismatch => "cursor_mismatch",
+            Self::HandedOver => "handed_over",
         }
     }
 
     /// Whether the request was run.
     pub(crate) fn outcome(&self) -> Outcome {
         match self {
-            Self::OutcomeUnknown => Outcome::Unknown,
+            Self::OutcomeUnknown
+            | Self::GenerationLost { .. }
+            | Self::GenerationGone
+            | Self::Superseded
+            | Self::CursorRefused
+            | Self::CursorMismatch
+            | Self::HandedOver => Outcome::Unknown,
             _ => Outcome::NotRun,
         }
     }
@@ -91,8 +146,11 @@
     pub(crate) fn retry_after_ms(&self) -> Option<u64> {
         const NOT_READY_RETRY_MS: u64 = 1_000;
         match self {
-            Self::NotReady => Some(NOT_READY_RETRY_MS),
-            Self::NoUpstream { retry_after_ms } => Some(*retry_after_ms),
+            Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
+            Self::LimitReached { retry_after_ms, .. }
+            | Self::NoUpstream { retry_after_ms }
+            | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
+            Self::HandedOver => Some(0),
             _ => None,
         }
     }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 15] = [
+pub const SETTINGS: [SettingSpec; 21] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -46,8 +46,18 @@
     optional("threads", "4", "Executor threads, 1 to 256"),
     optional("heartbeat-interval-ms", "250", "Time between heartbeats to peers, 20 to 10000"),
     optional("vms-interval-ms", "500", "Time between reads of the VM list, 20 to 10000"),
+    optional(
+        "snapshot-interval-ms",
+        "3600000",
+        "Time between snapshots on the log, 100 to 604800000; at most a third of its retention",
+    ),
+    optional("snapshot-records", "100000", "Records between snapshots on the log, 10 to 100000000"),
     optional("load-interval-ms", "200", "Time between load reports of an engine, 20 to 10000"),
     optional("silence-ms", "5000", "How long an open stream may say nothing, 100 to 600000"),
+    optional("keepalive-ms", "10000", "Time between comments on a quiet stream, 100 to 600000"),
+    optional("reader-stall-ms", "30000", "How long a caller may leave data unread, 100 to 600000"),
+    optional("drain-grace-ms", "5000", "Time to serve on while not ready, 0 to 600000"),
+    optional("drain-limit-ms", "300000", "When a drain hands streams over, 0 to 86400000"),
     optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
 ];
 
@@ -78,10 +88,23 @@
     pub heartbeat_interval_ms: u64,
     /// Time between reads of the VM list.
     pub vms_interval_ms: u64,
+    /// Time between snapshots on the log.
+    pub snapshot_interval_ms: u64,
+    /// Records between snapshots on the log.
+    pub snapshot_records: u64,
     /// Time between load reports of an engine.
     pub load_interval_ms: u64,
     /// How long an open stream may say nothing.
     pub silence_ms: u64,
+    /// Time between comments on a stream that has no token to send.
+    pub keepalive_ms: u64,
+    /// How long a caller may leave data unread before it is cut.
+    pub reader_stall_ms: u64,
+    /// How long a daemon that drains still takes new work, so that the balancer sees it is not
+    /// ready.
+    pub drain_grace_ms: u64,
+    /// How long a drain waits for streams before it hands them over.
+    pub drain_limit_ms: u64,
     /// The longest request body.
     pub max_body_bytes: usize,
 }
@@ -139,6 +162,16 @@
 const MIN_SECRET_BYTES: usize = 16;
 const INTERVAL_MS: std::ops::RangeInclusive<u64> = 20..=10_000;
 
+/// The settings of ports that a daemon opens.
+const LISTENING: [&str; 3] = ["callers-addr", "operators-addr", "peers-addr"];
+
+/// True when two listeners cannot be opened side by side. Port 0 lets the system choose.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip =
+        one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() != 0 && one.port() == other.port() && same_ip
+}
+
 struct Reader<'a> {
     lookup: &'a dyn Fn(&SettingSpec) -> Option<String>,
     faults: Vec<SettingFault>,
@@ -156,11 +189,18 @@
         let callers_addr = self.addr("callers-addr");
         let operators_addr = self.addr("operators-addr");
         let peers_addr = self.addr("peers-addr");
+        self.distinct(&[callers_addr, operators_addr, peers_addr]);
         let threads = self.number("threads", 1..=256);
         let heartbeat_interval_ms = self.number("heartbeat-interval-ms", INTERVAL_MS);
         let vms_interval_ms = self.number("vms-interval-ms", INTERVAL_MS);
+        let snapshot_interval_ms = self.number("snapshot-interval-ms", 100..=604_800_000);
+        let snapshot_records = self.number("snapshot-records", 10..=100_000_000);
         let load_interval_ms = self.number("load-interval-ms", INTERVAL_MS);
         let silence_ms = self.number("silence-ms", 100..=600_000);
+        let keepalive_ms = self.number("keepalive-ms", 100..=600_000);
+        let reader_stall_ms = self.number("reader-stall-ms", 100..=600_000);
+        let drain_grace_ms = self.number("drain-grace-ms", 0..=600_000);
+        let drain_limit_ms = self.number("drain-limit-ms", 0..=86_400_000);
         let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
         Some(Settings {
             name: DaemonName::from(name?),
@@ -175,8 +215,14 @@
             threads: usize::try_from(threads?).ok()?,
             heartbeat_interval_ms: heartbeat_interval_ms?,
             vms_interval_ms: vms_interval_ms?,
+            snapshot_interval_ms: snapshot_interval_ms?,
+            snapshot_records: snapshot_records?,
             load_interval_ms: load_interval_ms?,
             silence_ms: silence_ms?,
+            keepalive_ms: keepalive_ms?,
+            reader_stall_ms: reader_stall_ms?,
+            drain_grace_ms: drain_grace_ms?,
+            drain_limit_ms: drain_limit_ms?,
             max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
         })
     }
@@ -209,6 +255,10 @@
             self.fault(spec, format!("must have at least {MIN_SECRET_BYTES} bytes"), None);
             return None;
         }
+        if !text.bytes().all(|byte| byte.is_ascii_graphic()) {
+            self.fault(spec, "must be printable ASCII without spaces".to_owned(), None);
+            return None;
+        }
         Some(Secret(text))
     }
 
@@ -221,6 +271,19 @@
         addr.ok()
     }
 
+    /// Checks that each port of this daemon can be opened beside those before it.
+    fn distinct(&mut self, addrs: &[Option<SocketAddr>; LISTENING.len()]) {
+        for (index, flag) in LISTENING.iter().enumerate() {
+            let Some(addr) = addrs[index] else { continue };
+            let earlier = addrs[..index].iter().flatten();
+            let taken = earlier.into_iter().any(|earlier| overlap(*earlier, addr));
+            if let (true, Some((spec, text))) = (taken, self.text(flag)) {
+                let rule = "must not be a port that this daemon opens already";
+                self.fault(spec, rule.to_owned(), Some(text));
+            }
+        }
+    }
+
     fn number(&mut self, flag: &'static str, range: std::ops::RangeInclusive<u64>) -> Option<u64> {
         let (spec, text) = self.text(flag)?;
         let number = text.parse().ok().filter(|number| range.contains(number));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,8 @@
 //! Pure decisions. Each takes the time and the facts and returns what to do; none does I/O.
 //!
+//! * [`currency`] — whether a daemon may serve on the contracts it holds.
+//! * [`limits`] — how much of an organisation's limits this daemon may use.
+//! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
 //! * [`routing`] — which upstream gets a request, without a look at its memory.
 //! * [`lengths`] — how long an answer will be.
@@ -12,8 +15,11 @@
 mod admission_engine;
 mod admission_pace;
 pub mod admission_profile;
+pub mod currency;
 pub mod fairness;
 pub mod lengths;
+pub mod limits;
+pub mod list_guard;
 pub mod membership;
 pub mod prefix;
 mod queue;
--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::process::Command;
 
 use comfreymast_base::{DataCentre, Model, Service};
+use comfreymast_fakes::history::{History, Line, parse};
 use comfreymast_net::{Spawner, call, empty, json, request, sleep_ms};
 use comfreymast_platform::{Vm, VmRole, VmState};
 use serde::Serialize;
@@ -35,6 +36,8 @@
     pub engine_flags: Vec<String>,
     /// More flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// What daemons log, as in `RUST_LOG`.
+    pub daemon_log: String,
 }
 
 impl Default for FleetOptions {
@@ -47,6 +50,7 @@
             daemon_flags: ["--heartbeat-interval-ms", "50", "--vms-interval-ms", "50"]
                 .map(str::to_owned)
                 .to_vec(),
+            daemon_log: "info".to_owned(),
         }
     }
 }
@@ -67,6 +71,12 @@
         self.vm.addr
     }
 
+    /// Where operators connect.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.vm.operators_addr.unwrap_or(self.vm.addr)
+    }
+
     /// The command line against this daemon.
     #[must_use]
     pub fn cli(&self) -> Cli {
@@ -173,15 +183,29 @@
     ///
     /// Any [`ProofError`].
     pub fn start_daemon(&self, name: &str) -> Result<DaemonProcess, ProofError> {
+        self.start_daemon_with_log(name, self.log.listening())
+    }
+
+    /// Starts one daemon with a log of its own at `log_addr`, without listing it.
+    ///
+    /// # Errors
+    ///
+    /// Any [`ProofError`].
+    pub fn start_daemon_with_log(
+        &self,
+        name: &str,
+        log_addr: &str,
+    ) -> Result<DaemonProcess, ProofError> {
         let mut command = Command::new(program("comfreymast"));
         command.args(["daemon", "--name", name, "--data-centre", "dc1"]);
-        command.args(["--log-addr", self.log.listening(), "--vms-addr", self.vms.listening()]);
+        command.args(["--log-addr", log_addr, "--vms-addr", self.vms.listening()]);
         for flag in ["--callers-addr", "--operators-addr", "--peers-addr"] {
             command.args([flag, "127.0.0.1:0"]);
         }
         command.args(["--threads", "2", "--fleet-key", FLEET_KEY]);
         command.args(&self.options.daemon_flags);
         command.env("COMFREYMAST_OPERATOR_KEY", OPERATOR_KEY);
+        command.env("RUST_LOG", &self.options.daemon_log);
         command.stderr(std::fs::File::create(self.folder.path().join(format!("{name}.err")))?);
         let process = Process::start(command)?;
         let listening = process.listening().to_owned();
@@ -233,6 +257,27 @@
         Ok(())
     }
 
+    /// Waits until `seen` gives true; unlike [`Fleet::wait_for`] it may call the fleet.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::NotSeen`].
+    pub async fn wait_until<F: Future<Output = bool>>(
+        &self,
+        what: &str,
+        mut seen: impl FnMut() -> F,
+    ) -> Result<(), ProofError> {
+        let clock = comfreymast_base::Clock::system();
+        while !seen().await {
+            if clock.now_ms() > WAIT_LIMIT_MS {
+                let what = what.to_owned();
+                return Err(ProofError::NotSeen { what, limit_ms: WAIT_LIMIT_MS });
+            }
+            sleep_ms(POLL_MS).await;
+        }
+        Ok(())
+    }
+
     /// Waits until `seen` returns true.
     ///
     /// # Errors
@@ -295,6 +340,21 @@
         self.folder.path().join(name)
     }
 
+    /// Writes to the history of this fleet under the name `source`.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::Io`] when the file cannot be opened.
+    pub fn history(&self, source: &str) -> Result<History, ProofError> {
+        Ok(History::open(source, Some(&self.path("history")))?)
+    }
+
+    /// The history so far, of all stand-ins and callers.
+    #[must_use]
+    pub fn lines(&self) -> Vec<Line> {
+        parse(&self.read("history"))
+    }
+
     /// The text of a file of this fleet.
     #[must_use]
     pub fn read(&self, name: &str) -> String {
