--- /dev/null
+++ b/crates/daemon/src/admission/exchange.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+
+use comfreymast_base::{DaemonName, Upstream};
+use comfreymast_decide::admission::EngineUse;
+use comfreymast_decide::admission_profile::{HORIZONS, MemoryProfile};
+use comfreymast_net::sleep_ms;
+use comfreymast_wire::peer::{UpstreamLoad, UpstreamUse, peer_message};
+
+use crate::daemon::Daemon;
+use crate::events;
+
+/// How often waiting requests are looked at; each end of a generation looks at them too.
+const PUMP_INTERVAL_MS: u64 = 50;
+/// How often peers are told what runs here.
+const PUMPS_PER_EXCHANGE: u32 = 10;
+
+/// Starts waiting requests as room comes up and tells peers what runs here, until the daemon ends.
+pub(crate) async fn run(daemon: Arc<Daemon>) {
+    let mut queued = false;
+    let mut pumps: u32 = 0;
+    loop {
+        let waiting = daemon.engine_queue.pump(&daemon);
+        daemon.metrics.requests_waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+        if (waiting > 0) != queued {
+            queued = waiting > 0;
+            let event = if queued { events::ENGINES_FULL } else { events::ENGINES_FREE };
+            event.log(format_args!("{waiting} requests wait for an engine"));
+        }
+        if pumps.is_multiple_of(PUMPS_PER_EXCHANGE) {
+            send_use(&daemon);
+        }
+        pumps = pumps.wrapping_add(1);
+        sleep_ms(PUMP_INTERVAL_MS).await;
+    }
+}
+
+fn send_use(daemon: &Daemon) {
+    let uses = daemon.engine_queue.own_use(daemon.clock.now_ms());
+    let body = UpstreamUse {
+        daemon: daemon.settings.name.to_string(),
+        loads: uses.iter().map(load_of).collect(),
+    };
+    daemon.peers.broadcast(&peer_message::Body::UpstreamUse(body));
+}
+
+/// Takes in what a peer runs.
+pub(crate) fn take_use(daemon: &Daemon, from: &DaemonName, body: &UpstreamUse) {
+    let uses: Vec<_> = body.loads.iter().map(use_of).collect();
+    daemon.engine_queue.peer_use(from, &uses, daemon.clock.now_ms());
+}
+
+fn load_of(EngineUse { engine, requests, profile }: &EngineUse) -> UpstreamLoad {
+    // Whole tokens are exact enough; a cast clamps what does not fit.
+    UpstreamLoad {
+        upstream: engine.to_string(),
+        requests: *requests,
+        mean_tokens: profile.mean_tokens.iter().map(|tokens| tokens.round() as u32).collect(),
+        deviation_tokens: profile.variance.iter().map(|v| v.sqrt().round() as u32).collect(),
+    }
+}
+
+/// A peer of another version may know fewer or more horizons: those of both count.
+fn use_of(load: &UpstreamLoad) -> EngineUse {
+    let mut profile = MemoryProfile::default();
+    for at in 0..HORIZONS {
+        let mean_tokens = load.mean_tokens.get(at).copied().unwrap_or_default();
+        let deviation = f64::from(load.deviation_tokens.get(at).copied().unwrap_or_default());
+        profile.mean_tokens[at] = f64::from(mean_tokens);
+        profile.variance[at] = deviation * deviation;
+    }
+    let engine = Upstream::from(load.upstream.as_str());
+    EngineUse { engine, requests: load.requests, profile }
+}
--- a/crates/daemon/src/callers/ask.rs
+++ b/crates/daemon/src/callers/ask.rs
@@ -11,6 +11,7 @@
 
 use super::call_error::CallError;
 use super::digest;
+use crate::claims::Asked;
 use crate::daemon::Daemon;
 
 const BODY_LIMIT_MS: u64 = 30_000;
@@ -42,6 +43,8 @@
     pub(crate) stream: bool,
     /// What a reader who comes back has read, one text for each event.
     pub(crate) read_tokens: Vec<Arc<str>>,
+    /// What the caller says of repeating it.
+    pub(crate) asked: Asked,
 }
 
 impl Ask {
@@ -51,9 +54,10 @@
         contract: &Contract,
         request: Request<Incoming>,
     ) -> Result<Self, CallError> {
-        let kind = header(request.headers(), KIND_HEADER).map(str::to_owned);
-        let body = read_body(daemon, request.into_body()).await?;
-        let body: CompletionBody = serde_json::from_slice(&body)
+        let (head, body) = request.into_parts();
+        let kind = header(&head.headers, KIND_HEADER).map(str::to_owned);
+        let bytes = read_body(daemon, body).await?;
+        let body: CompletionBody = serde_json::from_slice(&bytes)
             .map_err(|error| CallError::Malformed { reason: error.to_string() })?;
         let work = contract.work_for(kind.as_deref(), &body.model).ok_or_else(|| {
             let kind = kind.as_deref().unwrap_or("any kind");
@@ -64,12 +68,14 @@
             let what = format!("{max_tokens} output tokens");
             return Err(CallError::NotAllowed { what });
         }
+        let asked = Asked::read(&contract.organisation, &head, &bytes, work.repeatable)?;
         Ok(Self {
             work: work.clone(),
             prompt: body.prompt,
             max_tokens,
             stream: body.stream,
             read_tokens: body.read_tokens,
+            asked,
         })
     }
 
@@ -86,6 +92,11 @@
         }
     }
 
+    /// When the whole answer must be there, if it is asked for now.
+    pub(crate) fn deadline_ms(&self, daemon: &Daemon) -> u64 {
+        daemon.clock.now_ms().saturating_add(self.work.service_level.deadline_ms)
+    }
+
     /// Binds a cursor to what was asked.
     pub(crate) fn digest(&self) -> u64 {
         digest::of_request(&self.work.model, &self.prompt, self.max_tokens)
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use comfreymast_base::{GenerationId, Model, Organisation};
+use comfreymast_base::{GenerationId, Kind, Model, Organisation};
 use comfreymast_net::sleep_ms;
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error};
@@ -9,9 +9,10 @@
 
 use super::ask::Ask;
 use super::call_error::CallError;
-use super::completion::choose;
 use super::cursor::Cursor;
 use super::digest;
+use crate::admission::{self, EnginePermit, EngineRequest};
+use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::events;
@@ -63,10 +64,16 @@
     /// False while only the engine that runs it may go on with it.
     may_continue: bool,
     cancel_on_drop: bool,
+    /// The right to run it; a reader who comes back has none to give.
+    claim: Permit,
     deadline_ms: u64,
     request_digest: u64,
     text_digest: u64,
     engine: Arc<UpstreamState>,
+    /// What it holds of the engine's memory; `None` where another daemon admitted it.
+    permit: Option<EnginePermit>,
+    /// The kind of work, once it is known.
+    kind: Kind,
     stream: Option<EngineStream>,
     /// Engines that have had this generation. None gets it twice, so that an engine which ignores
     /// fences never holds two attempts of it.
@@ -102,16 +109,34 @@
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
         ask: &Ask,
+        mut claim: Permit,
     ) -> Result<Self, CallError> {
+        let budget = daemon.retry_budgets.of(organisation, daemon.clock.now_ms());
+        budget.request(daemon.clock.now_ms());
         let start = ask.start(GenerationId::random(), fence::first());
         let refused = CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let mut tried = Vec::new();
         for _ in 0..MAX_STARTS {
-            let engine = choose(daemon, &start, &tried).ok_or_else(|| refused.clone())?;
+            let request = EngineRequest {
+                organisation,
+                kind: &ask.work.kind,
+                start: &start,
+                deadline_ms: ask.deadline_ms(daemon),
+                tried: &tried,
+            };
+            let permit = admission::admit(daemon, request).await?;
+            let engine = permit.engine().clone();
+            let may_try =
+                tried.is_empty() || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
+            if !may_try {
+                break;
+            }
             tried.push(engine.addr);
+            claim.dispatching();
             let stream = match EngineStream::start(daemon, &engine, &start).await {
                 Ok(stream) => Some(stream),
                 Err(error @ StartError::NotRun { .. }) => {
+                    claim.refused();
                     attempt_failed(daemon, &engine, &error);
                     continue;
                 }
@@ -123,6 +148,8 @@
             };
             let mut generation = Self::new(daemon, organisation, start, engine, stream);
             generation.tried = tried;
+            generation.claim = claim;
+            generation.permit = Some(permit);
             generation.allow(ask);
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
@@ -163,7 +190,7 @@
                 Err(AttachError::Gone | AttachError::Failed(_)) => {}
             }
         }
-        let ask = ask.filter(|ask| ask.work.repeatable).ok_or(CallError::GenerationGone)?;
+        let ask = ask.filter(|ask| ask.asked.repeatable).ok_or(CallError::GenerationGone)?;
         Self::continue_from_reader(daemon, cursor, ask, start, known)
     }
 
@@ -180,7 +207,7 @@
         }
         start.resume.clone_from(&ask.read_tokens);
         let tried: Vec<_> = lost.iter().map(|engine| engine.addr).collect();
-        let next = choose(daemon, &start, &tried)
+        let next = untried(daemon, &start.model, &tried)
             .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
         // The first call for a token leaves `engine` for a chosen one.
         let engine = lost.unwrap_or(next);
@@ -214,10 +241,13 @@
             start,
             may_continue: false,
             cancel_on_drop: false,
+            claim: Permit::unclaimed(false),
             deadline_ms: u64::MAX,
             text_digest,
             tried: vec![engine.addr],
             engine,
+            permit: None,
+            kind: Kind::from(""),
             stream,
             trouble: Trouble::default(),
             ended: false,
@@ -226,9 +256,9 @@
 
     /// Lets the generation be carried on as the contract allows for this request.
     fn allow(&mut self, ask: &Ask) {
-        self.may_continue = ask.work.repeatable;
-        let allowed_ms = ask.work.service_level.deadline_ms;
-        self.deadline_ms = self.daemon.clock.now_ms().saturating_add(allowed_ms);
+        self.may_continue = ask.asked.repeatable;
+        self.kind = ask.work.kind.clone();
+        self.deadline_ms = ask.deadline_ms(&self.daemon);
     }
 
     /// Reads again what the reader has, and holds it against the cursor.
@@ -265,6 +295,11 @@
         }
     }
 
+    /// The right to run it, which is told how it ended.
+    pub(crate) fn claim(&mut self) -> &mut Permit {
+        &mut self.claim
+    }
+
     /// The model that writes it.
     pub(crate) fn model(&self) -> &Model {
         &self.start.model
@@ -290,10 +325,15 @@
 
     fn take(&mut self, token: &Token) {
         self.trouble = Trouble::default();
+        let read_tokens = self.read_tokens();
         if token.finish.is_some() {
             self.ended = true;
+            self.permit.take().into_iter().for_each(|mut permit| permit.finish(read_tokens));
             return;
         }
+        if let Some(permit) = &self.permit {
+            permit.progress(read_tokens + 1);
+        }
         self.text_digest = digest::with_token(self.text_digest, &token.text);
         self.start.resume.push(token.text.clone());
     }
@@ -357,11 +397,22 @@
     }
 
     async fn continue_elsewhere(&mut self) -> Result<(), GenerationError> {
-        let Some(engine) = choose(&self.daemon, &self.start, &self.tried) else {
+        // What it held on the lost engine is free at once.
+        self.permit = None;
+        let request = EngineRequest {
+            organisation: &self.organisation,
+            kind: &self.kind,
+            start: &self.start,
+            deadline_ms: self.deadline_ms,
+            tried: &self.tried,
+        };
+        let Ok(permit) = admission::admit(&self.daemon, request).await else {
             self.trouble.failures += 1;
             self.trouble.back_off().await;
             return Ok(());
         };
+        let engine = permit.engine().clone();
+        self.permit = Some(permit);
         cancel(&self.daemon, &self.engine, self.start.generation, self.start.fence);
         self.engine = engine;
         self.tried.push(self.engine.addr);
@@ -424,6 +475,13 @@
     }
 }
 
+/// Any engine that could go on with a generation.
+fn untried(daemon: &Daemon, model: &Model, tried: &[SocketAddr]) -> Option<Arc<UpstreamState>> {
+    let directory = daemon.directory.load();
+    let mut engines = directory.engines(model);
+    engines.find(|engine| !tried.contains(&engine.addr)).cloned()
+}
+
 /// A start for a reader who gave no body back: good for attaching, never sent.
 fn start_unknown(generation: GenerationId, fence: u64, model: Model) -> StartGeneration {
     StartGeneration {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,17 +11,20 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::admission::EngineQueue;
 use crate::burn::BurnState;
 use crate::callers::cursor::CursorSeal;
+use crate::claims::ClaimLog;
 use crate::currency::Currency;
 use crate::directory::Directory;
 use crate::ledger_state::LedgerState;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::retry_budgets::RetryBudgets;
 use crate::{
-    Settings, burn, callers, events, limits, load_watch, log_follower, operators, peers,
-    snapshot_writer, vm_watch,
+    Settings, admission, burn, callers, claims, events, limits, load_watch, log_follower,
+    operators, peers, snapshot_writer, vm_watch,
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
@@ -47,8 +50,14 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// Generations that wait for an engine or run on one.
+    pub(crate) engine_queue: EngineQueue,
     /// What it may use of organisations' limits.
     pub(crate) limits: Limits,
+    /// Claims on their way to the log.
+    pub(crate) claims: ClaimLog,
+    /// What organisations may retry.
+    pub(crate) retry_budgets: RetryBudgets,
     /// Service levels kept and missed.
     pub(crate) burn: BurnState,
     /// What it counts.
@@ -179,8 +188,10 @@
         spawner.spawn(log_follower::follow(daemon.clone())),
         spawner.spawn(snapshot_writer::write(daemon.clone())),
         spawner.spawn(peers::catch_up(daemon.clone())),
+        spawner.spawn(claims::append(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(admission::run(daemon.clone())),
         spawner.spawn(burn::fold(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
@@ -198,6 +209,7 @@
     let _drain = spawner.spawn(drain(daemon.clone(), accepting, streams_running));
     let callers_front = answer_with(&daemon, callers::front::answer);
     serve(spawner, callers, callers_front, caller_limits(&daemon.settings), accept_stop).await;
+    daemon.claims.flush().await;
     drop(operators_running);
     events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
     Ok(())
@@ -237,7 +249,10 @@
         currency: Currency::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        engine_queue: EngineQueue::default(),
         limits: Limits::default(),
+        claims: ClaimLog::default(),
+        retry_budgets: RetryBudgets::default(),
         burn: BurnState::default(),
         metrics: Metrics::new(),
         stop,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -75,5 +75,10 @@
     STREAM_SUPERSEDED = 607 Info "reader has moved to another daemon";
     CURSOR_REFUSED = 608 Warn "cursor refused";
     READER_STALLED = 609 Info "reader that does not read was cut";
+    CLAIM_END_LOST = 701 Warn "end of a claim lost";
+    CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
+    ENGINES_FULL = 801 Info "requests wait for an engine";
+    ENGINES_FREE = 802 Info "no request waits for an engine";
+    REQUEST_REFUSED = 803 Info "engines too full, request refused";
     BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,8 +8,10 @@
 //!
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
+mod admission;
 mod burn;
 mod callers;
+mod claims;
 mod currency;
 mod daemon;
 mod directory;
@@ -22,6 +24,7 @@
 pub mod operators;
 mod peers;
 mod recent_entries;
+mod retry_budgets;
 mod settings;
 mod snapshot_writer;
 mod upstream;
--- a/crates/daemon/src/load_watch.rs
+++ b/crates/daemon/src/load_watch.rs
@@ -4,27 +4,34 @@
 use comfreymast_net::{DialError, call, empty, request, sleep_ms};
 use comfreymast_wire::engine::Load;
 
+use crate::admission::engines_used;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 
 const REPORT_TIMEOUT_MS: u64 = 1_000;
 const MAX_REPORT_BYTES: usize = 65_536;
 
-/// Asks each engine for its load again and again, until the daemon ends.
+/// The most reports that one daemon reads in a second.
+const MAX_REPORTS_PER_S: u64 = 25;
+const MS_PER_S: u64 = 1_000;
+
+/// Asks each engine that this daemon uses for its load again and again, until the daemon ends.
 pub(crate) async fn watch(daemon: Arc<Daemon>) {
     loop {
-        let directory = daemon.directory.load_full();
-        for engine in directory.upstreams.values().filter(|up| up.service.is_none()) {
-            let reading = read(daemon.clone(), engine.clone());
+        let engines = engines_used(&daemon.directory.load(), &daemon.settings.name);
+        let shortest_ms = engines.len() as u64 * MS_PER_S / MAX_REPORTS_PER_S;
+        for engine in engines {
+            let reading = read(daemon.clone(), engine);
             daemon.spawner.detach(reading);
         }
-        sleep_ms(daemon.settings.load_interval_ms).await;
+        sleep_ms(daemon.settings.load_interval_ms.max(shortest_ms)).await;
     }
 }
 
 async fn read(daemon: Arc<Daemon>, engine: Arc<UpstreamState>) {
     // An engine that does not answer keeps its last report, which ages.
     if let Ok(load) = report(&daemon, &engine).await {
+        daemon.engine_queue.report(&engine.name, &load);
         engine.live.load.store(Arc::new(load));
         engine.live.load_at_ms.store(daemon.clock.now_ms(), Ordering::Release);
     }
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -157,6 +157,12 @@
             events::SNAPSHOT_DIFFERS
                 .log(format_args!("offset {offset}: not the records up to {upto_offset}"));
         }
-        Applied::Snapshot { .. } | Applied::Duplicate | Applied::Gap { .. } | Applied::Ignored => {}
+        Applied::Snapshot { .. }
+        | Applied::Quarantine { .. }
+        | Applied::Claim { .. }
+        | Applied::ClaimEnded
+        | Applied::Duplicate
+        | Applied::Gap { .. }
+        | Applied::Ignored => {}
     }
 }
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -30,8 +30,16 @@
     pub(crate) tokens: Counter,
     /// Attempts on upstreams that failed.
     pub(crate) failed_attempts: Counter,
+    /// Attempts beyond the first.
+    pub(crate) retries: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
+    /// Requests that had to wait for an engine.
+    pub(crate) requests_held: Counter,
+    /// Requests that wait for an engine now.
+    pub(crate) requests_waiting: Gauge,
+    /// Requests refused because the engines were too full.
+    pub(crate) refused_overloaded: Counter,
     /// From a request to its first token.
     pub(crate) first_token_seconds: Histogram,
     /// From one token to the next.
@@ -45,6 +53,7 @@
         let answers = Family::<AnswerLabels, Counter>::default();
         let tokens = Counter::default();
         let failed_attempts = Counter::default();
+        let retries = Counter::default();
         let requests_open = Gauge::default();
         registry.register("answers", "Final answers to callers", answers.clone());
         registry.register("tokens", "Tokens relayed to callers", tokens.clone());
@@ -53,7 +62,26 @@
             "Attempts on upstreams that failed",
             failed_attempts.clone(),
         );
+        registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("requests_open", "Requests in progress", requests_open.clone());
+        let requests_held = Counter::default();
+        let requests_waiting = Gauge::default();
+        let refused_overloaded = Counter::default();
+        registry.register(
+            "requests_held",
+            "Requests that had to wait for an engine",
+            requests_held.clone(),
+        );
+        registry.register(
+            "requests_waiting",
+            "Requests that wait for an engine now",
+            requests_waiting.clone(),
+        );
+        registry.register(
+            "refused_overloaded",
+            "Requests refused because the engines were too full",
+            refused_overloaded.clone(),
+        );
         let first_token_seconds = Histogram::new(FIRST_TOKEN_BUCKETS_S);
         let token_gap_seconds = Histogram::new(TOKEN_GAP_BUCKETS_S);
         registry.register(
@@ -71,7 +99,11 @@
             answers,
             tokens,
             failed_attempts,
+            retries,
             requests_open,
+            requests_held,
+            requests_waiting,
+            refused_overloaded,
             first_token_seconds,
             token_gap_seconds,
         }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -16,7 +16,7 @@
 use super::proof::is_proven;
 use super::state::Echo;
 use crate::daemon::Daemon;
-use crate::{events, limits};
+use crate::{admission, events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -96,6 +96,7 @@
         peer_message::Body::BurnReply(reply) => daemon.burn.take_reply(reply),
         peer_message::Body::FetchEntries(fetch) => send_entries(daemon, from, fetch.from_offset),
         peer_message::Body::Entries(entries) => take_entries(daemon, from, entries),
+        peer_message::Body::UpstreamUse(body) => admission::take_use(daemon, from, &body),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
--- a/crates/daemon/src/peers/state.rs
+++ b/crates/daemon/src/peers/state.rs
@@ -120,7 +120,6 @@
     }
 
     /// Sends to every peer that this daemon has a link to.
-    #[allow(dead_code, reason = "heartbeats differ by peer; other messages are the same for all")]
     pub(crate) fn broadcast(&self, body: &peer_message::Body) {
         for link in self.links().values() {
             let _ = link.try_send(PeerMessage { body: Some(body.clone()) });
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -35,11 +35,17 @@
 pub struct AdmissionOptions {
     /// The part of an engine's memory that the expected peak may take.
     pub memory_share: f64,
+    /// The part that may be in use at once.
+    pub now_share: f64,
+    /// Like `memory_share`, for work that was running before: its reader waits in the middle of an answer.
+    pub continued_share: f64,
     /// How many standard deviations count as expected.
     pub deviations: f64,
     /// The most of an engine's memory that work leaves to work of the highest active priority,
     /// when that is kept waiting.
     pub priority_reserve: f64,
+    /// Work that makes fewer tokens leaves less: its memory is soon free again.
+    pub reserve_tokens: f64,
     /// The wait of work of the highest active priority that makes the reserve grow.
     pub long_wait_ms: u64,
     /// The part of that work that may wait longer.
@@ -80,9 +86,12 @@
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
-            memory_share: 1.0,
+            memory_share: 1.05,
+            now_share: 0.98,
+            continued_share: 1.3,
             deviations: 1.0,
             priority_reserve: 0.5,
+            reserve_tokens: 500.0,
             long_wait_ms: 500,
             long_wait_share: 0.05,
             share_reserve: 0.1,
@@ -129,6 +138,8 @@
     pub max_tokens: u32,
     /// When the whole answer must be there.
     pub deadline_ms: u64,
+    /// Engines that must not have it.
+    pub avoid: Vec<Upstream>,
 }
 
 /// What to do with a request now.
@@ -365,10 +376,11 @@
     }
 
     fn find_room(&mut self, ticket: Ticket, equal_tokens: f64, now_ms: u64) -> Option<Upstream> {
-        let Waiting { work, profile, .. } = self.queue.get(ticket)?;
-        let bound_share = self.bound_share(work, equal_tokens, now_ms);
+        let waiting = self.queue.get(ticket)?;
+        let Waiting { work, profile, .. } = waiting;
+        let bound_share = self.bound_share(waiting, equal_tokens, now_ms);
         let mut engines: Vec<_> =
-            self.engines.iter().filter(|(_, engine)| engine.takes(&work.model)).collect();
+            self.engines.iter().filter(|(name, engine)| may_run(work, name, engine)).collect();
         while engines.len() > self.options.choices.max(1) {
             engines.swap_remove(self.random.random_range(0..engines.len()));
         }
@@ -385,13 +397,15 @@
     }
 
     /// The part of an engine's memory that this work may see used.
-    fn bound_share(&self, work: &Work, equal_tokens: f64, now_ms: u64) -> f64 {
+    fn bound_share(&self, waiting: &Waiting, equal_tokens: f64, now_ms: u64) -> f64 {
         let options = &self.options;
+        let Waiting { work, expected_tokens, .. } = waiting;
         if work.done_tokens > 0 {
-            return options.memory_share;
+            return options.continued_share;
         }
         let is_highest = work.priority >= self.pace.highest_priority(now_ms);
-        let priority_reserve = if is_highest { 0.0 } else { self.reserve };
+        let held_part = (expected_tokens / options.reserve_tokens).min(1.0);
+        let priority_reserve = if is_highest { 0.0 } else { self.reserve * held_part };
         let served_tokens = self.shares.served_tokens(&work.organisation, now_ms);
         let beyond = served_tokens / equal_tokens.max(1.0) - 1.0;
         let share_reserve = options.share_reserve * beyond.clamp(0.0, 1.0);
@@ -445,6 +459,9 @@
         const MAX_RETRY_MS: u64 = 120_000;
         let waiting = self.queue.get(ticket)?;
         let work = &waiting.work;
+        if !self.engines.iter().any(|(name, engine)| may_run(work, name, engine)) {
+            return Some(MIN_RETRY_MS);
+        }
         let waited_ms = now_ms.saturating_sub(waiting.since_ms);
         // What others are ahead of was estimated on arrival; later only the time itself counts.
         let ahead_ms = if waited_ms == 0 {
@@ -453,9 +470,11 @@
         } else {
             0
         };
-        let runs_ms = self.pace.run_ms(waiting.expected_tokens);
+        let is_fresh = work.done_tokens == 0;
+        let knows_length = is_fresh && waiting.curve.is_learned;
+        let runs_ms = if knows_length { self.pace.run_ms(waiting.curve.median()) } else { 0 };
         let too_late = now_ms + ahead_ms + runs_ms > work.deadline_ms;
-        let too_long = waited_ms + ahead_ms > self.options.max_wait_ms && work.done_tokens == 0;
+        let too_long = is_fresh && waited_ms + ahead_ms > self.options.max_wait_ms;
         if !too_late && !too_long {
             return None;
         }
@@ -486,3 +505,7 @@
         }
     }
 }
+
+fn may_run(work: &Work, name: &Upstream, engine: &Engine) -> bool {
+    engine.takes(&work.model) && !work.avoid.contains(name)
+}
--- a/crates/decide/src/admission_engine.rs
+++ b/crates/decide/src/admission_engine.rs
@@ -99,8 +99,12 @@
         let empty = self.used.mean_tokens[0] < 1.0;
         let peak_tokens = self.used.peak_with(added, options.deviations);
         let share = peak_tokens / report.memory_tokens.max(1) as f64;
+        // Above this the engine itself would let it wait.
+        let now_share =
+            (self.used.mean_tokens[0] + added.mean_tokens[0]) / report.memory_tokens.max(1) as f64;
+        let fits = share <= bound_share && now_share <= bound_share.min(options.now_share);
         // An empty engine takes even what may be too long for it: there is no better place.
-        (empty || share <= bound_share).then_some(share)
+        (empty || fits).then_some(share)
     }
 
     /// Counts a generation that this daemon starts now.
--- a/crates/decide/src/admission_pace.rs
+++ b/crates/decide/src/admission_pace.rs
@@ -1,8 +1,6 @@
 const PRIORITIES: usize = 10;
 /// Over how long the pace is taken.
 const MEMORY_MS: f64 = 20_000.0;
-/// The pace of one generation before any has ended.
-const DEFAULT_TOKEN_MS: f64 = 30.0;
 /// The weight of the newest generation in the average.
 const NEWEST_SHARE: f64 = 0.02;
 
@@ -19,16 +17,11 @@
 }
 
 /// How fast waiting work is started, and how fast tokens are made.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Pace {
     started: [Rate; PRIORITIES],
-    token_ms: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self { started: Default::default(), token_ms: DEFAULT_TOKEN_MS }
-    }
+    /// `None` before any generation has ended.
+    token_ms: Option<f64>,
 }
 
 impl Pace {
@@ -50,7 +43,8 @@
     pub(crate) fn finished(&mut self, tokens: u32, duration_ms: u64) {
         if tokens > 0 {
             let token_ms = duration_ms as f64 / f64::from(tokens);
-            self.token_ms += NEWEST_SHARE * (token_ms - self.token_ms);
+            let average_ms = self.token_ms.get_or_insert(token_ms);
+            *average_ms += NEWEST_SHARE * (token_ms - *average_ms);
         }
     }
 
@@ -65,8 +59,8 @@
         (tokens * MEMORY_MS / started_tokens.max(1.0)) as u64
     }
 
-    /// How long a generation of this many tokens runs.
+    /// How long a generation of this many tokens runs; 0 while that is not known.
     pub(crate) fn run_ms(&self, tokens: f64) -> u64 {
-        (tokens * self.token_ms) as u64
+        (tokens * self.token_ms.unwrap_or_default()) as u64
     }
 }
--- a/crates/decide/src/lengths.rs
+++ b/crates/decide/src/lengths.rs
@@ -93,7 +93,9 @@
         kind: &Kind,
         max_tokens: u32,
     ) -> Arc<LengthCurve> {
+        const LEARNED_OBSERVATIONS: f64 = 20.0;
         let max_tokens = f64::from(max_tokens.max(1));
+        let observed = self.kinds.get(kind).map_or(0.0, Histogram::total);
         let mut prior = [0.0; BUCKETS];
         prior[..=bucket(max_tokens)].fill(1.0);
         if let Some(histogram) = self.kinds.get(kind) {
@@ -103,7 +105,10 @@
         if let Some(histogram) = self.organisations.get(&key) {
             prior = blend(histogram, &prior, self.options.kind_weight);
         }
-        Arc::new(LengthCurve::new(&prior, max_tokens))
+        Arc::new(LengthCurve {
+            is_learned: observed >= LEARNED_OBSERVATIONS,
+            ..LengthCurve::new(&prior, max_tokens)
+        })
     }
 }
 
@@ -133,6 +138,8 @@
     /// At the lower edge of each bucket, and at the upper edge of the last.
     survival: [f64; BUCKETS + 1],
     max_tokens: f64,
+    /// False while too few answers of the kind were seen to say anything.
+    pub is_learned: bool,
 }
 
 impl LengthCurve {
@@ -144,7 +151,7 @@
             longer += weights[at] / total.max(f64::MIN_POSITIVE);
             survival[at] = longer;
         }
-        Self { survival, max_tokens }
+        Self { survival, max_tokens, is_learned: false }
     }
 
     /// The chance that an answer has more than `tokens`.
@@ -171,6 +178,13 @@
         (self.survival(done_tokens + more_tokens) / reached).clamp(0.0, 1.0)
     }
 
+    /// The tokens that a fresh answer has with a chance of one half.
+    #[must_use]
+    pub fn median(&self) -> f64 {
+        let above = (0..BUCKETS).take_while(|at| self.survival(edge(*at)) > 0.5);
+        above.last().map_or(1.0, edge)
+    }
+
     /// The tokens still to come after `done_tokens`, on average.
     #[must_use]
     pub fn expected_remaining(&self, done_tokens: f64) -> f64 {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`admission_profile`] — what generations will hold of an engine's memory.
 //! * [`fairness`] — which organisation is served next.
 //! * [`prefix`] — which engine may still have a prompt's prefix.
+//! * [`retry`] — whether a request is tried again, and when a caller should come back.
 
 pub mod admission;
 mod admission_engine;
@@ -23,4 +24,5 @@
 pub mod membership;
 pub mod prefix;
 mod queue;
+pub mod retry;
 pub mod routing;
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Process`] — one started process, ended with its handle.
 //! * [`Fleet`] — a log, a VM list, daemons, engines and plain servers on ports from the system.
 //! * [`Client`] — a caller that reads streams event by event.
+//! * [`RecordedClient`] — a caller whose requests and answers go to the fleet's history.
 //! * [`Reading`] — a caller who comes back where a stream broke, and writes down what it saw.
 //! * [`Link`] — a TCP link whose connections go silent or are cut.
 //! * [`checks`] — checks of merged histories.
@@ -23,6 +24,7 @@
 mod operator;
 mod process;
 mod reading;
+mod recorded_client;
 
 pub use cli::{Cli, CliOutput};
 pub use client::{Answer, Client, Reader, SseEvent};
@@ -32,3 +34,4 @@
 pub use operator::{Change, Operator};
 pub use process::{Process, ProofError, program};
 pub use reading::{ComeBack, Reading, StreamEnd};
+pub use recorded_client::{Recorded, RecordedClient};
