--- a/crates/daemon/src/admission/engine_queue.rs
+++ b/crates/daemon/src/admission/engine_queue.rs
@@ -210,16 +210,22 @@
         state.admission.waiting()
     }
 
-    /// What runs here, for peers.
-    pub(super) fn own_use(&self, now_ms: u64) -> Vec<EngineUse> {
+    /// What runs here and how many requests wait, for peers.
+    pub(super) fn own_use(&self, now_ms: u64) -> (Vec<EngineUse>, usize) {
         let mut state = self.state();
         state.note_progress();
-        state.admission.own_use(now_ms)
+        (state.admission.own_use(now_ms), state.admission.waiting())
     }
 
     /// What a peer said it runs.
-    pub(super) fn peer_use(&self, peer: &DaemonName, uses: &[EngineUse], now_ms: u64) {
-        self.state().admission.peer_use(peer, uses, now_ms);
+    pub(super) fn peer_use(
+        &self,
+        peer: &DaemonName,
+        uses: &[EngineUse],
+        waiting: u32,
+        now_ms: u64,
+    ) {
+        self.state().admission.peer_use(peer, uses, waiting, now_ms);
     }
 }
 
--- a/crates/daemon/src/admission/exchange.rs
+++ b/crates/daemon/src/admission/exchange.rs
@@ -35,10 +35,11 @@
 }
 
 fn send_use(daemon: &Daemon) {
-    let uses = daemon.engine_queue.own_use(daemon.clock.now_ms());
+    let (uses, waiting) = daemon.engine_queue.own_use(daemon.clock.now_ms());
     let body = UpstreamUse {
         daemon: daemon.settings.name.to_string(),
         loads: uses.iter().map(load_of).collect(),
+        waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
     };
     daemon.peers.broadcast(&peer_message::Body::UpstreamUse(body));
 }
@@ -46,7 +47,7 @@
 /// Takes in what a peer runs.
 pub(crate) fn take_use(daemon: &Daemon, from: &DaemonName, body: &UpstreamUse) {
     let uses: Vec<_> = body.loads.iter().map(use_of).collect();
-    daemon.engine_queue.peer_use(from, &uses, daemon.clock.now_ms());
+    daemon.engine_queue.peer_use(from, &uses, body.waiting, daemon.clock.now_ms());
 }
 
 fn load_of(EngineUse { engine, requests, profile }: &EngineUse) -> UpstreamLoad {
--- a/crates/decide/src/admission.rs
+++ b/crates/decide/src/admission.rs
@@ -63,7 +63,7 @@
     pub lookahead: usize,
     /// The longest wait for an engine.
     pub max_wait_ms: u64,
-    /// Engines compared for one request; all of them where there are no more.
+    /// Engines with room that are compared for one request.
     pub choices: usize,
     /// Generations of this daemon on an engine that has not reported yet.
     pub unreported_running: usize,
@@ -86,10 +86,10 @@
 impl Default for AdmissionOptions {
     fn default() -> Self {
         Self {
-            memory_share: 1.05,
+            memory_share: 1.0,
             now_share: 0.98,
             continued_share: 1.3,
-            deviations: 1.0,
+            deviations: 0.6,
             priority_reserve: 0.5,
             reserve_tokens: 500.0,
             long_wait_ms: 500,
@@ -100,7 +100,7 @@
             near_worth: 0.01,
             lookahead: 8,
             max_wait_ms: 60_000,
-            choices: 64,
+            choices: 2,
             unreported_running: 4,
             peer_use_ms: 2_000,
             report_lag_ms: 4_000,
@@ -209,8 +209,12 @@
     pace: Pace,
     /// The part of memory that lower priorities leave free now.
     reserve: f64,
+    /// When each peer was heard, and how many requests waited there.
+    peers_waiting: HashMap<DaemonName, (u64, u32)>,
     next_ticket: u64,
     profiles_at_ms: Option<u64>,
+    /// True when a peer was heard since the profiles were computed.
+    peers_changed: bool,
     random: SmallRng,
 }
 
@@ -227,8 +231,10 @@
             prefixes: PrefixHints::new(options.prefix),
             pace: Pace::default(),
             reserve: 0.0,
+            peers_waiting: HashMap::new(),
             next_ticket: 0,
             profiles_at_ms: None,
+            peers_changed: false,
             random: SmallRng::seed_from_u64(seed),
             options,
         }
@@ -255,8 +261,9 @@
         }
     }
 
-    /// A peer said what it runs on engines.
-    pub fn peer_use(&mut self, peer: &DaemonName, uses: &[EngineUse], now_ms: u64) {
+    /// A peer said what it runs on engines, and how many requests wait there for one.
+    pub fn peer_use(&mut self, peer: &DaemonName, uses: &[EngineUse], waiting: u32, now_ms: u64) {
+        self.peers_waiting.insert(peer.clone(), (now_ms, waiting));
         for engine in self.engines.values_mut() {
             engine.peers.remove(peer);
         }
@@ -267,6 +274,7 @@
                 engine.peers.insert(peer.clone(), PeerUse { heard_ms: now_ms, running, profile });
             }
         }
+        self.peers_changed = true;
     }
 
     /// What this daemon runs on each engine, for its peers.
@@ -379,21 +387,27 @@
         let waiting = self.queue.get(ticket)?;
         let Waiting { work, profile, .. } = waiting;
         let bound_share = self.bound_share(waiting, equal_tokens, now_ms);
-        let mut engines: Vec<_> =
-            self.engines.iter().filter(|(name, engine)| may_run(work, name, engine)).collect();
-        while engines.len() > self.options.choices.max(1) {
-            engines.swap_remove(self.random.random_range(0..engines.len()));
-        }
         let options = &self.options;
-        let scored = engines.into_iter().filter_map(|(name, engine)| {
-            let used_share = engine.share_with(profile, bound_share, options)?;
+        let is_waiting = |(heard_ms, waiting): &&(u64, u32)| {
+            *waiting > 0 && now_ms.saturating_sub(*heard_ms) <= options.peer_use_ms
+        };
+        let competitors = self.peers_waiting.values().filter(is_waiting).count();
+        let score = |(name, engine): (&Upstream, &Engine)| {
+            let used_share = engine.share_with(profile, bound_share, competitors, options)?;
             let cached =
                 work.prefix.map_or(0.0, |prefix| self.prefixes.likelihood(prefix, name, now_ms));
             let near_worth = if engine.facts.is_near { options.near_worth } else { 0.0 };
             let running = engine.running as f64 * options.running_worth;
-            Some((used_share + running - cached * options.prefix_worth - near_worth, name))
-        });
-        scored.min_by(|(one, _), (other, _)| one.total_cmp(other)).map(|(_, name)| name.clone())
+            Some((used_share + running - cached * options.prefix_worth - near_worth, name.clone()))
+        };
+        let open = self.engines.iter().filter(|(name, engine)| may_run(work, name, engine));
+        let mut with_room: Vec<_> = open.filter_map(score).collect();
+        // Daemons that know the same of all engines would else all choose the same one.
+        while with_room.len() > options.choices.max(1) {
+            with_room.swap_remove(self.random.random_range(0..with_room.len()));
+        }
+        let best = with_room.into_iter().min_by(|(one, _), (other, _)| one.total_cmp(other));
+        best.map(|(_, name)| name)
     }
 
     /// The part of an engine's memory that this work may see used.
@@ -500,8 +514,12 @@
                 engine.own_running += 1;
             }
         }
+        let heard = std::mem::take(&mut self.peers_changed);
         for engine in self.engines.values_mut() {
             engine.refresh(&self.options, now_ms);
+            if heard {
+                engine.note_peers(self.random.random());
+            }
         }
     }
 }
--- a/crates/decide/src/admission_engine.rs
+++ b/crates/decide/src/admission_engine.rs
@@ -48,6 +48,12 @@
     pub(crate) running: usize,
     /// All that is known of its use.
     pub(crate) used: MemoryProfile,
+    /// Its use when peers were last heard.
+    seen_tokens: f64,
+    /// What this daemon started there since, less what ended.
+    taken_tokens: f64,
+    /// Settles who takes room that is too small for all, drawn when peers are heard.
+    draw: f64,
     /// What each peer last said, and when.
     pub(crate) peers: HashMap<DaemonName, PeerUse>,
     /// Tokens in use that daemons accounted for, lately.
@@ -69,6 +75,9 @@
             own_running: 0,
             running: 0,
             used: MemoryProfile::default(),
+            seen_tokens: 0.0,
+            taken_tokens: 0.0,
+            draw: 0.0,
             peers: HashMap::new(),
             explained: VecDeque::new(),
         }
@@ -89,6 +98,7 @@
         &self,
         added: &MemoryProfile,
         bound_share: f64,
+        competitors: usize,
         options: &AdmissionOptions,
     ) -> Option<f64> {
         let Some(report) = self.report else {
@@ -102,13 +112,33 @@
         // Above this the engine itself would let it wait.
         let now_share =
             (self.used.mean_tokens[0] + added.mean_tokens[0]) / report.memory_tokens.max(1) as f64;
-        let fits = share <= bound_share && now_share <= bound_share.min(options.now_share);
+        let now_bound_share = bound_share.min(options.now_share);
+        let room_tokens = now_bound_share * report.memory_tokens as f64 - self.seen_tokens;
+        let fits = share <= bound_share
+            && now_share <= now_bound_share
+            && self.is_own_part(added.mean_tokens[0], room_tokens, competitors);
         // An empty engine takes even what may be too long for it: there is no better place.
         (empty || fits).then_some(share)
     }
 
+    /// Whether work fits into this daemon's part of the room that it and its peers all saw.
+    ///
+    /// Room for less than one each goes to a daemon with a chance of that part.
+    fn is_own_part(&self, added_tokens: f64, room_tokens: f64, competitors: usize) -> bool {
+        let part_tokens = room_tokens / (competitors + 1) as f64;
+        competitors == 0 || self.taken_tokens + self.draw * added_tokens <= part_tokens
+    }
+
+    /// Notes that peers were just heard.
+    pub(crate) fn note_peers(&mut self, draw: f64) {
+        self.seen_tokens = self.used.mean_tokens[0];
+        self.taken_tokens = 0.0;
+        self.draw = draw;
+    }
+
     /// Counts a generation that this daemon starts now.
     pub(crate) fn start(&mut self, added: &MemoryProfile) {
+        self.taken_tokens += added.mean_tokens[0];
         self.own.add(added);
         self.used.add(added);
         self.own_running += 1;
@@ -117,6 +147,7 @@
 
     /// No longer counts a generation that this daemon started.
     pub(crate) fn end(&mut self, ended: &MemoryProfile) {
+        self.taken_tokens -= ended.mean_tokens[0];
         self.own.subtract(ended);
         self.used.subtract(ended);
         self.own_running = self.own_running.saturating_sub(1);
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -188,7 +188,7 @@
     let (mut one, mut other) = (admission(&["e0"]), admission(&["e0"]));
     fill(&mut one, "a", 9, 0);
     let uses = one.own_use(0);
-    other.peer_use(&DaemonName::from("d0"), &uses, 0);
+    other.peer_use(&DaemonName::from("d0"), &uses, 0, 0);
     assert!(fill(&mut other, "a", 9, 0).len() <= 1);
     // A peer that is lost stops counting; the report still does.
     let later_ms = AdmissionOptions::default().peer_use_ms + 1;
@@ -230,3 +230,23 @@
     admission.arrive(prefixed, 600_000);
     assert_eq!(engine_of(&admission.decide(600_000)[0]), Some("e0"));
 }
+
+#[test]
+fn daemons_with_waiting_work_share_the_room_that_all_of_them_see() {
+    const DAEMONS: usize = 8;
+    let started_by_all = |peers_wait: u32| {
+        let started = (0..DAEMONS).map(|own| {
+            let mut one = Admission::new(AdmissionOptions::default(), own as u64);
+            set_engines(&mut one, &["e0"], &[]);
+            report(&mut one, "e0", 0);
+            for peer in (0..DAEMONS).filter(|peer| *peer != own) {
+                one.peer_use(&DaemonName::from(format!("d{peer}")), &[], peers_wait, 0);
+            }
+            // An empty engine takes anything: what is compared comes after the first.
+            fill(&mut one, "a", 9, 0).len().saturating_sub(1)
+        });
+        started.sum::<usize>()
+    };
+    let (alone, together) = (started_by_all(0), started_by_all(1));
+    assert!(together * 4 <= alone, "{together} of {alone}");
+}
