--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs, unreachable_pub, clippy::all)]
 
 use std::path::PathBuf;
+use std::sync::LazyLock;
 
 xflags::xflags! {
     /// Serves generations of unknown length on crowded engines.
@@ -55,6 +56,10 @@
             optional --silence-ms silence_ms: String
             /// How long a plain service may take, 100 to 600000; default 30000.
             optional --call-limit-ms call_limit_ms: String
+            /// How long a request's head may take, 100 to 600000; default 10000.
+            optional --header-timeout-ms header_timeout_ms: String
+            /// How long a request's body may take, 100 to 600000; default 30000.
+            optional --body-timeout-ms body_timeout_ms: String
             /// Time between comments on a quiet stream, 100 to 600000; default 10000.
             optional --keepalive-ms keepalive_ms: String
             /// How long a caller may leave data unread, 100 to 600000; default 30000.
@@ -103,6 +108,17 @@
         /// Tell a daemon to finish its requests and stop.
         cmd drain {}
 
+        /// Requests that are refused because engines died of them.
+        cmd quarantine {
+            /// List quarantined requests.
+            cmd list-quarantined list {}
+            /// Let a request run again.
+            cmd lift {
+                /// Its fingerprint, as `list` prints it.
+                required fingerprint: String
+            }
+        }
+
         /// Report on service levels.
         cmd report {
             /// How fast each organisation's error budget burns, over all daemons.
@@ -117,7 +133,12 @@
     }
 }
 
+/// Commands are types, so no two may have one name: the second `list` has a name of its own, and
+/// `list` as its alias, which is all that the help shows.
+static HELP: LazyLock<String> = LazyLock::new(|| Comfreymast::HELP_.replace(LIST_NAMES, "list"));
+const LIST_NAMES: &str = "list-quarantined | list";
+
 /// The help text of all commands.
 pub(crate) fn help_text() -> &'static str {
-    Comfreymast::HELP_
+    &HELP
 }
--- a/crates/daemon/src/admission/engine_queue.rs
+++ b/crates/daemon/src/admission/engine_queue.rs
@@ -16,6 +16,7 @@
 use crate::daemon::Daemon;
 use crate::directory::{Directory, UpstreamState};
 use crate::events;
+use crate::quarantine::fingerprint;
 
 /// The most engines of one model that one daemon uses and watches.
 const MAX_ENGINES_PER_MODEL: usize = 12;
@@ -88,7 +89,7 @@
     request: EngineRequest<'_>,
 ) -> Result<EnginePermit, CallError> {
     let directory = daemon.directory.load_full();
-    let work = work(&directory, request).ok_or(no_upstream())?;
+    let work = work(daemon, &directory, request).ok_or(no_upstream())?;
     let done_tokens = Arc::new(AtomicU32::new(work.done_tokens));
     let mut waiting = daemon.engine_queue.arrive(daemon, directory, work, &done_tokens);
     let answer = waiting.answers.recv().await;
@@ -108,13 +109,24 @@
 }
 
 /// The request in the terms of the decision; `None` when there is no engine for it.
-fn work(directory: &Directory, request: EngineRequest<'_>) -> Option<Work> {
+fn work(daemon: &Daemon, directory: &Directory, request: EngineRequest<'_>) -> Option<Work> {
     let EngineRequest { organisation, kind, start, deadline_ms, tried } = request;
-    let (avoid, open): (Vec<_>, Vec<_>) =
-        directory.engines(&start.model).partition(|engine| tried.contains(&engine.addr));
+    let now_ms = daemon.clock.now_ms();
+    let fingerprint = || fingerprint(&start.model, &start.prompt);
+    let suspected = daemon.quarantine.engines_to_avoid(fingerprint, now_ms);
+    let is_tried = |engine: &&Arc<UpstreamState>| tried.contains(&engine.addr);
+    let is_unsuited = |engine: &&Arc<UpstreamState>| {
+        engine.is_avoided(now_ms) || suspected.contains(&engine.addr)
+    };
+    let (mut avoid, open): (Vec<_>, Vec<_>) = directory.engines(&start.model).partition(is_tried);
     if open.is_empty() {
         return None;
     }
+    // An unsuited engine is better than none.
+    let (unsuited, suited): (Vec<_>, Vec<_>) = open.into_iter().partition(is_unsuited);
+    if !suited.is_empty() {
+        avoid.extend(unsuited);
+    }
     let prompt_tokens = start.prompt.len().div_ceil(BYTES_PER_TOKEN);
     Some(Work {
         organisation: organisation.clone(),
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -86,6 +86,15 @@
         /// When to come back.
         retry_after_ms: u64,
     },
+    /// Engines died of this request.
+    #[display("the request is quarantined, because engines died while they ran it")]
+    Quarantined,
+    /// Engines died while they ran this request, and it is not clear yet whether of it.
+    #[display("engines died while they ran the request; whether of it is not clear yet")]
+    Suspected {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
     /// An upstream may have run it, and its answer is lost.
     #[display("an upstream may have run the request, but its answer is lost")]
     OutcomeUnknown,
@@ -130,8 +139,9 @@
             | Self::NoUpstream { .. }
             | Self::Overloaded { .. }
             | Self::LogUnavailable { .. }
+            | Self::Suspected { .. }
             | Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
-            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyReused | Self::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
             Self::KeyExpired
             | Self::ClaimUnknown { .. }
             | Self::AnswerNotKept
@@ -161,6 +171,8 @@
             Self::KeyExpired => "key_expired",
             Self::ClaimUnknown { .. } => "claim_unknown",
             Self::AnswerNotKept => "answer_not_kept",
+            Self::Quarantined => "quarantined",
+            Self::Suspected { .. } => "suspected",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::GenerationLost { .. } => "generation_lost",
             Self::GenerationGone => "generation_gone",
@@ -196,7 +208,9 @@
             | Self::NoUpstream { .. }
             | Self::Overloaded { .. }
             | Self::LogUnavailable { .. }
-            | Self::KeyReused => Outcome::NotRun,
+            | Self::KeyReused
+            | Self::Quarantined
+            | Self::Suspected { .. } => Outcome::NotRun,
         }
     }
 
@@ -209,6 +223,7 @@
             | Self::NoUpstream { retry_after_ms }
             | Self::Overloaded { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
+            | Self::Suspected { retry_after_ms }
             | Self::ClaimUnknown { retry_after_ms }
             | Self::GenerationLost { retry_after_ms } => Some(*retry_after_ms),
             Self::HandedOver => Some(0),
--- a/crates/daemon/src/callers/completion.rs
+++ b/crates/daemon/src/callers/completion.rs
@@ -12,6 +12,7 @@
 use crate::burn::RequestRecord;
 use crate::claims::{Admission, admit, outlive_caller};
 use crate::daemon::Daemon;
+use crate::quarantine::check;
 
 /// Runs one completion: reads it, chooses an engine, starts the generation and relays it.
 pub(crate) async fn run(
@@ -34,6 +35,7 @@
     ask: Ask,
     record: RequestRecord,
 ) -> Result<Response<Body>, CallError> {
+    check(daemon, &ask.work.model, &ask.prompt)?;
     let claim = match admit(daemon, &ask.asked).await? {
         Admission::Replay(answer) => return Ok(answer),
         Admission::Run(claim) => claim,
@@ -42,7 +44,7 @@
     let organisation = &caller.contract.organisation;
     let generation = Generation::begin(daemon, organisation, &ask, claim).await?;
     if ask.stream {
-        return Ok(stream::relay(daemon, &caller, generation, Some(record.stream())));
+        return Ok(stream::relay(daemon, &caller, generation, record.stream()));
     }
     let collecting = stream::collect(daemon.clone(), caller, generation, record);
     if is_claimed { outlive_caller(daemon, collecting).await } else { collecting.await }
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -16,11 +16,12 @@
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
 use crate::events;
+use crate::quarantine::{self, Placed};
 use crate::upstream::{AttachError, EngineStream, StartError, StartFailure, StreamError};
 use crate::upstream::{cancel, fence};
 
-/// Engines tried before a request that none has run is refused.
-const MAX_STARTS: usize = 3;
+/// Engines that may refuse a request before its caller is refused.
+const MAX_REFUSALS: u32 = 3;
 /// Failures in a row, without a token between them, after which a generation is given up.
 const MAX_FAILURES: u32 = 6;
 /// Silences in a row after which another engine is preferred to the silent one.
@@ -59,6 +60,7 @@
 pub(crate) struct Generation {
     daemon: Arc<Daemon>,
     organisation: Organisation,
+    kind: Kind,
     /// What was asked; `resume` holds the tokens already read.
     start: StartGeneration,
     /// False while only the engine that runs it may go on with it.
@@ -66,14 +68,14 @@
     cancel_on_drop: bool,
     /// The right to run it; a reader who comes back has none to give.
     claim: Permit,
+    /// Set while it is suspected of killing engines.
+    placed: Option<Placed>,
     deadline_ms: u64,
     request_digest: u64,
     text_digest: u64,
     engine: Arc<UpstreamState>,
     /// What it holds of the engine's memory; `None` where another daemon admitted it.
     permit: Option<EnginePermit>,
-    /// The kind of work, once it is known.
-    kind: Kind,
     stream: Option<EngineStream>,
     /// Engines that have had this generation. None gets it twice, so that an engine which ignores
     /// fences never holds two attempts of it.
@@ -89,6 +91,8 @@
     silences: u32,
     /// The engine has no such generation, or cannot be reached.
     engine_lost: bool,
+    /// The peers know of the engine's death.
+    death_noted: bool,
 }
 
 impl Trouble {
@@ -104,7 +108,7 @@
     // ------------------------------------------------------------------------------------------
     // Ways to get one
 
-    /// Starts a generation on the first of a few engines that takes it.
+    /// Starts a generation on the first engine that takes it.
     pub(crate) async fn begin(
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
@@ -116,7 +120,8 @@
         let start = ask.start(GenerationId::random(), fence::first());
         let refused = CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS };
         let mut tried = Vec::new();
-        for _ in 0..MAX_STARTS {
+        let mut refusals = 0;
+        loop {
             let request = EngineRequest {
                 organisation,
                 kind: &ask.work.kind,
@@ -126,10 +131,9 @@
             };
             let permit = admission::admit(daemon, request).await?;
             let engine = permit.engine().clone();
-            let may_try =
-                tried.is_empty() || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
-            if !may_try {
-                break;
+            let may_retry = || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
+            if refusals > 0 && (refusals == MAX_REFUSALS || !may_retry()) {
+                return Err(refused);
             }
             tried.push(engine.addr);
             claim.dispatching();
@@ -138,6 +142,8 @@
                 Err(error @ StartError::NotRun { .. }) => {
                     claim.refused();
                     attempt_failed(daemon, &engine, &error);
+                    // Knocking at an engine that is not there is no load on anybody.
+                    refusals += u32::from(!error.is_unsent());
                     continue;
                 }
                 Err(error @ StartError::Unknown { .. }) => {
@@ -146,15 +152,16 @@
                     None
                 }
             };
-            let mut generation = Self::new(daemon, organisation, start, engine, stream);
+            let mut generation =
+                Self::new(daemon, organisation, &ask.work.kind, start, engine, stream);
             generation.tried = tried;
             generation.claim = claim;
             generation.permit = Some(permit);
+            generation.place();
             generation.allow(ask);
             generation.cancel_on_drop = !ask.stream;
             return Ok(generation);
         }
-        Err(refused)
     }
 
     /// Attaches to the generation that `cursor` names, after the tokens its reader has.
@@ -178,9 +185,9 @@
             match attach(daemon, engine, cursor.generation, fence).await {
                 Ok(stream) => {
                     let engine = engine.clone();
-                    let organisation = &cursor.organisation;
+                    let Cursor { organisation, kind, .. } = cursor;
                     let mut generation =
-                        Self::new(daemon, organisation, start, engine, Some(stream));
+                        Self::new(daemon, organisation, kind, start, engine, Some(stream));
                     generation.request_digest = cursor.request_digest;
                     generation.catch_up(cursor).await?;
                     ask.into_iter().for_each(|ask| generation.allow(ask));
@@ -211,7 +218,8 @@
             .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
         // The first call for a token leaves `engine` for a chosen one.
         let engine = lost.unwrap_or(next);
-        let mut generation = Self::new(daemon, &cursor.organisation, start, engine, None);
+        let mut generation =
+            Self::new(daemon, &cursor.organisation, &cursor.kind, start, engine, None);
         let is_what_was_read = generation.read_tokens() == cursor.read_tokens
             && generation.text_digest == cursor.text_digest;
         if !is_what_was_read {
@@ -226,6 +234,7 @@
     fn new(
         daemon: &Arc<Daemon>,
         organisation: &Organisation,
+        kind: &Kind,
         start: StartGeneration,
         engine: Arc<UpstreamState>,
         stream: Option<EngineStream>,
@@ -237,17 +246,18 @@
         Self {
             daemon: daemon.clone(),
             organisation: organisation.clone(),
+            kind: kind.clone(),
             request_digest: digest::of_request(&start.model, &start.prompt, start.max_tokens),
             start,
             may_continue: false,
             cancel_on_drop: false,
             claim: Permit::unclaimed(false),
+            placed: None,
             deadline_ms: u64::MAX,
             text_digest,
             tried: vec![engine.addr],
             engine,
             permit: None,
-            kind: Kind::from(""),
             stream,
             trouble: Trouble::default(),
             ended: false,
@@ -257,7 +267,6 @@
     /// Lets the generation be carried on as the contract allows for this request.
     fn allow(&mut self, ask: &Ask) {
         self.may_continue = ask.asked.repeatable;
-        self.kind = ask.work.kind.clone();
         self.deadline_ms = ask.deadline_ms(&self.daemon);
     }
 
@@ -314,6 +323,7 @@
             fence: self.start.fence,
             read_tokens: self.read_tokens(),
             model: self.start.model.clone(),
+            kind: self.kind.clone(),
             request_digest: self.request_digest,
             text_digest: self.text_digest,
         }
@@ -388,6 +398,13 @@
                 self.trouble.failures += 1;
                 self.trouble.engine_lost = true;
                 attempt_failed(&self.daemon, &self.engine, &error);
+                // An engine dies once, however often it is tried again.
+                if !std::mem::replace(&mut self.trouble.death_noted, true)
+                    && quarantine::confirm_death(&self.daemon, &self.engine, &self.start).await
+                    && !self.may_continue
+                {
+                    return Err(self.gave_up());
+                }
                 if !self.may_continue {
                     self.trouble.back_off().await;
                 }
@@ -399,6 +416,11 @@
     async fn continue_elsewhere(&mut self) -> Result<(), GenerationError> {
         // What it held on the lost engine is free at once.
         self.permit = None;
+        self.placed = None;
+        let StartGeneration { model, prompt, .. } = &self.start;
+        if quarantine::settle(&self.daemon, model, prompt).await.is_err() {
+            return Err(self.gave_up());
+        }
         let request = EngineRequest {
             organisation: &self.organisation,
             kind: &self.kind,
@@ -416,8 +438,10 @@
         cancel(&self.daemon, &self.engine, self.start.generation, self.start.fence);
         self.engine = engine;
         self.tried.push(self.engine.addr);
+        self.place();
         self.start.fence = fence::next_attempt(self.start.fence);
         self.trouble.silences = 0;
+        self.trouble.death_noted = false;
         match EngineStream::start(&self.daemon, &self.engine, &self.start).await {
             Ok(stream) => {
                 let from = self.read_tokens();
@@ -438,6 +462,14 @@
         Ok(())
     }
 
+    /// Notes where it runs, if it is suspected of killing engines.
+    fn place(&mut self) {
+        let StartGeneration { model, prompt, .. } = &self.start;
+        let fingerprint = || quarantine::fingerprint(model, prompt);
+        let now_ms = self.daemon.clock.now_ms();
+        self.placed = self.daemon.quarantine.place(&self.engine, fingerprint, now_ms);
+    }
+
     fn gave_up(&self) -> GenerationError {
         let read_tokens = self.read_tokens();
         events::GENERATION_LOST
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::quarantine::QuarantineState;
 use crate::retry_budgets::RetryBudgets;
 use crate::{
     Settings, admission, burn, callers, claims, events, limits, load_watch, log_follower,
@@ -56,6 +57,8 @@
     pub(crate) limits: Limits,
     /// Claims on their way to the log.
     pub(crate) claims: ClaimLog,
+    /// Requests that may kill engines.
+    pub(crate) quarantine: QuarantineState,
     /// What organisations may retry.
     pub(crate) retry_budgets: RetryBudgets,
     /// Service levels kept and missed.
@@ -229,7 +232,11 @@
 }
 
 fn caller_limits(settings: &Settings) -> ServeLimits {
-    ServeLimits { write_stall_ms: settings.reader_stall_ms, ..ServeLimits::default() }
+    ServeLimits {
+        header_timeout_ms: settings.header_timeout_ms,
+        write_stall_ms: settings.reader_stall_ms,
+        ..ServeLimits::default()
+    }
 }
 
 fn new_daemon(
@@ -252,6 +259,7 @@
         engine_queue: EngineQueue::default(),
         limits: Limits::default(),
         claims: ClaimLog::default(),
+        quarantine: QuarantineState::default(),
         retry_budgets: RetryBudgets::default(),
         burn: BurnState::default(),
         metrics: Metrics::new(),
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -77,6 +77,9 @@
     READER_STALLED = 609 Info "reader that does not read was cut";
     CLAIM_END_LOST = 701 Warn "end of a claim lost";
     CLAIM_UNRESOLVED = 702 Warn "claim not seen on the log in time";
+    ENGINE_DEATH = 711 Warn "engine died of a request or beside it";
+    QUARANTINE_DECLARED = 712 Error "request quarantined";
+    QUARANTINE_LIFTED = 713 Info "quarantine lifted";
     ENGINES_FULL = 801 Info "requests wait for an engine";
     ENGINES_FREE = 802 Info "no request waits for an engine";
     REQUEST_REFUSED = 803 Info "engines too full, request refused";
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -2,6 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
+use comfreymast_base::hex;
 use comfreymast_ledger::{Applied, Skip, SnapshotCheck};
 use comfreymast_net::sleep_ms;
 use comfreymast_platform::LogError;
@@ -70,6 +71,8 @@
 fn take_reply(daemon: &Daemon, reply: ReadReply, asked_ms: u64) {
     let entries: Vec<_> =
         reply.entries.into_iter().map(|entry| (entry.offset, entry.record)).collect();
+    let bytes = entries.iter().map(|(_, record)| record.len()).sum();
+    daemon.metrics.control_received("log", bytes);
     put_in_force(daemon, &entries);
     if daemon.ledger.next_offset() >= reply.end_offset {
         daemon.currency.log_read(asked_ms);
@@ -83,6 +86,9 @@
         return;
     }
     for (offset, applied) in daemon.ledger.apply(entries) {
+        if let Applied::Quarantine { fingerprint, active: false } = &applied {
+            daemon.quarantine.forget(fingerprint);
+        }
         log_applied(offset, &applied);
     }
     daemon.peers.announce();
@@ -153,12 +159,17 @@
         Applied::Skipped(skip) => {
             events::RECORD_SKIPPED.log(format_args!("offset {offset}: {skip}"));
         }
+        Applied::Quarantine { fingerprint, active: true } => {
+            events::QUARANTINE_DECLARED.log(format_args!("{}", hex::encode(fingerprint)));
+        }
+        Applied::Quarantine { fingerprint, active: false } => {
+            events::QUARANTINE_LIFTED.log(format_args!("{}", hex::encode(fingerprint)));
+        }
         Applied::Snapshot { upto_offset, check: SnapshotCheck::Differs } => {
             events::SNAPSHOT_DIFFERS
                 .log(format_args!("offset {offset}: not the records up to {upto_offset}"));
         }
         Applied::Snapshot { .. }
-        | Applied::Quarantine { .. }
         | Applied::Claim { .. }
         | Applied::ClaimEnded
         | Applied::Duplicate
--- a/crates/daemon/src/peers/links.rs
+++ b/crates/daemon/src/peers/links.rs
@@ -9,6 +9,7 @@
 use comfreymast_wire::peer::{Heartbeat, Hello, PeerMessage, peer_message};
 use derive_more::{Display, Error, From};
 use futures_lite::future;
+use prost::Message;
 
 use super::proof::prove;
 use crate::daemon::Daemon;
@@ -94,38 +95,42 @@
         .daemons
         .iter()
         .filter(|vm| vm.name != daemon.settings.name.as_str())
-        .filter_map(|vm| Some((DaemonName::from(vm.name.as_str()), vm.peers_addr?)))
+        .filter(|vm| vm.peers_addr.is_some())
+        .map(|vm| DaemonName::from(vm.name.as_str()))
         .collect();
     let mut links = daemon.peers.links();
     // Dropping the sender ends the link's task.
-    links.retain(|name, _| wanted.iter().any(|(wanted, _)| wanted == name));
-    for (name, addr) in wanted {
+    links.retain(|name, _| wanted.contains(name));
+    for name in wanted {
         links.entry(name.clone()).or_insert_with(|| {
             let (sender, messages) = async_channel::bounded(LINK_CAPACITY);
-            daemon.spawner.detach(keep_link(daemon.clone(), name, addr, messages));
+            daemon.spawner.detach(keep_link(daemon.clone(), name, messages));
             sender
         });
     }
 }
 
-async fn keep_link(
-    daemon: Arc<Daemon>,
-    name: DaemonName,
-    addr: SocketAddr,
-    messages: Receiver<PeerMessage>,
-) {
+async fn keep_link(daemon: Arc<Daemon>, name: DaemonName, messages: Receiver<PeerMessage>) {
     let mut connected = false;
     while !messages.is_closed() {
-        let ended = write_link(&daemon, &name, addr, &messages, &mut connected).await;
-        if let Err(error) = ended
-            && std::mem::take(&mut connected)
-        {
-            events::PEER_LINK_LOST.log(format_args!("{name}: {error}"));
+        if let Some(addr) = peers_addr(&daemon, &name) {
+            let ended = write_link(&daemon, &name, addr, &messages, &mut connected).await;
+            if let Err(error) = ended
+                && std::mem::take(&mut connected)
+            {
+                events::PEER_LINK_LOST.log(format_args!("{name}: {error}"));
+            }
         }
         sleep_ms(REDIAL_PAUSE_MS).await;
     }
 }
 
+/// Where a daemon listens now: a VM that is replaced has another address under the same name.
+fn peers_addr(daemon: &Daemon, name: &DaemonName) -> Option<SocketAddr> {
+    let directory = daemon.directory.load();
+    directory.daemons.iter().find(|vm| vm.name == name.as_str())?.peers_addr
+}
+
 async fn write_link(
     daemon: &Daemon,
     name: &DaemonName,
@@ -153,6 +158,7 @@
     events::PEER_CONNECTED.log(format_args!("{name} at {addr}"));
     while let Ok(message) = messages.recv().await {
         within(LINK_TIMEOUT_MS, frames.write(&message)).await??;
+        daemon.metrics.control_sent("peers", message.encoded_len());
     }
     Ok(())
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`admission_profile`] — what generations will hold of an engine's memory.
 //! * [`fairness`] — which organisation is served next.
 //! * [`prefix`] — which engine may still have a prompt's prefix.
+//! * [`quarantine`] — which request kills the engines that run it.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
 
 pub mod admission;
@@ -23,6 +24,7 @@
 pub mod list_guard;
 pub mod membership;
 pub mod prefix;
+pub mod quarantine;
 mod queue;
 pub mod retry;
 pub mod routing;
--- a/crates/ledger/src/snapshot.rs
+++ b/crates/ledger/src/snapshot.rs
@@ -1,5 +1,6 @@
 //! A fold as bytes: for the log, before older records expire, and for peers.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use comfreymast_base::{OperationId, Organisation, ParseIdError};
@@ -14,7 +15,8 @@
 use crate::chain::Chain;
 use crate::operations::Operations;
 use crate::{
-    Applied, Claims, ContractEntry, Contracts, FoldedOperation, Ledger, Quarantines, Revision, Skip,
+    Applied, Claims, ContractEntry, Contracts, FoldedOperation, Ledger, Quarantines, RequestDigest,
+    Revision, Skip,
 };
 
 /// Why a snapshot cannot be used.
@@ -59,6 +61,11 @@
                 .iter()
                 .filter_map(|(id, operation)| operation_state(id, operation))
                 .collect(),
+            other_operation_ids: self
+                .other_operations
+                .iter()
+                .map(|(id, _)| id.to_vec().into())
+                .collect(),
             claims: self.claims.states(),
             forgotten_claims: self.claims.forgotten_states(),
             quarantines: self.quarantines.states(),
@@ -87,6 +94,7 @@
         if state.next_offset != snapshot.upto_offset {
             return Err(SnapshotError::Head);
         }
+        let other_operations = other_operations(&state)?;
         let mut contracts = Contracts::default();
         for contract in state.contracts {
             contracts.insert(contract_entry(contract)?);
@@ -105,14 +113,30 @@
             claims,
             quarantines,
             contract_operations: operations,
+            other_operations,
             chain: Chain::from_head(head),
             snapshot_offset: snapshot.upto_offset,
             snapshot_taken_unix_ms: snapshot.taken_unix_ms,
-            ..Self::default()
         })
     }
 }
 
+/// The other operations by id; of their effects, only who holds a claim is needed again.
+fn other_operations(state: &SnapshotState) -> Result<Operations, SnapshotError> {
+    let holders: HashSet<_> = state.claims.iter().map(|claim| &claim.operation_id).collect();
+    let mut operations = Operations::default();
+    for id in &state.other_operation_ids {
+        let applied = match holders.contains(id) {
+            true => Applied::Claim { won: true },
+            false => Applied::Ignored,
+        };
+        let operation =
+            FoldedOperation { offset: 0, applied, request_digest: RequestDigest::default() };
+        operations.remember(OperationId::try_from(&id[..])?, operation);
+    }
+    Ok(operations)
+}
+
 fn contract_state(entry: &ContractEntry) -> ContractState {
     ContractState {
         revision: entry.revision,
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`Fleet`] — a log, a VM list, daemons, engines and plain servers on ports from the system.
 //! * [`Client`] — a caller that reads streams event by event.
 //! * [`RecordedClient`] — a caller whose requests and answers go to the fleet's history.
+//! * [`Http2`] — one HTTP/2 connection of a caller.
 //! * [`Reading`] — a caller who comes back where a stream broke, and writes down what it saw.
 //! * [`Link`] — a TCP link whose connections go silent or are cut.
 //! * [`checks`] — checks of merged histories.
@@ -20,6 +21,7 @@
 pub mod contract_register;
 mod documents;
 mod fleet;
+mod http2;
 mod link;
 mod operator;
 mod process;
@@ -30,6 +32,7 @@
 pub use client::{Answer, Client, Reader, SseEvent};
 pub use documents::contract;
 pub use fleet::{DaemonProcess, FLEET_KEY, Fleet, FleetOptions, OPERATOR_KEY, UpstreamProcess};
+pub use http2::Http2;
 pub use link::{Link, Way};
 pub use operator::{Change, Operator};
 pub use process::{Process, ProofError, program};
--- a/crates/proof/tests/streams.rs
+++ b/crates/proof/tests/streams.rs
@@ -20,23 +20,27 @@
         let mut stage = Stage::new(&spawner, options(3)).await;
         let mut readings = Vec::new();
         for request in 0..6 {
-            let prompt = format!("report {request}, tokens=1000");
+            let tokens = if request == 0 { 20_000 } else { 400 };
+            let prompt = format!("report {request}, tokens={tokens}");
             readings.push(stage.read((request % 3) as usize, request, "report", &prompt).await);
         }
         for reading in &mut readings {
             assert_eq!(reading.read(5).await, None);
         }
         // Twice: the engine that the first one's stream moves to is killed as well.
-        for _ in 0..2 {
-            let engine = stage.engine_of("report 0, tokens=1000").await;
+        for starts in 2..=3 {
+            let engine = stage.engine_of("report 0, tokens=20000").await;
             stage.fleet.engines[engine].process.kill();
-            let read = readings[0].texts().len() + 100;
-            assert_eq!(readings[0].read(read).await, None, "{}", stage.log_of(0));
+            // Tokens on their way would be read before the stream has moved.
+            let has_moved = || starts_of(&stage.fleet.lines(), "report 0, tokens=20000") == starts;
+            stage.fleet.wait_for("a continuation", has_moved).await.unwrap();
+            assert_eq!(readings[0].read_more(100).await, None, "{}", stage.log_of(0));
         }
-        for reading in &mut readings {
+        assert_eq!(readings[0].read_more(100).await, None);
+        for reading in &mut readings[1..] {
             assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
         }
-        assert_eq!(starts_of(&stage.fleet.lines(), "report 0, tokens=1000"), 3);
+        assert_eq!(starts_of(&stage.fleet.lines(), "report 0, tokens=20000"), 3);
         stage.assert_tokens_hold();
     });
 }
@@ -171,3 +175,69 @@
         stage.assert_tokens_hold();
     });
 }
+
+#[test]
+fn new_work_goes_round_engines_that_cannot_be_reached() {
+    run(|spawner| async move {
+        let mut stage = Stage::new(&spawner, options(6)).await;
+        for engine in &mut stage.fleet.engines[1..] {
+            engine.process.kill();
+        }
+        // The VM list still has them all.
+        for request in 0..20 {
+            let prompt = format!("report {request}, tokens=3");
+            let mut reading = stage.read(0, request, "report", &prompt).await;
+            assert_eq!(reading.status(), 200, "{}", stage.log_of(0));
+            assert_eq!(reading.rest().await, StreamEnd::Done);
+        }
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn streams_go_on_when_their_engine_freezes_and_wakes() {
+    run(|spawner| async move {
+        let stage = Stage::new(&spawner, options(2)).await;
+        let mut report = stage.read(0, 1, "report", "report, tokens=600").await;
+        assert_eq!(report.read(10).await, None);
+        let engine = &stage.fleet.engines[stage.engine_of("report, tokens=600").await].process;
+        engine.signal("STOP").unwrap();
+        assert_eq!(report.read_more(100).await, None, "{}", stage.log_of(0));
+        // It still has the old attempt, and the order to cancel it.
+        engine.signal("CONT").unwrap();
+        assert_eq!(report.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+        assert_eq!(starts_of(&stage.fleet.lines(), "report, tokens=600"), 2);
+        stage.assert_tokens_hold();
+    });
+}
+
+#[test]
+fn a_frozen_engine_that_gets_a_request_first_runs_nothing_twice() {
+    run(|spawner| async move {
+        for kind in ["report", "study"] {
+            let stage = Stage::new(&spawner, options(2)).await;
+            for engine in &stage.fleet.engines {
+                engine.process.signal("STOP").unwrap();
+            }
+            let prompt = format!("{kind}, tokens=100");
+            let mut reading = stage.read(0, 1, kind, &prompt).await;
+            if kind == "study" {
+                let lost = StreamEnd::Error("generation_lost".to_owned());
+                assert_eq!(reading.rest().await, lost, "{}", stage.log_of(0));
+            }
+            for engine in &stage.fleet.engines {
+                engine.process.signal("CONT").unwrap();
+            }
+            // The engines may now run what they got while they were frozen.
+            for engine in &stage.fleet.engines {
+                assert!(stage.fleet.page(&engine.process, "/load").await.is_object());
+            }
+            if kind == "study" {
+                assert!(starts_of(&stage.fleet.lines(), &prompt) <= 1);
+            } else {
+                assert_eq!(reading.rest().await, StreamEnd::Done, "{}", stage.log_of(0));
+            }
+            stage.assert_tokens_hold();
+        }
+    });
+}
