--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -80,6 +80,12 @@
     /// The request was run once, and its answer was not kept.
     #[display("the request was run by an earlier attempt, whose answer was not kept")]
     AnswerNotKept,
+    /// The engines are too full to finish it in time.
+    #[display("the engines are too full to finish the request in time")]
+    Overloaded {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
     /// Engines died of this request.
     #[display("the request is quarantined, because engines died while they ran it")]
     Quarantined,
@@ -131,6 +137,7 @@
             Self::NotReady
             | Self::NotCurrent
             | Self::NoUpstream { .. }
+            | Self::Overloaded { .. }
             | Self::LogUnavailable { .. }
             | Self::Suspected { .. }
             | Self::HandedOver => StatusCode::SERVICE_UNAVAILABLE,
@@ -158,6 +165,7 @@
             Self::LimitReached { .. } => "limit_reached",
             Self::NotCurrent => "not_current",
             Self::NoUpstream { .. } => "no_upstream",
+            Self::Overloaded { .. } => "overloaded",
             Self::LogUnavailable { .. } => "log_unavailable",
             Self::KeyReused => "key_reused",
             Self::KeyExpired => "key_expired",
@@ -198,6 +206,7 @@
             | Self::NotCurrent
             | Self::LimitReached { .. }
             | Self::NoUpstream { .. }
+            | Self::Overloaded { .. }
             | Self::LogUnavailable { .. }
             | Self::KeyReused
             | Self::Quarantined
@@ -212,6 +221,7 @@
             Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
             Self::LimitReached { retry_after_ms, .. }
             | Self::NoUpstream { retry_after_ms }
+            | Self::Overloaded { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
             | Self::Suspected { retry_after_ms }
             | Self::ClaimUnknown { retry_after_ms }
--- a/crates/daemon/src/callers/generation.rs
+++ b/crates/daemon/src/callers/generation.rs
@@ -9,9 +9,9 @@
 
 use super::ask::Ask;
 use super::call_error::CallError;
-use super::completion::choose;
 use super::cursor::Cursor;
 use super::digest;
+use crate::admission::{self, EnginePermit, EngineRequest};
 use crate::claims::Permit;
 use crate::daemon::Daemon;
 use crate::directory::UpstreamState;
@@ -74,6 +74,8 @@
     request_digest: u64,
     text_digest: u64,
     engine: Arc<UpstreamState>,
+    /// What it holds of the engine's memory; `None` where another daemon admitted it.
+    permit: Option<EnginePermit>,
     stream: Option<EngineStream>,
     /// Engines that have had this generation. None gets it twice, so that an engine which ignores
     /// fences never holds two attempts of it.
@@ -120,7 +122,15 @@
         let mut tried = Vec::new();
         let mut refusals = 0;
         loop {
-            let engine = choose(daemon, &start, &tried).ok_or_else(|| refused.clone())?;
+            let request = EngineRequest {
+                organisation,
+                kind: &ask.work.kind,
+                start: &start,
+                deadline_ms: ask.deadline_ms(daemon),
+                tried: &tried,
+            };
+            let permit = admission::admit(daemon, request).await?;
+            let engine = permit.engine().clone();
             let may_retry = || !ask.asked.is_retry && budget.try_retry(daemon.clock.now_ms());
             if refusals > 0 && (refusals == MAX_REFUSALS || !may_retry()) {
                 return Err(refused);
@@ -146,6 +156,7 @@
                 Self::new(daemon, organisation, &ask.work.kind, start, engine, stream);
             generation.tried = tried;
             generation.claim = claim;
+            generation.permit = Some(permit);
             generation.place();
             generation.allow(ask);
             generation.cancel_on_drop = !ask.stream;
@@ -203,7 +214,7 @@
         }
         start.resume.clone_from(&ask.read_tokens);
         let tried: Vec<_> = lost.iter().map(|engine| engine.addr).collect();
-        let next = choose(daemon, &start, &tried)
+        let next = untried(daemon, &start.model, &tried)
             .ok_or(CallError::NoUpstream { retry_after_ms: NO_UPSTREAM_RETRY_MS })?;
         // The first call for a token leaves `engine` for a chosen one.
         let engine = lost.unwrap_or(next);
@@ -246,6 +257,7 @@
             text_digest,
             tried: vec![engine.addr],
             engine,
+            permit: None,
             stream,
             trouble: Trouble::default(),
             ended: false,
@@ -255,8 +267,7 @@
     /// Lets the generation be carried on as the contract allows for this request.
     fn allow(&mut self, ask: &Ask) {
         self.may_continue = ask.asked.repeatable;
-        let allowed_ms = ask.work.service_level.deadline_ms;
-        self.deadline_ms = self.daemon.clock.now_ms().saturating_add(allowed_ms);
+        self.deadline_ms = ask.deadline_ms(&self.daemon);
     }
 
     /// Reads again what the reader has, and holds it against the cursor.
@@ -324,10 +335,15 @@
 
     fn take(&mut self, token: &Token) {
         self.trouble = Trouble::default();
+        let read_tokens = self.read_tokens();
         if token.finish.is_some() {
             self.ended = true;
+            self.permit.take().into_iter().for_each(|mut permit| permit.finish(read_tokens));
             return;
         }
+        if let Some(permit) = &self.permit {
+            permit.progress(read_tokens + 1);
+        }
         self.text_digest = digest::with_token(self.text_digest, &token.text);
         self.start.resume.push(token.text.clone());
     }
@@ -405,16 +421,27 @@
     }
 
     async fn continue_elsewhere(&mut self) -> Result<(), GenerationError> {
+        // What it held on the lost engine is free at once.
+        self.permit = None;
         self.placed = None;
         let StartGeneration { model, prompt, .. } = &self.start;
         if quarantine::settle(&self.daemon, model, prompt).await.is_err() {
             return Err(self.gave_up());
         }
-        let Some(engine) = choose(&self.daemon, &self.start, &self.tried) else {
+        let request = EngineRequest {
+            organisation: &self.organisation,
+            kind: &self.kind,
+            start: &self.start,
+            deadline_ms: self.deadline_ms,
+            tried: &self.tried,
+        };
+        let Ok(permit) = admission::admit(&self.daemon, request).await else {
             self.trouble.failures += 1;
             self.trouble.back_off().await;
             return Ok(());
         };
+        let engine = permit.engine().clone();
+        self.permit = Some(permit);
         cancel(&self.daemon, &self.engine, self.start.generation, self.start.fence);
         self.engine = engine;
         self.tried.push(self.engine.addr);
@@ -492,6 +519,13 @@
     }
 }
 
+/// Any engine that could go on with a generation.
+fn untried(daemon: &Daemon, model: &Model, tried: &[SocketAddr]) -> Option<Arc<UpstreamState>> {
+    let directory = daemon.directory.load();
+    let mut engines = directory.engines(model);
+    engines.find(|engine| !tried.contains(&engine.addr)).cloned()
+}
+
 /// A start for a reader who gave no body back: good for attaching, never sent.
 fn start_unknown(generation: GenerationId, fence: u64, model: Model) -> StartGeneration {
     StartGeneration {
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -80,5 +80,8 @@
     ENGINE_DEATH = 711 Warn "engine died of a request or beside it";
     QUARANTINE_DECLARED = 712 Error "request quarantined";
     QUARANTINE_LIFTED = 713 Info "quarantine lifted";
+    ENGINES_FULL = 801 Info "requests wait for an engine";
+    ENGINES_FREE = 802 Info "no request waits for an engine";
+    REQUEST_REFUSED = 803 Info "engines too full, request refused";
     BURN_INCOMPLETE = 901 Warn "burn report incomplete";
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! Inside, a request enters at `callers::front`, a contract change at `operators::front`.
 
+mod admission;
 mod burn;
 mod callers;
 mod claims;
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -18,7 +18,7 @@
 use super::state::Echo;
 use crate::daemon::Daemon;
 use crate::quarantine::take_suspicion;
-use crate::{events, limits};
+use crate::{admission, events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -100,6 +100,7 @@
         peer_message::Body::Suspicion(suspicion) => take_suspicion(daemon, from, &suspicion),
         peer_message::Body::FetchEntries(fetch) => send_entries(daemon, from, fetch.from_offset),
         peer_message::Body::Entries(entries) => take_entries(daemon, from, entries),
+        peer_message::Body::UpstreamUse(body) => admission::take_use(daemon, from, &body),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
