Measure the three ways to hold a limit; give slots back at once

Change: a report gives up what it no longer wants, an acquire that races with that checks again, one slot to spare for a second; table limits.

--- a/crates/daemon/src/limits/exchange.rs
+++ b/crates/daemon/src/limits/exchange.rs
@@ -13,7 +13,7 @@
 /// How often all daemons are told after a change of membership: an owner that sees the change
 /// later than the first report must not miss it.
 const ROUNDS_TO_ALL: u32 = 3;
-/// How long an organisation without requests keeps its slots here.
+/// How long an organisation without requests is remembered here.
 const KEEP_IDLE_MS: u64 = 10_000;
 
 /// Reports what is held and wanted to each owner again and again, until the daemon ends.
@@ -91,12 +91,12 @@
     let contracts = daemon.ledger.contracts();
     let entry = contracts.get(organisation.as_str());
     let wanted = entry.map_or(0, |entry| limit.wanted(&entry.contract.limits, now_ms));
-    let idle = limit.share.in_use() == 0 && now_ms > limit.share.used_ms() + KEEP_IDLE_MS / 2;
+    limit.share.give_back(wanted);
     LimitUse {
         organisation: organisation.to_string(),
         generation: limit.share.generation(),
         slots_held: limit.share.held(floor_slots, now_ms),
-        slots_wanted: if idle { 0 } else { wanted },
+        slots_wanted: wanted,
     }
 }
 
--- a/crates/daemon/src/limits/organisation_limit.rs
+++ b/crates/daemon/src/limits/organisation_limit.rs
@@ -49,7 +49,9 @@
         let slots = f64::from(limits.concurrent_requests);
         let for_rates = (of_requests.max(of_tokens) * RATE_HEADROOM).min(1.0) * slots;
         // Casting a float to an integer saturates.
-        self.share.wanted(floor_slots).max((for_rates.ceil() as u32).saturating_sub(floor_slots))
+        self.share
+            .wanted(floor_slots, now_ms)
+            .max((for_rates.ceil() as u32).saturating_sub(floor_slots))
     }
 
     /// True for one caller in each [`ASK_INTERVAL_MS`]: that one asks the owner for all.
--- a/crates/decide/src/limits/share.rs
+++ b/crates/decide/src/limits/share.rs
@@ -12,6 +12,9 @@
     pub lease_ms: u64,
 }
 
+/// How long after a request one slot is kept to spare.
+const SPARE_MS: u64 = 1_000;
+
 /// What one daemon may use of an organisation's slots, here and now. Lock-free.
 ///
 /// ```
@@ -37,7 +40,14 @@
         self.used_ms.fetch_max(now_ms, Ordering::AcqRel);
         let slots = floor_slots + self.leased(now_ms);
         let more = |in_use: u32| (in_use < slots).then_some(in_use + 1);
-        self.in_use.fetch_update(Ordering::AcqRel, Ordering::Acquire, more).is_ok()
+        let taken = self.in_use.fetch_update(Ordering::SeqCst, Ordering::SeqCst, more).is_ok();
+        // Slots may have been given back between the two steps above.
+        let exceeds = || self.in_use.load(Ordering::SeqCst) > floor_slots + self.leased(now_ms);
+        if taken && exceeds() {
+            self.release();
+            return false;
+        }
+        taken
     }
 
     /// Gives a slot back.
@@ -60,7 +70,7 @@
     #[must_use]
     pub fn leased(&self, now_ms: u64) -> u32 {
         if now_ms < self.expires_ms.load(Ordering::Acquire) {
-            self.leased.load(Ordering::Acquire)
+            self.leased.load(Ordering::SeqCst)
         } else {
             0
         }
@@ -84,14 +94,22 @@
         self.leased(now_ms).max(self.in_use().saturating_sub(floor_slots))
     }
 
-    /// Slots that could be used now beyond the floor: those in use, and those that requests wait
-    /// for, but one to spare at least.
+    /// Slots that could be used now beyond the floor: those in use, those that requests wait for,
+    /// and one to spare where a request came lately.
     #[must_use]
-    pub fn wanted(&self, floor_slots: u32) -> u32 {
-        let more = self.waiting.load(Ordering::Acquire).max(1);
+    pub fn wanted(&self, floor_slots: u32, now_ms: u64) -> u32 {
+        let spare = u32::from(now_ms < self.used_ms() + SPARE_MS);
+        let more = self.waiting.load(Ordering::Acquire).max(spare);
         self.in_use().saturating_add(more).saturating_sub(floor_slots)
     }
 
+    /// Gives leased slots beyond `keep` back, so that the next report may offer them to others.
+    ///
+    /// Without it the owner would count them until a second report.
+    pub fn give_back(&self, keep: u32) {
+        self.leased.fetch_min(keep, Ordering::SeqCst);
+    }
+
     /// Counts a request that waits for a slot, until the guard is dropped.
     pub fn wait(&self) -> Waiting<'_> {
         self.waiting.fetch_add(1, Ordering::AcqRel);
--- a/crates/decide/tests/limits.rs
+++ b/crates/decide/tests/limits.rs
@@ -87,10 +87,12 @@
             }
             Op::SendReport(index) => {
                 let share = &self.shares[index];
+                let slots_wanted = share.wanted(0, self.now_ms);
+                share.give_back(slots_wanted);
                 let report = Report {
                     generation: share.generation(),
                     slots_held: share.held(0, self.now_ms),
-                    slots_wanted: share.wanted(0),
+                    slots_wanted,
                 };
                 self.reports[index].push_back((self.now_ms, report));
             }
--- a/crates/experiments/src/lib.rs
+++ b/crates/experiments/src/lib.rs
@@ -8,11 +8,13 @@
 //! * [`run`] — one run of one policy.
 //! * [`capacity`] — what the engines can carry.
 //! * [`summary`] — what readers saw.
+//! * [`limit_ways`] — three ways to hold an organisation's limit over all daemons.
 //! * [`tables`] — the tables of docs/MEASUREMENTS.md.
 //! * [`plot`] — the same as pictures.
 
 pub mod capacity;
 mod engines;
+pub mod limit_ways;
 pub mod plot;
 pub mod policy;
 pub mod run;
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use comfreymast_experiments::limit_ways::limits_table;
 use comfreymast_experiments::plot::plot_load;
 use comfreymast_experiments::tables::{Scale, TABLES, markdown, table};
 
@@ -13,7 +14,7 @@
     xflags::xflags! {
         /// Measures the decisions against baselines, in virtual time.
         cmd comfreymast-experiments {
-            /// Which table: load, choices, lag, prefix, faults, flood or longer.
+            /// Which table: load, choices, lag, prefix, faults, flood, longer or limits.
             required --table table: String
             /// The first seed; 1 by default.
             optional --seed seed: u64
@@ -27,12 +28,19 @@
     }
 }
 
+const LIMITS: &str = "limits";
+
 fn main() -> ExitCode {
     let flags = flags::ComfreymastExperiments::from_env_or_exit();
     let mut scale = if flags.short { Scale::short() } else { Scale::full() };
     scale.seeds = flags.seeds.unwrap_or(scale.seeds);
-    let Some(lines) = table(&flags.table, flags.seed.unwrap_or(1), scale) else {
-        eprintln!("there is no table {:?}; there are {}", flags.table, TABLES.join(", "));
+    let first_seed = flags.seed.unwrap_or(1);
+    if flags.table == LIMITS {
+        print!("{}", limits_table(first_seed, scale.seeds));
+        return ExitCode::SUCCESS;
+    }
+    let Some(lines) = table(&flags.table, first_seed, scale) else {
+        eprintln!("there is no table {:?}; there are {}, {LIMITS}", flags.table, TABLES.join(", "));
         return ExitCode::from(2);
     };
     print!("{}", markdown(&lines));
