--- a/crates/decide/tests/lengths.rs
+++ b/crates/decide/tests/lengths.rs
@@ -1,4 +1,5 @@
 //! Length estimates.
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use comfreymast_base::{Kind, Organisation};
 use comfreymast_decide::lengths::{LengthOptions, Lengths};
