Wait for the continuation itself in the proofs of streams

Cause: on a machine with a load of 85, a test took buffered tokens for the continued stream and set a fault on the engine it had just killed; others relied on a generation lasting longer than the fault took to arrive.

--- a/crates/proof/tests/common/mod.rs
+++ b/crates/proof/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use comfreymast_fakes::history::History;
 use comfreymast_net::Spawner;
-use comfreymast_proof::checks::tokens::check_tokens;
+use comfreymast_proof::checks::tokens::{check_tokens, starts_of};
 use comfreymast_proof::{Client, Fleet, FleetOptions, Reading, contract};
 
 pub(crate) const KEY: &str = "key-of-estudio-norte";
@@ -66,6 +66,12 @@
         find().unwrap()
     }
 
+    /// Waits until engines have begun a prompt `starts` times, continuations included.
+    pub(crate) async fn wait_for_starts(&self, prompt: &str, starts: usize) {
+        let begun = || starts_of(&self.fleet.lines(), prompt) >= starts;
+        self.fleet.wait_for("another start", begun).await.unwrap();
+    }
+
     /// No reader saw anything but whole tokens of its own generation.
     pub(crate) fn assert_tokens_hold(&self) {
         assert_eq!(check_tokens(&self.fleet.lines()), []);
