--- a/crates/daemon/src/callers/ask.rs
+++ b/crates/daemon/src/callers/ask.rs
@@ -91,6 +91,11 @@
         }
     }
 
+    /// When the whole answer must be there, if it is asked for now.
+    pub(crate) fn deadline_ms(&self, daemon: &Daemon) -> u64 {
+        daemon.clock.now_ms().saturating_add(self.work.service_level.deadline_ms)
+    }
+
     /// Binds a cursor to what was asked.
     pub(crate) fn digest(&self) -> u64 {
         digest::of_request(&self.work.model, &self.prompt, self.max_tokens)
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -11,6 +11,7 @@
 use comfreymast_platform::{LogClient, VmList};
 use derive_more::{Display, Error};
 
+use crate::admission::EngineQueue;
 use crate::burn::BurnState;
 use crate::callers::cursor::CursorSeal;
 use crate::claims::ClaimLog;
@@ -23,8 +24,8 @@
 use crate::quarantine::QuarantineState;
 use crate::retry_budgets::RetryBudgets;
 use crate::{
-    Settings, burn, callers, claims, events, limits, load_watch, log_follower, operators, peers,
-    snapshot_writer, vm_watch,
+    Settings, admission, burn, callers, claims, events, limits, load_watch, log_follower,
+    operators, peers, snapshot_writer, vm_watch,
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
@@ -50,6 +51,8 @@
     pub(crate) directory: ArcSwap<Directory>,
     /// The other daemons.
     pub(crate) peers: Peers,
+    /// Generations that wait for an engine or run on one.
+    pub(crate) engine_queue: EngineQueue,
     /// What it may use of organisations' limits.
     pub(crate) limits: Limits,
     /// Claims on their way to the log.
@@ -78,7 +81,8 @@
         self.has_loaded() && !self.is_draining()
     }
 
-    /// True once the log was read to its end. A daemon that drains serves what still comes.
+    /// True once the log was read to its end; before that the fold says nothing. A daemon that
+    /// drains serves what still comes.
     pub(crate) fn has_loaded(&self) -> bool {
         self.ready.load(Ordering::Acquire)
     }
@@ -93,11 +97,6 @@
         self.currency.is_current(self.clock.now_ms())
     }
 
-    /// True once the fold was up to date for the first time; before that it says nothing.
-    pub(crate) fn has_folded(&self) -> bool {
-        self.ready.load(Ordering::Acquire)
-    }
-
     /// True when the daemon is on its way out.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
@@ -191,6 +190,7 @@
         spawner.spawn(claims::append(daemon.clone())),
         spawner.spawn(vm_watch::watch(daemon.clone(), vm_list)),
         spawner.spawn(load_watch::watch(daemon.clone())),
+        spawner.spawn(admission::run(daemon.clone())),
         spawner.spawn(burn::fold(daemon.clone())),
         spawner.spawn(peers::accept(daemon.clone(), peers)),
         spawner.spawn(peers::keep_links(daemon.clone())),
@@ -252,6 +252,7 @@
         currency: Currency::default(),
         directory: ArcSwap::default(),
         peers: Peers::new(&settings),
+        engine_queue: EngineQueue::default(),
         limits: Limits::default(),
         claims: ClaimLog::default(),
         quarantine: QuarantineState::default(),
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -43,6 +43,12 @@
     pub(crate) retries: Counter,
     /// Requests in progress.
     pub(crate) requests_open: Gauge,
+    /// Requests that had to wait for an engine.
+    pub(crate) requests_held: Counter,
+    /// Requests that wait for an engine now.
+    pub(crate) requests_waiting: Gauge,
+    /// Requests refused because the engines were too full.
+    pub(crate) refused_overloaded: Counter,
     control_bytes: Family<ControlLabels, Counter>,
     control_messages: Family<ControlLabels, Counter>,
     /// From a request to its first token.
@@ -69,6 +75,24 @@
         );
         registry.register("retries", "Attempts beyond the first", retries.clone());
         registry.register("requests_open", "Requests in progress", requests_open.clone());
+        let requests_held = Counter::default();
+        let requests_waiting = Gauge::default();
+        let refused_overloaded = Counter::default();
+        registry.register(
+            "requests_held",
+            "Requests that had to wait for an engine",
+            requests_held.clone(),
+        );
+        registry.register(
+            "requests_waiting",
+            "Requests that wait for an engine now",
+            requests_waiting.clone(),
+        );
+        registry.register(
+            "refused_overloaded",
+            "Requests refused because the engines were too full",
+            refused_overloaded.clone(),
+        );
         let first_token_seconds = Histogram::new(FIRST_TOKEN_BUCKETS_S);
         let token_gap_seconds = Histogram::new(TOKEN_GAP_BUCKETS_S);
         registry.register(
@@ -102,6 +126,9 @@
             failed_attempts,
             retries,
             requests_open,
+            requests_held,
+            requests_waiting,
+            refused_overloaded,
             first_token_seconds,
             token_gap_seconds,
         }
--- a/crates/daemon/src/peers/inbound.rs
+++ b/crates/daemon/src/peers/inbound.rs
@@ -18,7 +18,7 @@
 use super::state::Echo;
 use crate::daemon::Daemon;
 use crate::quarantine::take_suspicion;
-use crate::{events, limits};
+use crate::{admission, events, limits};
 
 const HELLO_TIMEOUT_MS: u64 = 2_000;
 /// A link without a word for this long is closed; its dialler opens a new one.
@@ -100,6 +100,7 @@
         peer_message::Body::Suspicion(suspicion) => take_suspicion(daemon, from, &suspicion),
         peer_message::Body::FetchEntries(fetch) => send_entries(daemon, from, fetch.from_offset),
         peer_message::Body::Entries(entries) => take_entries(daemon, from, entries),
+        peer_message::Body::UpstreamUse(body) => admission::take_use(daemon, from, &body),
         other => log::debug!("{from} sent a message this version does not use: {other:?}"),
     }
 }
@@ -130,10 +131,14 @@
         table.heard(name.clone(), state);
         table.most_advanced(now_ms).map_or(0, |(_, next_offset)| next_offset)
     };
+    let asked_ms = daemon.peers.sent_ms(echo);
+    if let Some(sent_ms) = asked_ms {
+        daemon.peers.note_echo(&name, sent_ms);
+    }
     let evidence = PeerEvidence {
         peer_is_current: heartbeat.current,
         peer_next_offset: heartbeat.next_offset,
-        asked_ms: daemon.peers.sent_ms(echo),
+        asked_ms,
         both_listed: daemon.directory.load().lists_daemons([&daemon.settings.name, &name]),
     };
     if let Some(at_ms) = evidence.proves(daemon.ledger.next_offset(), known_offset) {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,15 +5,28 @@
 //! * [`links`] — which peers a daemon keeps a link to.
 //! * [`list_guard`] — whether to believe a VM list that lost most VMs.
 //! * [`membership`] — which daemons live, from their heartbeats.
+//! * [`routing`] — which upstream gets a request, without a look at its memory.
+//! * [`lengths`] — how long an answer will be.
+//! * [`admission`] — which engine takes a generation, when, and what is refused.
+//! * [`admission_profile`] — what generations will hold of an engine's memory.
+//! * [`fairness`] — which organisation is served next.
+//! * [`prefix`] — which engine may still have a prompt's prefix.
 //! * [`quarantine`] — which request kills the engines that run it.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
-//! * [`routing`] — which upstream gets a request.
 
+pub mod admission;
+mod admission_engine;
+mod admission_pace;
+pub mod admission_profile;
 pub mod currency;
+pub mod fairness;
+pub mod lengths;
 pub mod limits;
 pub mod links;
 pub mod list_guard;
 pub mod membership;
+pub mod prefix;
 pub mod quarantine;
+mod queue;
 pub mod retry;
 pub mod routing;
