--- a/crates/load/src/bench_fleet.rs
+++ b/crates/load/src/bench_fleet.rs
@@ -17,6 +17,7 @@
 /// The model that benches ask for.
 pub(crate) const MODEL: &str = "m";
 
+const FIRST_REPORT_MS: u64 = 2_000;
 const CALL_LIMIT_MS: u64 = 60_000;
 const MAX_REPLY_BYTES: usize = 64 * 1024 * 1024;
 const APPEND_RECORDS: u32 = 100;
@@ -68,6 +69,8 @@
         let put = request(vms, "PUT", "/vms", json(&list));
         call(&self.spawner, vms, put, CALL_LIMIT_MS, MAX_REPLY_BYTES).await?;
         self.wait_for_status("upstreams", engines).await?;
+        // Until an engine has reported, a daemon gives it a few generations only.
+        sleep_ms(FIRST_REPORT_MS).await;
         Ok(list_bytes)
     }
 
--- a/crates/load/src/paced_engine.rs
+++ b/crates/load/src/paced_engine.rs
@@ -15,6 +15,8 @@
 
 use crate::failure::Failure;
 
+/// More than any bench asks for, so that the daemon admits at once.
+const MEMORY_TOKENS: u64 = 1_000_000_000;
 const MAX_REQUEST_BYTES: usize = 1024 * 1024;
 const READER_CAPACITY: usize = 64;
 const MAX_CONNECTIONS: usize = 20_000;
@@ -67,7 +69,8 @@
     request: Request<Incoming>,
 ) -> Response<Body> {
     if request.uri().path() != "/v1/completions" {
-        return Response::new(json(&Load::default()));
+        let load = Load { memory_tokens: MEMORY_TOKENS, ..Load::default() };
+        return Response::new(json(&load));
     }
     let body = collect(request.into_body(), MAX_REQUEST_BYTES).await.unwrap_or_default();
     let Ok(start) = serde_json::from_slice::<StartGeneration>(&body) else {
