--- a/crates/comfreymast/src/failure.rs
+++ b/crates/comfreymast/src/failure.rs
@@ -5,7 +5,9 @@
 use comfreymast_contract::ContractError;
 use comfreymast_daemon::operators::OperatorError;
 use comfreymast_daemon::{SettingFault, StartError};
+use comfreymast_gateway::GatewayError;
 use comfreymast_net::DialError;
+use comfreymast_platform::SettingsError;
 use derive_more::{Display, Error, From};
 
 /// Why a command failed.
@@ -27,6 +29,15 @@
     /// The daemon did not start.
     #[display("{_0}")]
     Start(StartError),
+    /// The settings of the VM cannot be used.
+    #[display("{_0}")]
+    VmSettings(SettingsError),
+    /// The gateway did not start.
+    #[display("{_0}")]
+    Gateway(GatewayError),
+    /// Another logger is there already.
+    #[display("{_0}")]
+    Log(log::SetLoggerError),
     /// A file cannot be read.
     #[display("cannot read {}: {source}", path.display())]
     #[from(ignore)]
@@ -107,7 +118,7 @@
         const INCOMPLETE: u8 = 4;
         const UNKNOWN: u8 = 5;
         match self {
-            Self::Settings(_) | Self::Usage { .. } => USAGE,
+            Self::Settings(_) | Self::VmSettings(_) | Self::Usage { .. } => USAGE,
             Self::Operator(error) if error.code == "conflict" => CONFLICT,
             Self::Operator(error) if error.code == "outcome_unknown" => UNKNOWN,
             Self::PublishUnknown { .. } => UNKNOWN,
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -72,6 +72,14 @@
             optional --max-body-bytes max_body_bytes: String
         }
 
+        /// Run a daemon on the platform, which writes its settings file.
+        cmd serve {
+            /// Check the settings and exit.
+            optional --check
+            /// The settings file of this VM; default is where the platform says.
+            optional --settings settings: PathBuf
+        }
+
         /// Publish, read and check contracts.
         cmd contract {
             /// Publish a contract from a TOML file.
--- a/crates/comfreymast/src/main.rs
+++ b/crates/comfreymast/src/main.rs
@@ -10,6 +10,7 @@
 mod output;
 mod quarantine;
 mod report;
+mod serve;
 
 use std::process::ExitCode;
 
@@ -46,6 +47,7 @@
 fn run(flags: &Comfreymast, output: Format) -> Result<(), failure::Failure> {
     match &flags.subcommand {
         ComfreymastCmd::Daemon(daemon) => daemon::run(flags, daemon, output),
+        ComfreymastCmd::Serve(serve) => serve::run(serve, output),
         ComfreymastCmd::Contract(command) => contract::run(flags, &command.subcommand, output),
         ComfreymastCmd::Status(_) => fleet::status(flags, output),
         ComfreymastCmd::Drain(_) => fleet::drain(flags, output),
--- /dev/null
+++ b/crates/comfreymast/src/serve.rs
@@ -0,0 +1,48 @@
+use async_signal::{Signal, Signals};
+use comfreymast_gateway::{GatewayOptions, install_log};
+use comfreymast_net::Spawner;
+use comfreymast_platform::{VmSettings, settings_path};
+use futures_lite::StreamExt;
+
+use crate::failure::Failure;
+use crate::flags::Serve;
+use crate::output::Format;
+
+/// One thread is enough for the share of a core that a VM of the platform has.
+const THREADS: usize = 1;
+
+/// `comfreymast serve`.
+pub(crate) fn run(serve: &Serve, format: Format) -> Result<(), Failure> {
+    let path = serve.settings.clone().or_else(settings_path).ok_or(Failure::Usage {
+        flag: "--settings",
+        rule: "must name the settings file of the VM",
+    })?;
+    let settings = VmSettings::read(&path)?;
+    if serve.check {
+        return format.print_done("the settings are good");
+    }
+    install_log(log::LevelFilter::Info)?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(Failure::Signals)?;
+    Spawner::run(THREADS, |spawner| async move {
+        let (stop, stopped) = async_channel::bounded::<()>(1);
+        let (reload, reloads) = async_channel::bounded::<()>(1);
+        spawner.detach(async move {
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    Ok(Signal::Hup) => {
+                        // A reload that waits already reads what changed since.
+                        let _ = reload.try_send(());
+                    }
+                    // Closing the channel drains the daemon.
+                    _ => {
+                        stop.close();
+                    }
+                }
+            }
+        });
+        let options = GatewayOptions::default();
+        comfreymast_gateway::run(spawner, settings, path, options, stopped, reloads).await
+    })?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/decide/src/fleet_budget.rs
@@ -0,0 +1,97 @@
+//! The retry budget that all daemons share.
+//!
+//! Each daemon counts the requests of a service and the sends beyond the first of each. It knows
+//! the others' counts from their heartbeats, which are late, so it leaves a part of the budget
+//! unused.
+//!
+//! Load pattern: one daemon needs most repeats, because its upstreams fail or leave.
+
+/// What may be repeated in a window, over all daemons.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetBudgetOptions {
+    /// The share of requests that may be repeated.
+    pub ratio: f64,
+    /// Repeats allowed on top.
+    pub slack: f64,
+    /// The part of the budget that is used; the rest covers late news.
+    pub used_share: f64,
+}
+
+/// Requests of one service in one window.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Requests that callers sent.
+    pub requests: u64,
+    /// Sends beyond the first of each request.
+    pub repeats: u64,
+}
+
+impl Traffic {
+    /// Both counts of two daemons or windows together.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            repeats: self.repeats + other.repeats,
+        }
+    }
+}
+
+/// True when one more repeat stays within the budget of `fleet`, which counts all daemons.
+///
+/// ```
+/// use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, may_repeat};
+/// let options = FleetBudgetOptions { ratio: 0.2, slack: 10.0, used_share: 0.8 };
+/// assert!(may_repeat(Traffic { requests: 100, repeats: 23 }, &options));
+/// assert!(!may_repeat(Traffic { requests: 100, repeats: 24 }, &options));
+/// ```
+#[must_use]
+pub fn may_repeat(fleet: Traffic, options: &FleetBudgetOptions) -> bool {
+    let allowed = (fleet.requests as f64 * options.ratio + options.slack) * options.used_share;
+    (fleet.repeats + 1) as f64 <= allowed
+}
+
+const BUCKETS: usize = 10;
+
+/// Counts over a sliding window, in tenths of it.
+#[derive(Clone, Debug)]
+pub struct TrafficWindow {
+    bucket_ms: u64,
+    newest: u64,
+    buckets: [Traffic; BUCKETS],
+}
+
+impl TrafficWindow {
+    /// A window of `window_ms`.
+    #[must_use]
+    pub fn new(window_ms: u64) -> Self {
+        let bucket_ms = (window_ms / BUCKETS as u64).max(1);
+        Self { bucket_ms, newest: 0, buckets: [Traffic::default(); BUCKETS] }
+    }
+
+    /// Counts a request of a caller.
+    pub fn request(&mut self, now_ms: u64) {
+        self.bucket(now_ms).requests += 1;
+    }
+
+    /// Counts a send beyond the first of a request.
+    pub fn repeat(&mut self, now_ms: u64) {
+        self.bucket(now_ms).repeats += 1;
+    }
+
+    /// What was counted in the window that ends now.
+    pub fn total(&mut self, now_ms: u64) -> Traffic {
+        self.bucket(now_ms);
+        self.buckets.iter().fold(Traffic::default(), |sum, bucket| sum.plus(*bucket))
+    }
+
+    fn bucket(&mut self, now_ms: u64) -> &mut Traffic {
+        let current = now_ms / self.bucket_ms;
+        let passed = current.saturating_sub(self.newest).min(BUCKETS as u64);
+        for step in 0..passed {
+            self.buckets[((current - step) % BUCKETS as u64) as usize] = Traffic::default();
+        }
+        self.newest = self.newest.max(current);
+        &mut self.buckets[(self.newest % BUCKETS as u64) as usize]
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,10 @@
 //! * [`fairness`] — which organisation is served next.
 //! * [`prefix`] — which engine may still have a prompt's prefix.
 //! * [`quarantine`] — which request kills the engines that run it.
+//! * [`placement`] — which engine takes a generation, from what all daemons run.
+//! * [`evacuation`] — how a running generation leaves an engine that goes.
+//! * [`upstream_choice`] — which upstream of a plain service gets a request.
+//! * [`fleet_budget`] — the retry budget that all daemons share.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
 
 pub mod admission;
@@ -19,14 +23,18 @@
 mod admission_pace;
 pub mod admission_profile;
 pub mod currency;
+pub mod evacuation;
 pub mod fairness;
+pub mod fleet_budget;
 pub mod lengths;
 pub mod limits;
 pub mod links;
 pub mod list_guard;
 pub mod membership;
+pub mod placement;
 pub mod prefix;
 pub mod quarantine;
 mod queue;
 pub mod retry;
 pub mod routing;
+pub mod upstream_choice;
--- /dev/null
+++ b/crates/fleet/src/keyring.rs
@@ -0,0 +1,45 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use comfreymast_base::Organisation;
+
+/// An organisation as the holder of an API key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub organisation: Organisation,
+    /// Its rank, 0 first; goes before the rank of a route.
+    pub priority: Option<u8>,
+}
+
+/// Which organisation holds which API key.
+#[derive(Clone, Debug, Default)]
+pub struct Keyring {
+    members: HashMap<Box<str>, Arc<Member>>,
+    is_enforced: bool,
+}
+
+impl Keyring {
+    /// A keyring that asks every caller for a key.
+    #[must_use]
+    pub fn enforced() -> Self {
+        Self { members: HashMap::new(), is_enforced: true }
+    }
+
+    /// Adds a key of `member`.
+    pub fn insert(&mut self, key: &str, member: &Arc<Member>) {
+        self.members.insert(key.into(), member.clone());
+    }
+
+    /// True when requests need a key.
+    #[must_use]
+    pub fn is_enforced(&self) -> bool {
+        self.is_enforced
+    }
+
+    /// The holder of `key`.
+    #[must_use]
+    pub fn holder(&self, key: &str) -> Option<&Arc<Member>> {
+        self.members.get(key)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,23 @@
+//! What a fleet serves, as typed values: the configuration in force and the upstreams behind it.
+//!
+//! Nothing here does I/O or knows how the platform spells these values.
+//!
+//! * [`Configuration`] — one version of routes, services, caller limits and organisations.
+//! * [`Route`] and [`RouteTable`] — which service answers a host and path, and what may be repeated.
+//! * [`ServiceSpec`] and [`EngineSpec`] — what is known of all upstreams of one service.
+//! * [`Keyring`] — which organisation holds an API key.
+//! * [`UpstreamRecord`] — what one upstream says of itself.
+
+mod configuration;
+mod keyring;
+mod route;
+mod route_table;
+mod service_spec;
+mod upstream_record;
+
+pub use configuration::{CallerLimits, Configuration};
+pub use keyring::{Keyring, Member};
+pub use route::{Repeat, Route, Target};
+pub use route_table::RouteTable;
+pub use service_spec::{EngineSpec, ServiceSpec};
+pub use upstream_record::UpstreamRecord;
--- /dev/null
+++ b/crates/gateway/src/call_error.rs
@@ -0,0 +1,104 @@
+use comfreymast_net::{Body, empty};
+use comfreymast_platform::CallHeadError;
+use derive_more::{Display, Error, From};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+/// Why a caller gets an answer of ours and not an upstream's.
+#[derive(Clone, Debug, Display, Error, From)]
+pub(crate) enum CallError {
+    /// No configuration is known yet.
+    #[display("no configuration is known yet")]
+    NotReady,
+    /// The request is malformed.
+    #[display("{_0}")]
+    Malformed(CallHeadError),
+    /// The body is too long.
+    #[display("the body is too long")]
+    TooLong,
+    /// The body broke off or did not come in time; nothing was sent on.
+    #[display("the body did not arrive")]
+    BodyLost,
+    /// No route covers the request.
+    #[display("no route covers the request")]
+    NoRoute,
+    /// No organisation holds the key.
+    #[display("no organisation holds the key")]
+    UnknownKey,
+    /// Nothing has run and nothing will: come back later.
+    #[display("refused: {reason}")]
+    #[from(ignore)]
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// An upstream may have run the request, and its answer is lost.
+    #[display("the outcome is unknown")]
+    OutcomeUnknown,
+    /// An upstream may have run the request, and the time is up.
+    #[display("the time is up")]
+    TimedOut,
+}
+
+/// Why a request is refused before it ran.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// No upstream of the service is known.
+    #[display("no upstream")]
+    NoUpstream,
+    /// Upstreams could not be reached or did not run it, and no attempt is left.
+    #[display("not run by upstreams")]
+    NotRun,
+    /// All engines are full.
+    #[display("engines full")]
+    Full,
+    /// This daemon stops before the answer would be whole.
+    #[display("daemon stops")]
+    Stopping,
+    /// The time was up before it could be sent.
+    #[display("time is up")]
+    TimeUp,
+}
+
+impl CallError {
+    /// The answer's status.
+    pub(crate) fn status(&self) -> StatusCode {
+        match self {
+            Self::NotReady | Self::Refused { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Malformed(_) => StatusCode::BAD_REQUEST,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLost => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// The answer for the caller.
+    pub(crate) fn response(&self) -> Response<Body> {
+        const NOT_READY_RETRY_MS: u64 = 300;
+        let mut response = Response::new(empty());
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        match self {
+            Self::NotReady => set_retry_after(headers, NOT_READY_RETRY_MS),
+            Self::Refused { retry_after_ms, .. } => set_retry_after(headers, *retry_after_ms),
+            Self::Malformed(_) | Self::TooLong | Self::BodyLost => {
+                headers.insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            _ => {}
+        }
+        response
+    }
+}
+
+fn set_retry_after(headers: &mut hyper::HeaderMap, retry_after_ms: u64) {
+    const MS_PER_S: f64 = 1_000.0;
+    let seconds = format!("{:.3}", retry_after_ms as f64 / MS_PER_S);
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        headers.insert(RETRY_AFTER, value);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,157 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use comfreymast_base::{Clock, Service};
+use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_repeat};
+use comfreymast_fleet::Configuration;
+use comfreymast_net::Spawner;
+use comfreymast_platform::VmSettings;
+
+use crate::GatewayOptions;
+use crate::directory::Directory;
+use crate::metrics::Metrics;
+
+/// The part of the retry budget that is used; the rest covers late news of other daemons.
+const USED_SHARE: f64 = 0.75;
+
+/// What the way of a request needs.
+#[derive(Debug)]
+pub(crate) struct Dispatch {
+    /// Starts tasks.
+    pub(crate) spawner: Spawner,
+    /// The time.
+    pub(crate) clock: Clock,
+    /// Time limits.
+    pub(crate) options: GatewayOptions,
+    /// What the platform says of this VM.
+    pub(crate) settings: arc_swap::ArcSwap<VmSettings>,
+    /// The configuration in force; none before the first is known.
+    pub(crate) configuration: ArcSwapOption<Configuration>,
+    /// The upstreams.
+    pub(crate) directory: Directory,
+    /// Requests and repeats, over all daemons.
+    pub(crate) budget: Budget,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+    /// True once the daemon was told to stop.
+    draining: AtomicBool,
+    drain_started_ms: std::sync::atomic::AtomicU64,
+}
+
+impl Dispatch {
+    /// Everything empty.
+    pub(crate) fn new(spawner: Spawner, clock: Clock, settings: VmSettings, options: GatewayOptions) -> Self {
+        Self {
+            budget: Budget::new(settings.retry_window_ms),
+            directory: Directory::new(clock.clone()),
+            spawner,
+            clock,
+            options,
+            settings: arc_swap::ArcSwap::from_pointee(settings),
+            configuration: ArcSwapOption::empty(),
+            metrics: Metrics::new(),
+            draining: AtomicBool::new(false),
+            drain_started_ms: std::sync::atomic::AtomicU64::new(0),
+        }
+    }
+
+    /// Puts a configuration in force unless it is older than the one that is.
+    pub(crate) fn put_in_force(&self, configuration: Configuration) {
+        let known = self.configuration.load().as_ref().map_or(0, |known| known.version);
+        if configuration.version <= known {
+            return;
+        }
+        log::info!(target: "comfreymast", code = 1203, version = configuration.version,
+            previous = known, routes = configuration.routes.len(); "configuration in force");
+        self.configuration.store(Some(Arc::new(configuration)));
+    }
+
+    /// Takes no new work for longer than needed.
+    pub(crate) fn start_draining(&self) {
+        self.drain_started_ms.store(self.clock.now_ms(), Ordering::Release);
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// True once the daemon was told to stop.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// How long the VM lets this daemon live, `None` while it was not told to stop.
+    pub(crate) fn stops_in_ms(&self) -> Option<u64> {
+        let started_ms = self.drain_started_ms.load(Ordering::Acquire);
+        let grace_ms = self.settings.load().grace_ms;
+        self.is_draining().then(|| (started_ms + grace_ms).saturating_sub(self.clock.now_ms()))
+    }
+
+    /// True when one more send of a request of `service` stays within the fleet's budget. Counts it.
+    pub(crate) fn try_repeat(&self, service: &Service) -> bool {
+        let settings = self.settings.load();
+        let options = FleetBudgetOptions {
+            ratio: settings.retry_ratio,
+            slack: settings.retry_slack,
+            used_share: USED_SHARE,
+        };
+        let allowed = self.budget.try_repeat(service, &options, self.clock.now_ms());
+        if allowed {
+            self.metrics.repeats.inc();
+        }
+        allowed
+    }
+}
+
+/// Requests and repeats of each service: this daemon's own, and the sum of all others.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    window_ms: u64,
+    own: Mutex<HashMap<Service, TrafficWindow>>,
+    others: Mutex<HashMap<Service, Traffic>>,
+}
+
+impl Budget {
+    fn new(window_ms: u64) -> Self {
+        Self { window_ms, own: Mutex::default(), others: Mutex::default() }
+    }
+
+    /// Counts a caller's request.
+    pub(crate) fn request(&self, service: &Service, now_ms: u64) {
+        self.with_window(service, |window| window.request(now_ms));
+    }
+
+    /// Counts a send beyond the first of a request that is made in any case.
+    pub(crate) fn repeat(&self, service: &Service, now_ms: u64) {
+        self.with_window(service, |window| window.repeat(now_ms));
+    }
+
+    fn try_repeat(&self, service: &Service, options: &FleetBudgetOptions, now_ms: u64) -> bool {
+        let others = self.others.lock().unwrap_or_else(PoisonError::into_inner);
+        let others = others.get(service).copied().unwrap_or_default();
+        self.with_window(service, |window| {
+            let allowed = may_repeat(window.total(now_ms).plus(others), options);
+            if allowed {
+                window.repeat(now_ms);
+            }
+            allowed
+        })
+    }
+
+    /// This daemon's counts.
+    pub(crate) fn own(&self, now_ms: u64) -> Vec<(Service, Traffic)> {
+        let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+        own.iter_mut().map(|(service, window)| (service.clone(), window.total(now_ms))).collect()
+    }
+
+    /// Replaces the sum of all other daemons' counts.
+    pub(crate) fn set_others(&self, others: HashMap<Service, Traffic>) {
+        *self.others.lock().unwrap_or_else(PoisonError::into_inner) = others;
+    }
+
+    fn with_window<T>(&self, service: &Service, use_window: impl FnOnce(&mut TrafficWindow) -> T) -> T {
+        let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
+        let window =
+            own.entry(service.clone()).or_insert_with(|| TrafficWindow::new(self.window_ms));
+        use_window(window)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,170 @@
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use comfreymast_base::Clock;
+use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_platform::{KeyedRecord, Newest, Page, StoreClient, StoreError, Topic};
+use comfreymast_wire::news::TopicSnapshot;
+use event_listener::Event;
+use futures_lite::future;
+
+use crate::feed::{Feed, FeedChange};
+
+const LEAST_BACKOFF_MS: u64 = 100;
+const MOST_BACKOFF_MS: u64 = 800;
+
+/// Called with each batch of changes, in order.
+type OnChange = Box<dyn Fn(&[FeedChange]) + Send + Sync>;
+
+/// One topic of the store that this daemon follows, from the store itself or from its peers.
+pub(crate) struct Followed {
+    topic: Topic,
+    clock: Clock,
+    feed: Mutex<Feed>,
+    on_change: OnChange,
+    next_offset: AtomicU64,
+    is_loaded: AtomicBool,
+    trouble_ms: AtomicU64,
+    hurry: Event,
+}
+
+impl Followed {
+    /// Follows `topic` from its beginning; `on_change` puts changes in force.
+    pub(crate) fn new(topic: Topic, clock: Clock, on_change: OnChange) -> Self {
+        Self {
+            topic,
+            clock,
+            feed: Mutex::default(),
+            on_change,
+            next_offset: AtomicU64::new(0),
+            is_loaded: AtomicBool::new(false),
+            trouble_ms: AtomicU64::new(0),
+            hurry: Event::new(),
+        }
+    }
+
+    /// The offset of the next record that is expected.
+    pub(crate) fn next_offset(&self) -> u64 {
+        self.next_offset.load(Ordering::Acquire)
+    }
+
+    /// True once all keys were read at least once.
+    pub(crate) fn is_loaded(&self) -> bool {
+        self.is_loaded.load(Ordering::Acquire)
+    }
+
+    /// True when the store failed a call less than `within_ms` ago.
+    pub(crate) fn had_trouble(&self, within_ms: u64) -> bool {
+        let trouble_ms = self.trouble_ms.load(Ordering::Acquire);
+        trouble_ms > 0 && self.clock.now_ms().saturating_sub(trouble_ms) < within_ms
+    }
+
+    /// True when the feed has a record of `key`.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.feed().snapshot().records.iter().any(|record| record.key == key)
+    }
+
+    /// What a peer is given that cannot read the store.
+    pub(crate) fn snapshot(&self) -> TopicSnapshot {
+        self.feed().snapshot()
+    }
+
+    /// Takes in what a peer knows, unless this daemon knows more.
+    pub(crate) fn take_snapshot(&self, snapshot: TopicSnapshot) {
+        let records = snapshot.records.into_iter().map(|record| KeyedRecord {
+            offset: record.offset,
+            key: record.key,
+            value: Some(record.value),
+        });
+        let mut feed = self.feed();
+        let changes = feed.replace(records.collect(), snapshot.next_offset);
+        self.publish(&feed, &changes);
+    }
+
+    /// Makes the follower ask the store again at once, on a new connection.
+    pub(crate) fn hurry(&self) {
+        self.hurry.notify(usize::MAX);
+    }
+
+    fn take_newest(&self, newest: Newest) {
+        let mut feed = self.feed();
+        let changes = feed.replace(newest.records, newest.end);
+        self.publish(&feed, &changes);
+    }
+
+    fn take_page(&self, page: Page) {
+        let mut feed = self.feed();
+        let changes = feed.apply(page.records, page.next);
+        self.publish(&feed, &changes);
+    }
+
+    /// Runs under the feed's lock, so that changes are put in force in order.
+    fn publish(&self, feed: &Feed, changes: &[FeedChange]) {
+        if !changes.is_empty() {
+            (self.on_change)(changes);
+        }
+        self.next_offset.store(feed.next_offset(), Ordering::Release);
+        self.is_loaded.store(feed.is_loaded(), Ordering::Release);
+    }
+
+    fn feed(&self) -> MutexGuard<'_, Feed> {
+        self.feed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Follows one topic for as long as the daemon runs.
+pub(crate) async fn follow(
+    spawner: Spawner,
+    followed: Arc<Followed>,
+    addr: std::net::SocketAddr,
+    wait_ms: u64,
+) {
+    let mut client = StoreClient::new(spawner, addr);
+    let mut must_reload = true;
+    let mut backoff_ms = LEAST_BACKOFF_MS;
+    let mut is_lost = false;
+    loop {
+        let hurried = followed.hurry.listen();
+        let step = future::or(async { Some(step(&followed, &mut client, must_reload, wait_ms).await) }, async {
+            hurried.await;
+            None
+        });
+        match step.await {
+            None => client.reconnect(),
+            Some(Ok(())) => {
+                must_reload = false;
+                backoff_ms = LEAST_BACKOFF_MS;
+                if std::mem::take(&mut is_lost) {
+                    log::info!(target: "comfreymast", code = 1202, topic:? = followed.topic,
+                        offset = followed.next_offset(); "store answers again");
+                }
+            }
+            Some(Err(StoreError::Deleted)) => must_reload = true,
+            Some(Err(error)) => {
+                followed.trouble_ms.store(followed.clock.now_ms().max(1), Ordering::Release);
+                if !std::mem::replace(&mut is_lost, true) {
+                    log::warn!(target: "comfreymast", code = 1201, topic:? = followed.topic,
+                        offset = followed.next_offset(), error:%; "store does not answer");
+                }
+                client.reconnect();
+                sleep_ms(comfreymast_decide::retry::jittered_ms(backoff_ms / 2, rand::random())).await;
+                backoff_ms = (backoff_ms * 2).min(MOST_BACKOFF_MS);
+            }
+        }
+    }
+}
+
+async fn step(
+    followed: &Followed,
+    client: &mut StoreClient,
+    must_reload: bool,
+    wait_ms: u64,
+) -> Result<(), StoreError> {
+    if must_reload {
+        followed.take_newest(client.newest(followed.topic).await?);
+    } else {
+        let page = client.read(followed.topic, followed.next_offset(), wait_ms).await?;
+        followed.take_page(page);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+
+use comfreymast_net::{Body, BodyError, collect, within};
+use comfreymast_platform::CallHead;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+
+use crate::call::Call;
+use crate::call_error::CallError;
+use crate::dispatch::Dispatch;
+use crate::metrics::OutcomeLabels;
+use crate::{generation, plain};
+
+/// Answers one caller's request.
+pub(crate) async fn answer(dispatch: Arc<Dispatch>, request: Request<Incoming>) -> Response<Body> {
+    let started_ms = dispatch.clock.now_ms();
+    let mut response = match admit(&dispatch, request, started_ms).await {
+        Ok(call) => serve(&dispatch, Arc::new(call)).await,
+        Err(error) => {
+            log::info!(target: "comfreymast", code = 1101, status = error.status().as_u16(),
+                error:%; "request not admitted");
+            count(&dispatch, "", error.status().as_str());
+            error.response()
+        }
+    };
+    if dispatch.is_draining() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve(dispatch: &Arc<Dispatch>, call: Arc<Call>) -> Response<Body> {
+    let Some(service) = call.route.target(rand::random()).cloned() else {
+        return CallError::NoRoute.response();
+    };
+    dispatch.budget.request(&service, dispatch.clock.now_ms());
+    let answered = if call.route.is_stream {
+        generation::run(dispatch, &call, &service).await
+    } else {
+        plain::run(dispatch, &call, &service).await
+    };
+    let latency_ms = call.age_ms(&dispatch.clock);
+    let (response, outcome) = match answered {
+        Ok(response) => {
+            let outcome = response.status().as_str().to_owned();
+            (response, outcome)
+        }
+        Err(error) => (error.response(), error.to_string()),
+    };
+    const MS_PER_S: f64 = 1_000.0;
+    dispatch.metrics.latency_s.observe(latency_ms as f64 / MS_PER_S);
+    count(dispatch, service.as_str(), &outcome);
+    log::info!(target: "comfreymast", code = 1102, request = &*call.head.id,
+        route = &*call.route.name, service = service.as_str(), version = call.version,
+        status = response.status().as_u16(), outcome = outcome.as_str(), latency_ms;
+        "request answered");
+    response
+}
+
+fn count(dispatch: &Dispatch, service: &str, outcome: &str) {
+    let labels = OutcomeLabels { service: service.to_owned(), outcome: outcome.to_owned() };
+    dispatch.metrics.requests.get_or_create(&labels).inc();
+}
+
+/// Holds a request against the configuration in force and reads its body.
+async fn admit(
+    dispatch: &Dispatch,
+    request: Request<Incoming>,
+    started_ms: u64,
+) -> Result<Call, CallError> {
+    let configuration = dispatch.configuration.load_full().ok_or(CallError::NotReady)?;
+    let (parts, body) = request.into_parts();
+    let head = CallHead::decode(&parts)?;
+    let route = configuration.routes.find(&head.host, parts.uri.path()).ok_or(CallError::NoRoute)?;
+    let member = if route.is_public || !configuration.keyring.is_enforced() {
+        None
+    } else {
+        let holder = head.key.as_deref().and_then(|key| configuration.keyring.holder(key));
+        Some(holder.ok_or(CallError::UnknownKey)?.clone())
+    };
+    let wait_ms = head.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    let body = within(wait_ms, collect(body, configuration.limits.max_body_bytes)).await;
+    let body = match body {
+        Ok(Ok(body)) => body,
+        Ok(Err(BodyError::TooLong { .. })) => return Err(CallError::TooLong),
+        Ok(Err(_)) | Err(_) => return Err(CallError::BodyLost),
+    };
+    Ok(Call {
+        route: route.clone(),
+        member,
+        version: configuration.version,
+        started_ms,
+        ends_ms: started_ms + wait_ms,
+        head,
+        parts,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,290 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use async_channel::Receiver;
+use async_net::{TcpListener, UdpSocket};
+use comfreymast_base::Clock;
+use comfreymast_net::{Spawner, empty, handler, sleep_ms};
+use comfreymast_platform::{
+    CONFIGURATION_KEY, READY_PATH, StoreClient, Topic, VmSettings, decode_configuration,
+    decode_upstream,
+};
+use derive_more::{Display, Error};
+use hyper::{Response, StatusCode};
+
+use crate::dispatch::Dispatch;
+use crate::feed::FeedChange;
+use crate::follow::{Followed, follow};
+use crate::peers::{Exchange, Peers};
+use crate::server::{ConnectionLimits, Server};
+use crate::{GatewayOptions, front};
+
+/// Why a gateway did not start.
+#[derive(Debug, Display, Error)]
+#[display("cannot listen on {addr}: {source}")]
+pub struct GatewayError {
+    /// The address.
+    pub addr: SocketAddr,
+    /// What the machine said.
+    pub source: std::io::Error,
+}
+
+const PEER_CONNECTION_WAIT_MS: u64 = 15_000;
+const PEER_HEAD_BYTES: usize = 16 * 1024;
+/// How long after trouble with the store a vanished entry may have lapsed because of it.
+const LAPSE_WINDOW_MS: u64 = 6_000;
+/// Left between the last request and the end that the platform puts to the process.
+const STOP_MARGIN_MS: u64 = 150;
+
+/// Runs one daemon on the platform until `stop` closes, then drains. A message on `reload` makes
+/// it read its settings again.
+///
+/// # Errors
+///
+/// [`GatewayError`] when a port cannot be opened.
+pub async fn run(
+    spawner: Spawner,
+    settings: VmSettings,
+    settings_path: PathBuf,
+    options: GatewayOptions,
+    stop: Receiver<()>,
+    reload: Receiver<()>,
+) -> Result<(), GatewayError> {
+    let clock = Clock::system();
+    let callers = listen(settings.callers_addr).await?;
+    let balancer = listen(settings.ready_addr).await?;
+    let peers_listener = listen(settings.peers_addr).await?;
+    let socket = UdpSocket::bind(settings.peers_addr)
+        .await
+        .map_err(|source| GatewayError { addr: settings.peers_addr, source })?;
+    log::info!(target: "comfreymast", code = 1001, daemon = settings.name.as_str(),
+        callers:% = settings.callers_addr, peers:% = settings.peers_addr,
+        store:% = settings.store_addr; "daemon started");
+
+    let store_addr = settings.store_addr;
+    let peers = Arc::new(Peers::new(clock.clone(), settings.peers_addr));
+    for ip in &settings.seed_ips {
+        peers.meet(SocketAddr::new(*ip, settings.peers_addr.port()));
+    }
+    let dispatch = Arc::new(Dispatch::new(spawner.clone(), clock, settings, options));
+    let operators = follow_operators(&dispatch);
+    let upstreams = follow_upstreams(&dispatch);
+    let exchange = Arc::new(Exchange {
+        dispatch: dispatch.clone(),
+        peers: peers.clone(),
+        operators: operators.clone(),
+        upstreams: upstreams.clone(),
+        socket,
+    });
+
+    // Dropping these tasks and senders at the end of this function ends them.
+    let wait_ms = dispatch.options.store_wait_ms;
+    let (_balancer_open, balancer_stop) = async_channel::bounded::<()>(1);
+    let (_peers_open, peers_stop) = async_channel::bounded::<()>(1);
+    let _tasks = [
+        spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr, wait_ms)),
+        spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr, wait_ms)),
+        spawner.spawn(exchange.clone().listen()),
+        spawner.spawn(exchange.clone().speak()),
+        spawner.spawn(announce(dispatch.clone(), peers)),
+        spawner.spawn(watch_settings(dispatch.clone(), settings_path, reload)),
+        spawner.spawn(ready_server(&dispatch, &operators, &upstreams, balancer_stop).run(balancer)),
+        spawner.spawn(peer_server(&dispatch, &exchange, peers_stop).run(peers_listener)),
+    ];
+    let (accepting, accept_stop) = async_channel::bounded::<()>(1);
+    let _drain = spawner.spawn(drain(dispatch.clone(), stop, accepting));
+    caller_server(&dispatch, accept_stop).run(callers).await;
+    log::info!(target: "comfreymast", code = 1003; "daemon stopped");
+    Ok(())
+}
+
+/// Waits for the word to stop; then takes connections for a while, and closes the door.
+async fn drain(dispatch: Arc<Dispatch>, stop: Receiver<()>, accepting: async_channel::Sender<()>) {
+    let _ = stop.recv().await;
+    dispatch.start_draining();
+    let grace_ms = dispatch.settings.load().grace_ms;
+    log::info!(target: "comfreymast", code = 1002, grace_ms; "daemon drains");
+    let accept_ms = dispatch.options.drain_grace_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS));
+    sleep_ms(accept_ms).await;
+    drop(accepting);
+}
+
+fn follow_operators(dispatch: &Arc<Dispatch>) -> Arc<Followed> {
+    let target = dispatch.clone();
+    let on_change = move |changes: &[FeedChange]| {
+        for change in changes.iter().filter(|change| change.key == CONFIGURATION_KEY) {
+            let Some(value) = &change.value else { continue };
+            match decode_configuration(value) {
+                Ok(configuration) => target.put_in_force(configuration),
+                Err(error) => {
+                    log::error!(target: "comfreymast", code = 1204, error:%; "configuration skipped");
+                }
+            }
+        }
+    };
+    Arc::new(Followed::new(Topic::Operators, dispatch.clock.clone(), Box::new(on_change)))
+}
+
+fn follow_upstreams(dispatch: &Arc<Dispatch>) -> Arc<Followed> {
+    Arc::new_cyclic(|followed: &std::sync::Weak<Followed>| {
+        let target = dispatch.clone();
+        let followed = followed.clone();
+        let on_change = move |changes: &[FeedChange]| {
+            for change in changes {
+                match &change.value {
+                    Some(value) => take_upstream(&target, &change.key, value),
+                    None => drop_upstream(&target, &followed, &change.key),
+                }
+            }
+        };
+        Followed::new(Topic::Upstreams, dispatch.clock.clone(), Box::new(on_change))
+    })
+}
+
+fn take_upstream(dispatch: &Dispatch, key: &str, value: &[u8]) {
+    match decode_upstream(key, value) {
+        Ok(record) => dispatch.directory.insert(record),
+        Err(error) => {
+            log::warn!(target: "comfreymast", code = 1304, upstream = key, error:%; "entry skipped");
+            dispatch.directory.remove(key);
+        }
+    }
+}
+
+/// Takes an upstream out, at once or, when its entry may have lapsed with the store's outage, after
+/// the time in which a living upstream would be back.
+fn drop_upstream(dispatch: &Arc<Dispatch>, followed: &std::sync::Weak<Followed>, key: &str) {
+    let Some(strong) = followed.upgrade() else { return };
+    if !strong.had_trouble(LAPSE_WINDOW_MS) {
+        dispatch.directory.remove(key);
+        return;
+    }
+    log::info!(target: "comfreymast", code = 1305, upstream = key; "entry may have lapsed with the store");
+    let dispatch_later = dispatch.clone();
+    let key = key.to_owned();
+    dispatch.spawner.detach(async move {
+        sleep_ms(dispatch_later.options.lapse_grace_ms).await;
+        if !strong.has(&key) {
+            dispatch_later.directory.remove(&key);
+        }
+    });
+}
+
+/// Writes this daemon's address to the store and reads those of the others, until both are done.
+async fn announce(dispatch: Arc<Dispatch>, peers: Arc<Peers>) {
+    const PAUSE_MS: u64 = 500;
+    let settings = dispatch.settings.load_full();
+    let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
+    let addr = settings.peers_addr.to_string();
+    loop {
+        let put = client.put(Topic::Daemons, settings.name.as_str(), addr.as_bytes()).await;
+        let newest = match put {
+            Ok(()) => client.newest(Topic::Daemons).await,
+            Err(error) => Err(error),
+        };
+        match newest {
+            Ok(newest) => {
+                let values = newest.records.into_iter().filter_map(|record| record.value);
+                for addr in values.filter_map(|value| std::str::from_utf8(&value).ok()?.parse().ok()) {
+                    peers.meet(addr);
+                }
+                return;
+            }
+            Err(error) => {
+                log::warn!(target: "comfreymast", code = 1506, error:%; "daemon not announced yet");
+                sleep_ms(PAUSE_MS).await;
+            }
+        }
+    }
+}
+
+/// Reads the settings again when asked to, or when their file has changed.
+async fn watch_settings(dispatch: Arc<Dispatch>, path: PathBuf, reload: Receiver<()>) {
+    let mut known = modified(&path);
+    loop {
+        let asked = futures_lite::future::or(async { reload.recv().await.is_ok() }, async {
+            sleep_ms(dispatch.options.settings_interval_ms).await;
+            false
+        });
+        let is_asked = asked.await;
+        let now = modified(&path);
+        if !is_asked && now == known {
+            continue;
+        }
+        known = now;
+        match VmSettings::read(&path) {
+            Ok(settings) => {
+                log::info!(target: "comfreymast", code = 1004, asked = is_asked; "settings read again");
+                dispatch.settings.store(Arc::new(settings));
+            }
+            Err(error) => {
+                log::error!(target: "comfreymast", code = 1005, error:%; "settings kept, the new ones cannot be used");
+            }
+        }
+    }
+}
+
+fn modified(path: &std::path::Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+fn caller_server(dispatch: &Arc<Dispatch>, stop: Receiver<()>) -> Server {
+    let answering = dispatch.clone();
+    let limited = dispatch.clone();
+    Server::new(
+        dispatch.spawner.clone(),
+        handler(move |request| front::answer(answering.clone(), request)),
+        move || {
+            let limits = limited.configuration.load().as_ref().map(|known| known.limits);
+            let limits = limits.unwrap_or_default();
+            ConnectionLimits {
+                max_head_bytes: limits.max_head_bytes,
+                head_wait_ms: limits.idle_timeout_ms,
+            }
+        },
+        stop,
+    )
+}
+
+fn ready_server(
+    dispatch: &Arc<Dispatch>,
+    operators: &Arc<Followed>,
+    upstreams: &Arc<Followed>,
+    stop: Receiver<()>,
+) -> Server {
+    let state = (dispatch.clone(), operators.clone(), upstreams.clone());
+    let answer = handler(move |request| {
+        let (dispatch, _operators, upstreams) = state.clone();
+        async move {
+            let is_ready = request.uri().path() == READY_PATH
+                && dispatch.configuration.load().is_some()
+                && upstreams.is_loaded()
+                && !dispatch.is_draining();
+            let mut response = Response::new(empty());
+            if !is_ready {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
+    });
+    Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
+}
+
+fn peer_server(dispatch: &Arc<Dispatch>, exchange: &Arc<Exchange>, stop: Receiver<()>) -> Server {
+    let exchange = exchange.clone();
+    let answer = handler(move |request| {
+        let exchange = exchange.clone();
+        async move { exchange.answer(&request) }
+    });
+    Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
+}
+
+fn peer_limits() -> ConnectionLimits {
+    ConnectionLimits { max_head_bytes: PEER_HEAD_BYTES, head_wait_ms: PEER_CONNECTION_WAIT_MS }
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
+    TcpListener::bind(addr).await.map_err(|source| GatewayError { addr, source })
+}
--- /dev/null
+++ b/crates/gateway/src/generation/placing.rs
@@ -0,0 +1,54 @@
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use comfreymast_base::{Service, Upstream};
+use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine};
+use comfreymast_fleet::EngineSpec;
+
+use crate::dispatch::Dispatch;
+use crate::upstream_state::UpstreamState;
+
+const CHOICE_NOISE: f64 = 0.03;
+/// What an engine that could not be reached a moment ago counts as failing.
+const SUSPECT_FAILURE_RATE: f64 = 1.0;
+
+/// The engine of `service` for a generation that will hold `need_tokens`; none of `excluded`.
+pub(crate) fn place(
+    dispatch: &Dispatch,
+    service: &Service,
+    spec: &EngineSpec,
+    need_tokens: u64,
+    options: &PlacementOptions,
+    excluded: &[Upstream],
+) -> Option<Arc<UpstreamState>> {
+    let upstreams = dispatch.directory.load();
+    let open: Vec<_> = upstreams
+        .of_service(service)
+        .iter()
+        .filter(|engine| !engine.is_leaving() && !excluded.contains(&engine.record.name))
+        .collect();
+    let near = dispatch.settings.load().data_centre.clone();
+    let now_ms = dispatch.clock.now_ms();
+    let views: Vec<_> = open
+        .iter()
+        .map(|engine| view(engine, spec, engine.record.data_centre == near, now_ms))
+        .collect();
+    let noise = |_| rand::random::<f64>() * CHOICE_NOISE;
+    let chosen = choose_engine(&views, need_tokens, options, noise)?;
+    open.get(chosen).map(|engine| Arc::clone(engine))
+}
+
+fn view(engine: &UpstreamState, spec: &EngineSpec, is_near: bool, now_ms: u64) -> EngineView {
+    let own_runs = engine.outstanding.load(Ordering::Acquire);
+    let own_tokens = engine.reserved_tokens.load(Ordering::Acquire);
+    let is_suspect = engine.is_suspect(now_ms);
+    EngineView {
+        memory_tokens: spec.memory_tokens,
+        reserved_tokens: own_tokens + engine.others_reserved_tokens.load(Ordering::Acquire),
+        runs: own_runs + engine.others_runs.load(Ordering::Acquire),
+        slots: engine.record.slots,
+        is_near,
+        cold_ms: engine.cold_ms(now_ms),
+        failure_rate: if is_suspect { SUSPECT_FAILURE_RATE } else { engine.failure_rate() },
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/generation/start.rs
@@ -0,0 +1,168 @@
+use std::sync::Arc;
+
+use async_channel::bounded;
+use comfreymast_base::{Service, Upstream};
+use comfreymast_decide::placement::PlacementOptions;
+use comfreymast_fleet::{EngineSpec, Repeat};
+use comfreymast_net::{Body, sleep_ms};
+use comfreymast_platform::{AnswerHead, PromptShape};
+use hyper::Response;
+use hyper::header::CONTENT_LENGTH;
+
+use super::placing::place;
+use super::relay::{Relay, RelayBody};
+use super::reservation::{Reservation, expected_tokens};
+use crate::call::Call;
+use crate::call_error::{CallError, Refusal};
+use crate::dispatch::Dispatch;
+use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::upstream_state::UpstreamState;
+
+/// Chunks of a stream that wait for a caller who reads slowly.
+const UNREAD_CHUNKS: usize = 64;
+const MOST_SENDS: u32 = 4;
+const ROOM_POLL_MS: u64 = 40;
+const FULL_RETRY_MS: u64 = 700;
+const NOT_RUN_RETRY_MS: u64 = 300;
+/// The share of the target latency that a generation may wait for room.
+const WAIT_SHARE: f64 = 0.6;
+
+/// Starts a stream on an upstream of `service` and relays it.
+pub(crate) async fn run(
+    dispatch: &Arc<Dispatch>,
+    call: &Arc<Call>,
+    service: &Service,
+) -> Result<Response<Body>, CallError> {
+    let spec = engine_spec(dispatch, service);
+    let shape = call.head.prompt.clone().unwrap_or_default();
+    let mut start = Start {
+        dispatch,
+        call,
+        service,
+        spec: &spec,
+        shape: &shape,
+        tried: Vec::new(),
+        sends: 0,
+        runs: 0,
+    };
+    let (sent, upstream, reservation) = start.first_answer().await?;
+    let Sent { connection, mut parts, answer, body, outstanding } = sent;
+    if answer.is_encoded || (parts.status.is_success() && !answer.is_signed) {
+        upstream.spoiled(dispatch.clock.now_ms());
+        return Err(CallError::OutcomeUnknown);
+    }
+    AnswerHead::strip_connection(&mut parts.headers);
+    let is_stream = parts.status.is_success();
+    if is_stream {
+        parts.headers.remove(CONTENT_LENGTH);
+    }
+    let (chunks, unread) = bounded(UNREAD_CHUNKS);
+    let relay = Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
+    let task = dispatch.spawner.spawn(relay.run(connection, answer, body, outstanding));
+    Ok(Response::from_parts(parts, RelayBody::body(unread, task)))
+}
+
+fn engine_spec(dispatch: &Dispatch, service: &Service) -> EngineSpec {
+    let configuration = dispatch.configuration.load();
+    let spec = configuration.as_ref().and_then(|configuration| configuration.service(service));
+    spec.and_then(|spec| spec.engine.clone()).unwrap_or(EngineSpec {
+        slots: u32::MAX,
+        memory_tokens: u64::MAX / 4,
+        token_bytes: 0,
+        link_mbps: 0.0,
+        can_move: false,
+        tokens_per_event: 1,
+    })
+}
+
+/// A stream that has no answer yet.
+struct Start<'a> {
+    dispatch: &'a Arc<Dispatch>,
+    call: &'a Arc<Call>,
+    service: &'a Service,
+    spec: &'a EngineSpec,
+    shape: &'a PromptShape,
+    tried: Vec<Upstream>,
+    sends: u32,
+    runs: u32,
+}
+
+impl Start<'_> {
+    async fn first_answer(
+        &mut self,
+    ) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
+        loop {
+            let upstream = self.room().await?;
+            let need_tokens = expected_tokens(self.shape, 0);
+            let reservation = Reservation::new(&upstream, need_tokens);
+            let started_ms = self.dispatch.clock.now_ms();
+            let limit_ms = self.call.left_ms(&self.dispatch.clock);
+            let priority = Some(self.call.priority());
+            let options = SendOptions { limit_ms, priority, ..SendOptions::default() };
+            self.sends += 1;
+            match send(self.dispatch, self.call, &upstream, &options).await {
+                Ok(sent) => {
+                    let is_good = !sent.parts.status.is_server_error();
+                    upstream.answered(is_good, self.dispatch.clock.now_ms() - started_ms);
+                    self.log_started(&upstream, sent.parts.status.as_u16(), need_tokens);
+                    return Ok((sent, upstream, reservation));
+                }
+                Err(failure) => self.failed(&upstream, failure)?,
+            }
+        }
+    }
+
+    /// Waits for an engine with room, but no longer than an answer would still be wanted.
+    async fn room(&self) -> Result<Arc<UpstreamState>, CallError> {
+        let need_tokens = expected_tokens(self.shape, 0);
+        let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
+        let options = PlacementOptions::default();
+        loop {
+            let found =
+                place(self.dispatch, self.service, self.spec, need_tokens, &options, &self.tried);
+            if let Some(upstream) = found {
+                return Ok(upstream);
+            }
+            if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
+                return Err(self.refused(Refusal::Full, FULL_RETRY_MS));
+            }
+            sleep_ms(ROOM_POLL_MS).await;
+        }
+    }
+
+    /// Decides whether a send that failed is followed by another.
+    fn failed(&mut self, upstream: &UpstreamState, failure: SendFailure) -> Result<(), CallError> {
+        self.tried.push(upstream.record.name.clone());
+        log::info!(target: "comfreymast", code = 1401, request = &*self.call.head.id,
+            upstream = upstream.record.name.as_str(), failure:?; "attempt failed");
+        let may_repeat = match failure {
+            SendFailure::NotRun(_) => self.sends < MOST_SENDS,
+            SendFailure::Lost(_) => {
+                self.runs += 1;
+                self.call.route.repeat != Repeat::Once && self.runs < self.call.route.max_attempts
+            }
+        };
+        let has_time = self.call.left_ms(&self.dispatch.clock) > 0;
+        if may_repeat && has_time && self.dispatch.try_repeat(self.service) {
+            return Ok(());
+        }
+        if !has_time && self.runs > 0 {
+            return Err(CallError::TimedOut);
+        }
+        Err(self.refused(Refusal::NotRun, NOT_RUN_RETRY_MS))
+    }
+
+    /// A refusal, unless an upstream may have run the request.
+    fn refused(&self, reason: Refusal, retry_after_ms: u64) -> CallError {
+        if self.runs > 0 {
+            return CallError::OutcomeUnknown;
+        }
+        CallError::Refused { reason, retry_after_ms }
+    }
+
+    fn log_started(&self, upstream: &UpstreamState, status: u16, need_tokens: u64) {
+        log::info!(target: "comfreymast", code = 1402, request = &*self.call.head.id,
+            upstream = upstream.record.name.as_str(), status, need_tokens,
+            waited_ms = self.call.age_ms(&self.dispatch.clock); "stream started");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! A daemon on the platform: routes callers' requests to upstreams and keeps generations alive
+//! when their engines go.
+//!
+//! * [`run`] — runs one daemon until its stop channel closes, then drains.
+//! * [`GatewayOptions`] — its time limits.
+//! * [`install_log`] — structured log lines, bounded and off the request's path.
+//!
+//! A request enters at `front`, a change of the configuration at `feed`.
+
+mod call;
+mod call_error;
+mod directory;
+mod dispatch;
+mod feed;
+mod follow;
+mod front;
+mod gateway;
+mod generation;
+mod json_log;
+mod metrics;
+mod options;
+mod peers;
+mod plain;
+mod pool;
+mod send;
+mod server;
+mod upstream_state;
+
+pub use gateway::{GatewayError, run};
+pub use json_log::install_log;
+pub use options::GatewayOptions;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,80 @@
+use comfreymast_net::{Body, full};
+use hyper::Response;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 40.0];
+
+/// How requests of one service ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    /// The service.
+    pub(crate) service: String,
+    /// `done`, or why not.
+    pub(crate) outcome: String,
+}
+
+/// How a move of a generation ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct MoveLabels {
+    /// `moved`, or why not.
+    pub(crate) outcome: &'static str,
+}
+
+/// What the gateway counts and times.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests, by service and outcome.
+    pub(crate) requests: Family<OutcomeLabels, Counter>,
+    /// Sends to upstreams beyond the first of a request.
+    pub(crate) repeats: Counter,
+    /// Moves of generations.
+    pub(crate) moves: Family<MoveLabels, Counter>,
+    /// Time to the whole answer, or to the first event of a stream.
+    pub(crate) latency_s: Histogram,
+    /// The pause of a stream while its generation moved.
+    pub(crate) move_pause_s: Histogram,
+    /// The time that generations waited for an engine.
+    pub(crate) wait_s: Histogram,
+    /// Log lines that were dropped because the log was full.
+    pub(crate) dropped_lines: Counter,
+}
+
+impl Metrics {
+    /// All metrics at zero.
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("comfreymast");
+        let requests = Family::default();
+        registry.register("gateway_requests", "Requests by service and outcome", requests.clone());
+        let repeats = Counter::default();
+        registry.register("gateway_repeats", "Sends beyond the first of a request", repeats.clone());
+        let moves = Family::default();
+        registry.register("gateway_moves", "Moves of generations by outcome", moves.clone());
+        let latency_s = histogram(&mut registry, "gateway_latency_seconds", "Time to the answer or first event");
+        let move_pause_s = histogram(&mut registry, "gateway_move_pause_seconds", "Pause of a stream during a move");
+        let wait_s = histogram(&mut registry, "gateway_wait_seconds", "Wait for an engine");
+        let dropped_lines = Counter::default();
+        registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
+        Self { registry, requests, repeats, moves, latency_s, move_pause_s, wait_s, dropped_lines }
+    }
+
+    /// All metrics as text.
+    pub(crate) fn response(&self) -> Response<Body> {
+        let mut text = String::new();
+        if let Err(error) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
+            log::error!(target: "comfreymast", error:%; "metrics cannot be encoded");
+        }
+        Response::new(full(text))
+    }
+}
+
+fn histogram(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let histogram = Histogram::new(LATENCY_BOUNDS_S);
+    registry.register(name, help, histogram.clone());
+    histogram
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,125 @@
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_net::{TcpListener, TcpStream};
+use comfreymast_net::{Handler, Spawner, probe_silence, sleep_ms};
+use futures_lite::future;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+const ACCEPT_PAUSE_MS: u64 = 20;
+const LEAST_HEAD_BYTES: usize = 8 * 1024;
+
+/// Bounds on a connection from a caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// The longest head.
+    pub(crate) max_head_bytes: usize,
+    /// How long a head may take to arrive, idle time before it included.
+    pub(crate) head_wait_ms: u64,
+}
+
+/// An HTTP/1.1 server on one address.
+#[derive(Clone)]
+pub(crate) struct Server {
+    spawner: Spawner,
+    handler: Handler,
+    limits: Arc<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    stop: Receiver<()>,
+    open: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// A server whose connections take the limits that hold when they open. Closing `stop` ends it.
+    pub(crate) fn new(
+        spawner: Spawner,
+        handler: Handler,
+        limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static,
+        stop: Receiver<()>,
+    ) -> Self {
+        Self { spawner, handler, limits: Arc::new(limits), stop, open: Arc::default() }
+    }
+
+    /// Serves connections until `stop` closes, then finishes the requests in flight.
+    pub(crate) async fn run(self, listener: TcpListener) {
+        while let Some(accepted) = self.accept(&listener).await {
+            match accepted {
+                Ok((stream, _)) => self.spawner.detach(self.clone().serve(stream)),
+                Err(error) => {
+                    log::warn!(target: "comfreymast", error:%; "accept failed");
+                    sleep_ms(ACCEPT_PAUSE_MS).await;
+                }
+            }
+        }
+        // Callers whose connections wait in the kernel's queue have already sent their requests.
+        while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
+            self.spawner.detach(self.clone().serve(stream));
+        }
+        drop(listener);
+        sleep_ms(ACCEPT_PAUSE_MS).await;
+        while self.open.load(Ordering::Acquire) > 0 {
+            sleep_ms(ACCEPT_PAUSE_MS).await;
+        }
+    }
+
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+    ) -> Option<std::io::Result<(TcpStream, std::net::SocketAddr)>> {
+        let stopped = async {
+            let _ = self.stop.recv().await;
+            None
+        };
+        future::or(async { Some(listener.accept().await) }, stopped).await
+    }
+
+    async fn serve(self, stream: TcpStream) {
+        let _open = OpenGuard::new(&self.open);
+        if let Err(error) = probe_silence(&stream) {
+            log::debug!("connection options were refused: {error}");
+        }
+        let limits = (self.limits)();
+        let handler = self.handler.clone();
+        let service = service_fn(move |request| {
+            let answering = handler(request);
+            async move { Ok::<_, Infallible>(answering.await) }
+        });
+        let mut builder = http1::Builder::new();
+        builder
+            .timer(SmolTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.head_wait_ms))
+            .max_buf_size(limits.max_head_bytes.max(LEAST_HEAD_BYTES));
+        let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+        let stopped = async {
+            let _ = self.stop.recv().await;
+            None
+        };
+        let ended = future::or(async { Some(connection.as_mut().await) }, stopped).await;
+        if ended.is_none() {
+            connection.as_mut().graceful_shutdown();
+            if let Err(error) = connection.await {
+                log::debug!("connection ended: {error}");
+            }
+        }
+    }
+}
+
+struct OpenGuard(Arc<AtomicUsize>);
+
+impl OpenGuard {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/upstream.rs
@@ -0,0 +1,53 @@
+use std::net::SocketAddr;
+
+use comfreymast_base::{DataCentre, Service, Upstream};
+use comfreymast_fleet::UpstreamRecord;
+use derive_more::{Display, Error, From};
+use serde::Deserialize;
+
+/// Why an entry names no upstream to use.
+#[derive(Debug, Display, Error, From)]
+pub enum UpstreamError {
+    /// A field is missing or of another type, or a word is not known here.
+    #[display("the entry does not decode: {_0}")]
+    Decode(serde_json::Error),
+}
+
+/// Decodes the entry that the upstream `name` wrote to the store.
+///
+/// # Errors
+///
+/// [`UpstreamError`]: the entry names no upstream to use; others are not concerned.
+pub fn decode_upstream(name: &str, bytes: &[u8]) -> Result<UpstreamRecord, UpstreamError> {
+    let fields: UpstreamFields = serde_json::from_slice(bytes)?;
+    Ok(UpstreamRecord {
+        name: Upstream::from(name),
+        service: Service::from(fields.service),
+        addr: fields.address,
+        data_centre: DataCentre::from(fields.zone),
+        slots: fields.slots,
+        is_leaving: fields.state == StateField::Draining,
+        cold_ms: fields.cold_remaining_ms as u64,
+        started_unix_ms: fields.born,
+    })
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct UpstreamFields {
+    service: String,
+    address: SocketAddr,
+    zone: String,
+    slots: u32,
+    state: StateField,
+    #[serde(default)]
+    cold_remaining_ms: f64,
+    born: Option<u64>,
+}
+
+#[derive(PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum StateField {
+    Ready,
+    Draining,
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,10 @@
 //! Messages that leave the process, and the framing between daemons.
 //!
-//! The types in [`cursor`], [`log`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
+//! The types in [`cursor`], [`log`], [`news`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
 //! committed, so a build needs no generator.
 //!
 //! * [`log`] — records on the platform's log and the log service's messages.
+//! * [`news`] — what daemons on the platform tell each other.
 //! * [`peer`] — messages between daemons.
 //! * [`cursor`] — what a reader gives back to continue a stream.
 //! * [`engine`] — JSON messages of the model engines.
@@ -29,3 +30,9 @@
 #[rustfmt::skip]
 #[path = "generated/comfreymast.peer.rs"]
 pub mod peer;
+
+/// What daemons on the platform tell each other.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+#[path = "generated/comfreymast.news.rs"]
+pub mod news;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,7 +6,7 @@
 
 const PROTO_DIR: &str = "crates/wire/proto";
 const GENERATED_DIR: &str = "crates/wire/src/generated";
-const PROTO_FILES: [&str; 3] = ["cursor.proto", "log.proto", "peer.proto"];
+const PROTO_FILES: [&str; 4] = ["cursor.proto", "log.proto", "news.proto", "peer.proto"];
 
 /// Why the types could not be written.
 #[derive(Debug, Display, Error, From)]
