Let few daemons ask the store often, so that no change is missed

Change: the first two living daemons wait 0.8 s at most; others hear of newer offsets by heartbeat. An entry counts as lapsed with the store only within 2 s of its last failure.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,12 +25,14 @@
     next_offset: AtomicU64,
     is_loaded: AtomicBool,
     trouble_ms: AtomicU64,
+    answers: AtomicBool,
+    wait_ms: AtomicU64,
     hurry: Event,
 }
 
 impl Followed {
     /// Follows `topic` from its beginning; `on_change` puts changes in force.
-    pub(crate) fn new(topic: Topic, clock: Clock, on_change: OnChange) -> Self {
+    pub(crate) fn new(topic: Topic, clock: Clock, wait_ms: u64, on_change: OnChange) -> Self {
         Self {
             topic,
             clock,
@@ -39,6 +41,8 @@
             next_offset: AtomicU64::new(0),
             is_loaded: AtomicBool::new(false),
             trouble_ms: AtomicU64::new(0),
+            answers: AtomicBool::new(false),
+            wait_ms: AtomicU64::new(wait_ms),
             hurry: Event::new(),
         }
     }
@@ -59,6 +63,18 @@
         trouble_ms > 0 && self.clock.now_ms().saturating_sub(trouble_ms) < within_ms
     }
 
+    /// True while the store answers.
+    pub(crate) fn answers(&self) -> bool {
+        self.answers.load(Ordering::Acquire)
+    }
+
+    /// Asks the store to wait `wait_ms` for a change; a shorter time holds at once.
+    pub(crate) fn set_wait_ms(&self, wait_ms: u64) {
+        if wait_ms < self.wait_ms.swap(wait_ms, Ordering::AcqRel) {
+            self.hurry();
+        }
+    }
+
     /// True when the feed has a record of `key`.
     pub(crate) fn has(&self, key: &str) -> bool {
         self.feed().snapshot().records.iter().any(|record| record.key == key)
@@ -117,7 +133,6 @@
     spawner: Spawner,
     followed: Arc<Followed>,
     addr: std::net::SocketAddr,
-    wait_ms: u64,
 ) {
     let mut client = StoreClient::new(spawner, addr);
     let mut must_reload = true;
@@ -125,7 +140,7 @@
     let mut is_lost = false;
     loop {
         let hurried = followed.hurry.listen();
-        let step = future::or(async { Some(step(&followed, &mut client, must_reload, wait_ms).await) }, async {
+        let step = future::or(async { Some(step(&followed, &mut client, must_reload).await) }, async {
             hurried.await;
             None
         });
@@ -133,6 +148,7 @@
             None => client.reconnect(),
             Some(Ok(())) => {
                 must_reload = false;
+                followed.answers.store(true, Ordering::Release);
                 backoff_ms = LEAST_BACKOFF_MS;
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "comfreymast", code = 1202, topic:? = followed.topic,
@@ -141,6 +157,7 @@
             }
             Some(Err(StoreError::Deleted)) => must_reload = true,
             Some(Err(error)) => {
+                followed.answers.store(false, Ordering::Release);
                 followed.trouble_ms.store(followed.clock.now_ms().max(1), Ordering::Release);
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "comfreymast", code = 1201, topic:? = followed.topic,
@@ -158,11 +175,11 @@
     followed: &Followed,
     client: &mut StoreClient,
     must_reload: bool,
-    wait_ms: u64,
 ) -> Result<(), StoreError> {
     if must_reload {
         followed.take_newest(client.newest(followed.topic).await?);
     } else {
+        let wait_ms = followed.wait_ms.load(Ordering::Acquire);
         let page = client.read(followed.topic, followed.next_offset(), wait_ms).await?;
         followed.take_page(page);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 const PEER_CONNECTION_WAIT_MS: u64 = 15_000;
 const PEER_HEAD_BYTES: usize = 16 * 1024;
 /// How long after trouble with the store a vanished entry may have lapsed because of it.
-const LAPSE_WINDOW_MS: u64 = 6_000;
+const LAPSE_WINDOW_MS: u64 = 2_000;
 /// Left between the last request and the end that the platform puts to the process.
 const STOP_MARGIN_MS: u64 = 150;
 
@@ -80,12 +80,11 @@
     });
 
     // Dropping these tasks and senders at the end of this function ends them.
-    let wait_ms = dispatch.options.store_wait_ms;
     let (_balancer_open, balancer_stop) = async_channel::bounded::<()>(1);
     let (_peers_open, peers_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
-        spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr, wait_ms)),
-        spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr, wait_ms)),
+        spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr)),
+        spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
         spawner.spawn(exchange.clone().listen()),
         spawner.spawn(exchange.clone().speak()),
         spawner.spawn(announce(dispatch.clone(), peers)),
@@ -124,7 +123,8 @@
             }
         }
     };
-    Arc::new(Followed::new(Topic::Operators, dispatch.clock.clone(), Box::new(on_change)))
+    let wait_ms = dispatch.options.store_wait_ms;
+    Arc::new(Followed::new(Topic::Operators, dispatch.clock.clone(), wait_ms, Box::new(on_change)))
 }
 
 fn follow_upstreams(dispatch: &Arc<Dispatch>) -> Arc<Followed> {
@@ -139,7 +139,8 @@
                 }
             }
         };
-        Followed::new(Topic::Upstreams, dispatch.clock.clone(), Box::new(on_change))
+        let wait_ms = dispatch.options.store_wait_ms;
+        Followed::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, Box::new(on_change))
     })
 }
 
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -7,6 +7,11 @@
     pub idle_connection_ms: u64,
     /// How long the store is asked to wait for a change.
     pub store_wait_ms: u64,
+    /// The same for the few daemons that make sure that no change is missed: a store that has
+    /// lost track of a waiting reader is noticed after this time.
+    pub reader_wait_ms: u64,
+    /// How many daemons do that.
+    pub readers: usize,
     /// Time between heartbeats to other daemons.
     pub heartbeat_interval_ms: u64,
     /// How old a peer's news may be before it counts as gone.
@@ -25,6 +30,8 @@
             open_limit_ms: 300,
             idle_connection_ms: 3_000,
             store_wait_ms: 10_000,
+            reader_wait_ms: 800,
+            readers: 2,
             heartbeat_interval_ms: 150,
             peer_silence_ms: 1_500,
             lapse_grace_ms: 2_300,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,7 +18,7 @@
 const DATAGRAM_BYTES: usize = 16 * 1024;
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// How long a peer may know more of a topic before it is asked for what it knows.
-const BEHIND_MS: u64 = 250;
+const BEHIND_MS: u64 = 150;
 const FETCH_LIMIT_MS: u64 = 1_500;
 const FETCH_PAUSE_MS: u64 = 400;
 /// How long an address without any sign of life is still tried.
@@ -111,9 +111,11 @@
         known.max_by_key(|(_, offset)| *offset)
     }
 
-    /// How many other daemons live.
-    pub(crate) fn count(&self) -> usize {
-        self.table().by_name.len()
+    /// How many living daemons that the store answers come before `name`.
+    fn readers_before(&self, name: &str) -> usize {
+        let table = self.table();
+        let before = table.by_name.iter().take_while(|(peer, _)| peer.as_str() < name);
+        before.filter(|(_, peer)| peer.heartbeat.store_answers).count()
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
@@ -167,6 +169,7 @@
             }
             self.peers.expire(self.dispatch.options.peer_silence_ms);
             self.use_news();
+            self.share_reading();
             let ahead = self.peers.ahead(|heartbeat| heartbeat.operators_offset);
             operators_behind.check(&self.dispatch, &self.operators, ahead, "/peer/operators");
             let ahead = self.peers.ahead(|heartbeat| heartbeat.upstreams_offset);
@@ -205,9 +208,21 @@
             engines: engines.collect(),
             services: services.collect(),
             peers: passed_on.map(SocketAddr::to_string).collect(),
+            store_answers: self.operators.answers() && self.upstreams.answers(),
         }
     }
 
+    /// Makes the first few daemons ask the store often, so that no change is missed for long when
+    /// it has lost track of those who wait. Two views of who is first do no harm.
+    fn share_reading(&self) {
+        let options = &self.dispatch.options;
+        let name = self.dispatch.settings.load().name.clone();
+        let is_reader = self.peers.readers_before(name.as_str()) < options.readers;
+        let wait_ms = if is_reader { options.reader_wait_ms } else { options.store_wait_ms };
+        self.operators.set_wait_ms(wait_ms);
+        self.upstreams.set_wait_ms(wait_ms);
+    }
+
     /// Adds up what all other daemons run and send.
     fn use_news(&self) {
         let table = self.peers.table();
