Move generations one after the other, inside the data centre of the leaving engine

Ruled out: memory of the targets alone (most copies failed by time, not for room). Change: targets near the leaving engine; the oldest generation first, each in its turn, told by heartbeats; engines are asked themselves while no daemon hears of the store.

--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -12,16 +12,46 @@
 pub struct EvacuationOptions {
     /// A copy that took no longer than this leaves little for the last one.
     pub quick_copy_ms: u64,
+    /// How much longer than expected a copy takes at most when no other was ahead of it.
+    pub undisturbed_ms: u64,
     /// The latest time after the notice for the last copy.
     pub latest_stop_ms: u64,
+    /// Time between the first copies of two generations, for the last copy of the earlier one.
+    pub gap_ms: u64,
 }
 
 impl Default for EvacuationOptions {
     fn default() -> Self {
-        Self { quick_copy_ms: 40, latest_stop_ms: 1_150 }
+        Self { quick_copy_ms: 40, undisturbed_ms: 30, latest_stop_ms: 1_150, gap_ms: 22 }
     }
 }
 
+/// A generation on an engine that goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunView {
+    /// Names it among those of its engine.
+    pub key: u32,
+    /// The memory it holds.
+    pub tokens: u64,
+    /// When it started, by its daemon's clock; never changes, so that all daemons order alike.
+    pub started_unix_ms: u64,
+}
+
+/// How long the generation `own` waits for its turn to be copied. The oldest go first: what they
+/// have made is worth most for the time that their copy takes.
+#[must_use]
+pub fn turn_ms(
+    runs: &[RunView],
+    own: u32,
+    copy_ms: impl Fn(u64) -> u64,
+    options: &EvacuationOptions,
+) -> u64 {
+    let Some(own) = runs.iter().find(|run| run.key == own) else { return 0 };
+    let rank = |run: &RunView| (run.started_unix_ms, run.key);
+    let earlier = runs.iter().filter(|run| rank(run) < rank(own));
+    earlier.map(|run| copy_ms(run.tokens) + options.gap_ms).sum()
+}
+
 /// What to do after a copy arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NextCopy {
@@ -31,9 +61,20 @@
     Last,
 }
 
-/// What follows a copy that took `copy_ms` and arrived `since_notice_ms` after the notice.
+/// What follows a copy that took `copy_ms`, where `expected_ms` was expected on an idle link, and
+/// that arrived `since_notice_ms` after the notice.
 #[must_use]
-pub fn next_copy(copy_ms: u64, since_notice_ms: u64, options: &EvacuationOptions) -> NextCopy {
+pub fn next_copy(
+    copy_ms: u64,
+    expected_ms: u64,
+    since_notice_ms: u64,
+    options: &EvacuationOptions,
+) -> NextCopy {
     let is_late = since_notice_ms + copy_ms >= options.latest_stop_ms;
-    if copy_ms <= options.quick_copy_ms || is_late { NextCopy::Last } else { NextCopy::Again }
+    let is_undisturbed = copy_ms <= expected_ms + options.undisturbed_ms;
+    if copy_ms <= options.quick_copy_ms || is_undisturbed || is_late {
+        NextCopy::Last
+    } else {
+        NextCopy::Again
+    }
 }
--- a/crates/decide/src/fleet_budget.rs
+++ b/crates/decide/src/fleet_budget.rs
@@ -30,10 +30,7 @@
     /// Both counts of two daemons or windows together.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            repeats: self.repeats + other.repeats,
-        }
+        Self { requests: self.requests + other.requests, repeats: self.repeats + other.repeats }
     }
 }
 
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -50,7 +50,8 @@
     options: &PlacementOptions,
     noise: impl Fn(usize) -> f64,
 ) -> Option<usize> {
-    let open = engines.iter().enumerate().filter(|(_, engine)| has_room(engine, need_tokens, options));
+    let open =
+        engines.iter().enumerate().filter(|(_, engine)| has_room(engine, need_tokens, options));
     let costs = open.map(|(index, engine)| (index, cost(engine, options) + noise(index)));
     costs.min_by(|left, right| left.1.total_cmp(&right.1)).map(|(index, _)| index)
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -42,7 +42,12 @@
 
 impl Dispatch {
     /// Everything empty.
-    pub(crate) fn new(spawner: Spawner, clock: Clock, settings: VmSettings, options: GatewayOptions) -> Self {
+    pub(crate) fn new(
+        spawner: Spawner,
+        clock: Clock,
+        settings: VmSettings,
+        options: GatewayOptions,
+    ) -> Self {
         Self {
             budget: Budget::new(settings.retry_window_ms),
             directory: Directory::new(clock.clone()),
@@ -148,7 +153,11 @@
         *self.others.lock().unwrap_or_else(PoisonError::into_inner) = others;
     }
 
-    fn with_window<T>(&self, service: &Service, use_window: impl FnOnce(&mut TrafficWindow) -> T) -> T {
+    fn with_window<T>(
+        &self,
+        service: &Service,
+        use_window: impl FnOnce(&mut TrafficWindow) -> T,
+    ) -> T {
         let mut own = self.own.lock().unwrap_or_else(PoisonError::into_inner);
         let window =
             own.entry(service.clone()).or_insert_with(|| TrafficWindow::new(self.window_ms));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -26,6 +26,7 @@
     is_loaded: AtomicBool,
     trouble_ms: AtomicU64,
     answers: AtomicBool,
+    heard_ms: AtomicU64,
     wait_ms: AtomicU64,
     hurry: Event,
 }
@@ -42,6 +43,7 @@
             is_loaded: AtomicBool::new(false),
             trouble_ms: AtomicU64::new(0),
             answers: AtomicBool::new(false),
+            heard_ms: AtomicU64::new(0),
             wait_ms: AtomicU64::new(wait_ms),
             hurry: Event::new(),
         }
@@ -68,6 +70,11 @@
         self.answers.load(Ordering::Acquire)
     }
 
+    /// The time since the store last answered.
+    pub(crate) fn heard_age_ms(&self) -> u64 {
+        self.clock.now_ms().saturating_sub(self.heard_ms.load(Ordering::Acquire))
+    }
+
     /// Asks the store to wait `wait_ms` for a change; a shorter time holds at once.
     pub(crate) fn set_wait_ms(&self, wait_ms: u64) {
         if wait_ms < self.wait_ms.swap(wait_ms, Ordering::AcqRel) {
@@ -129,26 +136,24 @@
 }
 
 /// Follows one topic for as long as the daemon runs.
-pub(crate) async fn follow(
-    spawner: Spawner,
-    followed: Arc<Followed>,
-    addr: std::net::SocketAddr,
-) {
+pub(crate) async fn follow(spawner: Spawner, followed: Arc<Followed>, addr: std::net::SocketAddr) {
     let mut client = StoreClient::new(spawner, addr);
     let mut must_reload = true;
     let mut backoff_ms = LEAST_BACKOFF_MS;
     let mut is_lost = false;
     loop {
         let hurried = followed.hurry.listen();
-        let step = future::or(async { Some(step(&followed, &mut client, must_reload).await) }, async {
-            hurried.await;
-            None
-        });
+        let step =
+            future::or(async { Some(step(&followed, &mut client, must_reload).await) }, async {
+                hurried.await;
+                None
+            });
         match step.await {
             None => client.reconnect(),
             Some(Ok(())) => {
                 must_reload = false;
                 followed.answers.store(true, Ordering::Release);
+                followed.heard_ms.store(followed.clock.now_ms(), Ordering::Release);
                 backoff_ms = LEAST_BACKOFF_MS;
                 if std::mem::take(&mut is_lost) {
                     log::info!(target: "comfreymast", code = 1202, topic:? = followed.topic,
@@ -164,7 +169,8 @@
                         offset = followed.next_offset(), error:%; "store does not answer");
                 }
                 client.reconnect();
-                sleep_ms(comfreymast_decide::retry::jittered_ms(backoff_ms / 2, rand::random())).await;
+                sleep_ms(comfreymast_decide::retry::jittered_ms(backoff_ms / 2, rand::random()))
+                    .await;
                 backoff_ms = (backoff_ms * 2).min(MOST_BACKOFF_MS);
             }
         }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -72,7 +72,8 @@
     let configuration = dispatch.configuration.load_full().ok_or(CallError::NotReady)?;
     let (parts, body) = request.into_parts();
     let head = CallHead::decode(&parts)?;
-    let route = configuration.routes.find(&head.host, parts.uri.path()).ok_or(CallError::NoRoute)?;
+    let route =
+        configuration.routes.find(&head.host, parts.uri.path()).ok_or(CallError::NoRoute)?;
     let member = if route.is_public || !configuration.keyring.is_enforced() {
         None
     } else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::follow::{Followed, follow};
 use crate::peers::{Exchange, Peers};
 use crate::server::{ConnectionLimits, Server};
-use crate::{GatewayOptions, front};
+use crate::{GatewayOptions, engine_watch, front};
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
@@ -85,6 +85,7 @@
     let _tasks = [
         spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
+        spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone(), peers.clone())),
         spawner.spawn(exchange.clone().listen()),
         spawner.spawn(exchange.clone().speak()),
         spawner.spawn(announce(dispatch.clone(), peers)),
@@ -188,7 +189,9 @@
         match newest {
             Ok(newest) => {
                 let values = newest.records.into_iter().filter_map(|record| record.value);
-                for addr in values.filter_map(|value| std::str::from_utf8(&value).ok()?.parse().ok()) {
+                for addr in
+                    values.filter_map(|value| std::str::from_utf8(&value).ok()?.parse().ok())
+                {
                     peers.meet(addr);
                 }
                 return;
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::{Service, Upstream};
-use comfreymast_decide::evacuation::{EvacuationOptions, NextCopy, next_copy};
+use comfreymast_decide::evacuation::{EvacuationOptions, NextCopy, next_copy, turn_ms};
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::EngineSpec;
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
@@ -15,6 +15,12 @@
 
 const MAX_REPLY_BYTES: usize = 16 * 1024;
 const COPY_LIMIT_MS: u64 = 3_000;
+/// The share of an engine's memory that may be reserved for generations that would else be lost.
+const MOVE_MEMORY_SHARE: f64 = 1.0;
+/// What a copy to another data centre costs, as a share of an engine's memory.
+const MOVE_FAR_COST: f64 = 0.6;
+/// How many times as long a copy to another data centre takes.
+const FAR_COPIES: u64 = 2;
 const BUSY_PAUSE_MS: u64 = 30;
 /// How long after the notice a generation that has not begun is still asked for.
 const UNKNOWN_LIMIT_MS: u64 = 1_500;
@@ -26,6 +32,11 @@
     pub(super) spec: EngineSpec,
     pub(super) source: Arc<UpstreamState>,
     pub(super) id: Arc<str>,
+    /// Names it among those of its engine.
+    pub(super) key: u32,
+    /// The memory it holds.
+    pub(super) held_tokens: u64,
+    /// The memory it will hold at its end.
     pub(super) need_tokens: u64,
 }
 
@@ -43,11 +54,14 @@
 impl Moving {
     /// Copies the generation to another engine while it runs, then stops it and copies the rest.
     pub(super) async fn run(self) -> Moved {
+        self.wait_turn().await;
         let mut tried = vec![self.source.record.name.clone()];
         loop {
-            let Some(target) = self.target(&tried) else { return Moved::Stays("no room elsewhere") };
+            let Some(target) = self.target(&tried) else {
+                return Moved::Stays("no room elsewhere");
+            };
             tried.push(target.record.name.clone());
-            let reservation = Reservation::new(&target, self.need_tokens);
+            let reservation = Reservation::new(&target, self.key, self.need_tokens);
             match self.move_to(&target).await {
                 Ok(copied) => {
                     let origin = self.origin(copied.handle);
@@ -66,14 +80,31 @@
         }
     }
 
+    /// Waits until the generations that go first have been copied.
+    async fn wait_turn(&self) {
+        let runs = self.source.all_generations();
+        let copy_ms = |tokens| self.spec.copy_ms(tokens);
+        let turn_ms = turn_ms(&runs, self.key, copy_ms, &EvacuationOptions::default());
+        let passed_ms = self.source.since_notice_ms(self.dispatch.clock.now_ms());
+        log::info!(target: "comfreymast", code = 1408, request = &*self.id,
+            upstream = self.source.record.name.as_str(), generations = runs.len(), turn_ms,
+            since_notice_ms = passed_ms; "generation waits for its turn to be copied");
+        sleep_ms(turn_ms).await;
+    }
+
     fn origin(&self, handle: String) -> Origin {
         Origin { addr: self.source.record.addr, handle }
     }
 
     /// An engine near the source first, since copies between data centres take longer.
     fn target(&self, tried: &[Upstream]) -> Option<Arc<UpstreamState>> {
-        let options = PlacementOptions { memory_share: 1.0, ..PlacementOptions::default() };
-        place(&self.dispatch, &self.service, &self.spec, self.need_tokens, &options, tried)
+        let options = PlacementOptions {
+            memory_share: MOVE_MEMORY_SHARE,
+            far_cost: MOVE_FAR_COST,
+            ..PlacementOptions::default()
+        };
+        let near = &self.source.record.data_centre;
+        place(&self.dispatch, &self.service, &self.spec, self.need_tokens, &options, near, tried)
     }
 
     async fn move_to(&self, target: &UpstreamState) -> Result<Copied, MoveError> {
@@ -98,7 +129,13 @@
             }
             let copy_ms = clock.now_ms() - started_ms;
             let since_notice_ms = self.source.since_notice_ms(clock.now_ms());
-            if next_copy(copy_ms, since_notice_ms, &options) == NextCopy::Last {
+            let copies = if target.record.data_centre == self.source.record.data_centre {
+                1
+            } else {
+                FAR_COPIES
+            };
+            let expected_ms = self.spec.copy_ms(self.held_tokens) * copies;
+            if next_copy(copy_ms, expected_ms, since_notice_ms, &options) == NextCopy::Last {
                 return self.copy(target, true).await;
             }
         }
@@ -114,10 +151,18 @@
             let (head, body) = connection.send(request).await.ok()?.into_parts();
             Some((head.status, collect(body, MAX_REPLY_BYTES).await.ok()?))
         };
-        match within(COPY_LIMIT_MS, exchange).await {
+        let started_ms = self.dispatch.clock.now_ms();
+        let copied = match within(COPY_LIMIT_MS, exchange).await {
             Ok(Some((status, bytes))) => decode_move_reply(status, &bytes),
             Ok(None) | Err(_) => Err(MoveError::Other { status: StatusCode::GATEWAY_TIMEOUT }),
-        }
+        };
+        let now_ms = self.dispatch.clock.now_ms();
+        log::info!(target: "comfreymast", code = 1407, request = &*self.id,
+            upstream = self.source.record.name.as_str(), to = target.record.name.as_str(), is_last,
+            is_near = target.record.data_centre == self.source.record.data_centre,
+            copy_ms = now_ms - started_ms, since_notice_ms = self.source.since_notice_ms(now_ms),
+            outcome:? = copied.as_ref().map(|copied| copied.events); "generation copied");
+        copied
     }
 
     fn log_failed(&self, target: &UpstreamState, error: &MoveError) {
--- a/crates/gateway/src/generation/placing.rs
+++ b/crates/gateway/src/generation/placing.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use comfreymast_base::{Service, Upstream};
+use comfreymast_base::{DataCentre, Service, Upstream};
 use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine};
 use comfreymast_fleet::EngineSpec;
 
@@ -12,13 +12,15 @@
 /// What an engine that could not be reached a moment ago counts as failing.
 const SUSPECT_FAILURE_RATE: f64 = 1.0;
 
-/// The engine of `service` for a generation that will hold `need_tokens`; none of `excluded`.
+/// The engine of `service` for a generation that will hold `need_tokens`; none of `excluded`, and
+/// rather one in the data centre `near`.
 pub(crate) fn place(
     dispatch: &Dispatch,
     service: &Service,
     spec: &EngineSpec,
     need_tokens: u64,
     options: &PlacementOptions,
+    near: &DataCentre,
     excluded: &[Upstream],
 ) -> Option<Arc<UpstreamState>> {
     let upstreams = dispatch.directory.load();
@@ -27,11 +29,10 @@
         .iter()
         .filter(|engine| !engine.is_leaving() && !excluded.contains(&engine.record.name))
         .collect();
-    let near = dispatch.settings.load().data_centre.clone();
     let now_ms = dispatch.clock.now_ms();
     let views: Vec<_> = open
         .iter()
-        .map(|engine| view(engine, spec, engine.record.data_centre == near, now_ms))
+        .map(|engine| view(engine, spec, engine.record.data_centre == *near, now_ms))
         .collect();
     let noise = |_| rand::random::<f64>() * CHOICE_NOISE;
     let chosen = choose_engine(&views, need_tokens, options, noise)?;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -6,6 +6,7 @@
 use async_executor::Task;
 use bytes::Bytes;
 use comfreymast_base::Service;
+use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::{EngineSpec, Repeat};
 use comfreymast_net::{Body, BodyError, OwnedConnection, sleep_ms, within};
 use comfreymast_platform::{AnswerHead, Origin, PromptShape};
@@ -16,7 +17,7 @@
 use super::events::EventSplitter;
 use super::mover::{Moved, Moving};
 use super::placing::place;
-use super::reservation::{Reservation, expected_tokens};
+use super::reservation::{Reservation, expected_tokens, generation_key};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::metrics::MoveLabels;
@@ -47,7 +48,10 @@
     type Item = Result<Frame<Bytes>, BodyError>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.chunks.as_mut().poll_next(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        self.chunks
+            .as_mut()
+            .poll_next(context)
+            .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
     }
 }
 
@@ -60,6 +64,8 @@
     shape: PromptShape,
     upstream: Arc<UpstreamState>,
     reservation: Reservation,
+    key: u32,
+    started_unix_ms: u64,
     chunks: Sender<Chunk>,
     splitter: EventSplitter,
     last_event: Option<u64>,
@@ -109,6 +115,8 @@
             shape: shape.clone(),
             upstream,
             reservation,
+            key: generation_key(&call.head.id),
+            started_unix_ms: dispatch.clock.unix_ms(),
             chunks,
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
@@ -157,12 +165,13 @@
     /// Relays from one upstream until the stream ends there.
     async fn relay(&mut self, source: &mut Source) -> Result<(), Interrupted> {
         let mut mover: Option<Task<Moved>> = None;
-        let mut may_move = self.spec.can_move;
+        // A resumable stream is short or starts again where it broke off.
+        let mut may_move = self.spec.can_move && self.call.route.repeat == Repeat::Once;
         let upstream = self.upstream.clone();
         let left_ms = self.call.left_ms(&self.dispatch.clock);
         let mut time_up = std::pin::pin!(sleep_ms(left_ms));
         loop {
-            let wants_move = may_move && mover.is_none();
+            let wants_move = may_move && mover.is_none() && self.events > 0;
             let step = {
                 let frame = async {
                     match source.body.frame().await {
@@ -230,11 +239,21 @@
             spec: self.spec.clone(),
             source: self.upstream.clone(),
             id: self.call.head.id.clone(),
+            key: self.key,
+            held_tokens: self.held_tokens(),
             need_tokens: self.need_tokens(),
         };
         self.dispatch.spawner.spawn(moving.run())
     }
 
+    fn run_view(&self) -> RunView {
+        RunView { key: self.key, tokens: self.held_tokens(), started_unix_ms: self.started_unix_ms }
+    }
+
+    fn held_tokens(&self) -> u64 {
+        self.shape.prompt_tokens + self.events * u64::from(self.spec.tokens_per_event)
+    }
+
     fn need_tokens(&self) -> u64 {
         expected_tokens(&self.shape, self.events * u64::from(self.spec.tokens_per_event))
     }
@@ -260,7 +279,7 @@
             self.last_event_ms = now_ms;
             self.send(event.bytes).await?;
         }
-        self.reservation.set(self.need_tokens());
+        self.reservation.set(self.need_tokens(), self.run_view());
         Ok(())
     }
 
@@ -274,6 +293,7 @@
         let leaving = self.upstream.clone();
         let (candidates, origin, events) = match moved {
             Moved::Arrived { target, reservation, origin, events } => {
+                reservation.set(self.need_tokens(), self.run_view());
                 self.reservation = reservation;
                 (vec![target, leaving.clone()], origin, events)
             }
@@ -328,10 +348,17 @@
             }
             let options = comfreymast_decide::placement::PlacementOptions::default();
             let need_tokens = self.need_tokens();
-            let target =
-                place(&self.dispatch, &self.service, &self.spec, need_tokens, &options, &tried)?;
+            let target = place(
+                &self.dispatch,
+                &self.service,
+                &self.spec,
+                need_tokens,
+                &options,
+                &self.dispatch.settings.load().data_centre,
+                &tried,
+            )?;
             tried.push(target.record.name.clone());
-            let reservation = Reservation::new(&target, need_tokens);
+            let reservation = Reservation::new(&target, self.key, need_tokens);
             match self.continue_at(&target, None).await {
                 Ok(next) => {
                     self.runs += 1;
--- a/crates/gateway/src/generation/reservation.rs
+++ b/crates/gateway/src/generation/reservation.rs
@@ -1,6 +1,8 @@
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use comfreymast_decide::evacuation::RunView;
 use comfreymast_platform::PromptShape;
 
 use crate::upstream_state::UpstreamState;
@@ -15,21 +17,27 @@
 #[derive(Debug)]
 pub(crate) struct Reservation {
     upstream: Arc<UpstreamState>,
+    key: u32,
     tokens: AtomicU64,
 }
 
 impl Reservation {
-    /// Reserves `tokens` on `upstream`.
-    pub(crate) fn new(upstream: &Arc<UpstreamState>, tokens: u64) -> Self {
+    /// Reserves `tokens` on `upstream` for the generation `key`.
+    pub(crate) fn new(upstream: &Arc<UpstreamState>, key: u32, tokens: u64) -> Self {
         upstream.reserved_tokens.fetch_add(tokens, Ordering::AcqRel);
-        Self { upstream: upstream.clone(), tokens: AtomicU64::new(tokens) }
+        Self { upstream: upstream.clone(), key, tokens: AtomicU64::new(tokens) }
     }
 
-    /// Reserves `tokens` instead.
-    pub(crate) fn set(&self, tokens: u64) {
-        let before = self.tokens.swap(tokens, Ordering::AcqRel);
-        self.upstream.reserved_tokens.fetch_add(tokens, Ordering::AcqRel);
+    /// Reserves `expected_tokens` from now on, of which the generation `run` holds some already.
+    pub(crate) fn set(&self, expected_tokens: u64, run: RunView) {
+        let before = self.tokens.swap(expected_tokens, Ordering::AcqRel);
+        self.upstream.reserved_tokens.fetch_add(expected_tokens, Ordering::AcqRel);
         self.upstream.reserved_tokens.fetch_sub(before, Ordering::AcqRel);
+        let mut generations = self.upstream.own_generations();
+        match generations.iter_mut().find(|known| known.key == self.key) {
+            Some(known) => *known = run,
+            None => generations.push(run),
+        }
     }
 }
 
@@ -37,9 +45,17 @@
     fn drop(&mut self) {
         let tokens = self.tokens.load(Ordering::Acquire);
         self.upstream.reserved_tokens.fetch_sub(tokens, Ordering::AcqRel);
+        self.upstream.own_generations().retain(|known| known.key != self.key);
     }
 }
 
+/// Names a request's generation among those of one engine.
+pub(crate) fn generation_key(id: &str) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish() as u32
+}
+
 /// The memory that a generation will hold at its end, once `generated_tokens` are made.
 pub(crate) fn expected_tokens(shape: &PromptShape, generated_tokens: u64) -> u64 {
     let estimate = shape.expected_output_tokens.unwrap_or(shape.max_output_tokens);
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -11,7 +11,7 @@
 
 use super::placing::place;
 use super::relay::{Relay, RelayBody};
-use super::reservation::{Reservation, expected_tokens};
+use super::reservation::{Reservation, expected_tokens, generation_key};
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
@@ -88,13 +88,12 @@
 }
 
 impl Start<'_> {
-    async fn first_answer(
-        &mut self,
-    ) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
+    async fn first_answer(&mut self) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
         loop {
             let upstream = self.room().await?;
             let need_tokens = expected_tokens(self.shape, 0);
-            let reservation = Reservation::new(&upstream, need_tokens);
+            let reservation =
+                Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
             let started_ms = self.dispatch.clock.now_ms();
             let limit_ms = self.call.left_ms(&self.dispatch.clock);
             let priority = Some(self.call.priority());
@@ -118,8 +117,16 @@
         let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
         let options = PlacementOptions::default();
         loop {
-            let found =
-                place(self.dispatch, self.service, self.spec, need_tokens, &options, &self.tried);
+            let near = &self.dispatch.settings.load().data_centre;
+            let found = place(
+                self.dispatch,
+                self.service,
+                self.spec,
+                need_tokens,
+                &options,
+                near,
+                &self.tried,
+            );
             if let Some(upstream) = found {
                 return Ok(upstream);
             }
--- a/crates/gateway/src/json_log.rs
+++ b/crates/gateway/src/json_log.rs
@@ -45,7 +45,9 @@
         }
         let dropped = DROPPED_LINES.load(Ordering::Acquire);
         if dropped > reported {
-            text.push_str(&format!("{{\"code\":1902,\"msg\":\"log lines dropped\",\"dropped\":{dropped}}}\n"));
+            text.push_str(&format!(
+                "{{\"code\":1902,\"msg\":\"log lines dropped\",\"dropped\":{dropped}}}\n"
+            ));
             reported = dropped;
         }
         // A closed standard output leaves nobody to tell.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod call_error;
 mod directory;
 mod dispatch;
+mod engine_watch;
 mod feed;
 mod follow;
 mod front;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,11 +52,23 @@
         let requests = Family::default();
         registry.register("gateway_requests", "Requests by service and outcome", requests.clone());
         let repeats = Counter::default();
-        registry.register("gateway_repeats", "Sends beyond the first of a request", repeats.clone());
+        registry.register(
+            "gateway_repeats",
+            "Sends beyond the first of a request",
+            repeats.clone(),
+        );
         let moves = Family::default();
         registry.register("gateway_moves", "Moves of generations by outcome", moves.clone());
-        let latency_s = histogram(&mut registry, "gateway_latency_seconds", "Time to the answer or first event");
-        let move_pause_s = histogram(&mut registry, "gateway_move_pause_seconds", "Pause of a stream during a move");
+        let latency_s = histogram(
+            &mut registry,
+            "gateway_latency_seconds",
+            "Time to the answer or first event",
+        );
+        let move_pause_s = histogram(
+            &mut registry,
+            "gateway_move_pause_seconds",
+            "Pause of a stream during a move",
+        );
         let wait_s = histogram(&mut registry, "gateway_wait_seconds", "Wait for an engine");
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -12,6 +12,8 @@
     pub reader_wait_ms: u64,
     /// How many daemons do that.
     pub readers: usize,
+    /// How long no daemon may hear of the store before engines are asked themselves.
+    pub store_silence_ms: u64,
     /// Time between heartbeats to other daemons.
     pub heartbeat_interval_ms: u64,
     /// How old a peer's news may be before it counts as gone.
@@ -31,6 +33,7 @@
             idle_connection_ms: 3_000,
             store_wait_ms: 10_000,
             reader_wait_ms: 800,
+            store_silence_ms: 1_150,
             readers: 2,
             heartbeat_interval_ms: 150,
             peer_silence_ms: 1_500,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,9 +5,12 @@
 
 use async_net::UdpSocket;
 use comfreymast_base::{Clock, Service};
+use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::fleet_budget::Traffic;
-use comfreymast_net::{Body, OwnedConnection, Spawner, collect, empty, full, request, sleep_ms, within};
-use comfreymast_wire::news::{EngineUse, Heartbeat, ServiceTraffic, TopicSnapshot};
+use comfreymast_net::{
+    Body, OwnedConnection, Spawner, collect, empty, full, request, sleep_ms, within,
+};
+use comfreymast_wire::news::{EngineUse, GenerationUse, Heartbeat, ServiceTraffic, TopicSnapshot};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prost::Message;
@@ -81,8 +84,8 @@
         }
         let key = (heartbeat.started_unix_ms, heartbeat.sequence);
         let known = table.by_name.get(&heartbeat.daemon);
-        let is_newer =
-            known.is_none_or(|peer| key > (peer.heartbeat.started_unix_ms, peer.heartbeat.sequence));
+        let is_newer = known
+            .is_none_or(|peer| key > (peer.heartbeat.started_unix_ms, peer.heartbeat.sequence));
         if is_newer {
             let name = heartbeat.daemon.clone();
             if known.is_none() {
@@ -111,6 +114,17 @@
         known.max_by_key(|(_, offset)| *offset)
     }
 
+    /// The time since the store last answered any living peer; `None` without peers.
+    pub(crate) fn store_heard_age_ms(&self) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        let table = self.table();
+        let ages = table
+            .by_name
+            .values()
+            .map(|peer| peer.heartbeat.store_heard_age_ms + now_ms.saturating_sub(peer.heard_ms));
+        ages.min()
+    }
+
     /// How many living daemons that the store answers come before `name`.
     fn readers_before(&self, name: &str) -> usize {
         let table = self.table();
@@ -187,15 +201,15 @@
                 upstream: upstream.record.name.as_str().to_owned(),
                 runs: upstream.outstanding.load(Ordering::Acquire),
                 reserved_tokens,
+                generations: upstream.own_generations().iter().map(generation_use).collect(),
             })
         });
-        let services = self.dispatch.budget.own(now_ms).into_iter().map(|(service, traffic)| {
-            ServiceTraffic {
+        let services =
+            self.dispatch.budget.own(now_ms).into_iter().map(|(service, traffic)| ServiceTraffic {
                 service: service.as_str().to_owned(),
                 requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
                 repeats: u32::try_from(traffic.repeats).unwrap_or(u32::MAX),
-            }
-        });
+            });
         let peers = self.peers.addresses();
         let from = if peers.is_empty() { 0 } else { sequence as usize % peers.len() };
         let passed_on = peers.iter().cycle().skip(from).take(PASSED_ON.min(peers.len()));
@@ -209,6 +223,7 @@
             services: services.collect(),
             peers: passed_on.map(SocketAddr::to_string).collect(),
             store_answers: self.operators.answers() && self.upstreams.answers(),
+            store_heard_age_ms: self.upstreams.heard_age_ms(),
         }
     }
 
@@ -226,17 +241,18 @@
     /// Adds up what all other daemons run and send.
     fn use_news(&self) {
         let table = self.peers.table();
-        let mut engines: HashMap<&str, (u32, u64)> = HashMap::new();
+        let mut engines: HashMap<&str, (u32, u64, Vec<RunView>)> = HashMap::new();
         let mut services: HashMap<Service, Traffic> = HashMap::new();
         for peer in table.by_name.values() {
             for engine in &peer.heartbeat.engines {
-                let (runs, tokens) = engines.entry(engine.upstream.as_str()).or_default();
+                let (runs, tokens, generations) =
+                    engines.entry(engine.upstream.as_str()).or_default();
                 *runs += engine.runs;
                 *tokens += engine.reserved_tokens;
+                generations.extend(engine.generations.iter().map(run_view));
             }
             for service in &peer.heartbeat.services {
-                let traffic =
-                    services.entry(Service::from(service.service.as_str())).or_default();
+                let traffic = services.entry(Service::from(service.service.as_str())).or_default();
                 *traffic = traffic.plus(Traffic {
                     requests: u64::from(service.requests),
                     repeats: u64::from(service.repeats),
@@ -244,8 +260,9 @@
             }
         }
         for upstream in self.dispatch.directory.load().all() {
-            let (runs, tokens) =
-                engines.get(upstream.record.name.as_str()).copied().unwrap_or_default();
+            let (runs, tokens, generations) =
+                engines.remove(upstream.record.name.as_str()).unwrap_or_default();
+            upstream.set_others_generations(generations);
             upstream.others_runs.store(runs, Ordering::Release);
             upstream.others_reserved_tokens.store(tokens, Ordering::Release);
             upstream.pool.expire(self.dispatch.clock.now_ms());
@@ -268,6 +285,22 @@
     }
 }
 
+fn generation_use(run: &RunView) -> GenerationUse {
+    GenerationUse {
+        key: run.key,
+        tokens: u32::try_from(run.tokens).unwrap_or(u32::MAX),
+        started_unix_ms: run.started_unix_ms,
+    }
+}
+
+fn run_view(generation: &GenerationUse) -> RunView {
+    RunView {
+        key: generation.key,
+        tokens: u64::from(generation.tokens),
+        started_unix_ms: generation.started_unix_ms,
+    }
+}
+
 fn offset_if_loaded(followed: &Followed) -> u64 {
     if followed.is_loaded() { followed.next_offset() } else { 0 }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -34,7 +34,11 @@
             return give_up(failed, runs, Refusal::NoUpstream);
         };
         if call.left_ms(&dispatch.clock) == 0 {
-            return if runs > 0 { Err(CallError::TimedOut) } else { give_up(failed, runs, Refusal::TimeUp) };
+            return if runs > 0 {
+                Err(CallError::TimedOut)
+            } else {
+                give_up(failed, runs, Refusal::TimeUp)
+            };
         }
         sends += 1;
         let attempt = attempt(dispatch, call, &upstream, runs).await;
@@ -127,13 +131,16 @@
 /// A request that may be sent again leaves time for that.
 fn attempt_limit_ms(dispatch: &Dispatch, call: &Call, runs: u32) -> u64 {
     let left_ms = call.left_ms(&dispatch.clock);
-    let may_repeat =
-        call.route.repeat == Repeat::Idempotent && runs + 1 < call.route.max_attempts;
+    let may_repeat = call.route.repeat == Repeat::Idempotent && runs + 1 < call.route.max_attempts;
     if may_repeat { left_ms / 2 } else { left_ms }
 }
 
 /// The upstream for the next attempt; one that was tried is not tried again.
-fn choose(dispatch: &Dispatch, service: &Service, tried: &[Upstream]) -> Option<Arc<UpstreamState>> {
+fn choose(
+    dispatch: &Dispatch,
+    service: &Service,
+    tried: &[Upstream],
+) -> Option<Arc<UpstreamState>> {
     let now_ms = dispatch.clock.now_ms();
     let upstreams = dispatch.directory.load();
     let open: Vec<_> = upstreams
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -46,7 +46,12 @@
 
 impl Sent {
     /// Keeps the connection for another request. Call it once the body was read to its end.
-    pub(crate) fn keep(connection: OwnedConnection, answer: &AnswerHead, dispatch: &Dispatch, upstream: &UpstreamState) {
+    pub(crate) fn keep(
+        connection: OwnedConnection,
+        answer: &AnswerHead,
+        dispatch: &Dispatch,
+        upstream: &UpstreamState,
+    ) {
         if answer.is_last || upstream.is_leaving() {
             return;
         }
@@ -134,8 +139,8 @@
     limit_ms: u64,
 ) -> Result<OwnedConnection, SendFailure> {
     let now_ms = dispatch.clock.now_ms();
-    let may_reuse = call.route.repeat == comfreymast_fleet::Repeat::Idempotent
-        || !upstream.is_spoiled(now_ms);
+    let may_reuse =
+        call.route.repeat == comfreymast_fleet::Repeat::Idempotent || !upstream.is_spoiled(now_ms);
     let kept = may_reuse.then(|| upstream.pool.take(now_ms)).flatten();
     match kept {
         Some(connection) => Ok(connection),
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -2,6 +2,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
+use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::UpstreamRecord;
 
 use crate::pool::Pool;
@@ -25,6 +26,9 @@
     /// The same two figures of all other daemons.
     pub(crate) others_runs: AtomicU32,
     pub(crate) others_reserved_tokens: AtomicU64,
+    /// This daemon's generations on it, and those of all others.
+    generations: Mutex<Vec<RunView>>,
+    others_generations: Mutex<Vec<RunView>>,
     /// Closed when the upstream is about to go.
     leaving: Receiver<()>,
     leave: Sender<()>,
@@ -53,6 +57,8 @@
             reserved_tokens: AtomicU64::new(0),
             others_runs: AtomicU32::new(0),
             others_reserved_tokens: AtomicU64::new(0),
+            generations: Mutex::default(),
+            others_generations: Mutex::default(),
             leaving,
             leave,
             leaving_since_ms: AtomicU64::new(0),
@@ -89,6 +95,25 @@
         }
     }
 
+    /// This daemon's generations on it.
+    pub(crate) fn own_generations(&self) -> MutexGuard<'_, Vec<RunView>> {
+        self.generations.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The generations on it, of all daemons.
+    pub(crate) fn all_generations(&self) -> Vec<RunView> {
+        let others = self.others_generations.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut all = others.clone();
+        drop(others);
+        all.extend(self.own_generations().iter().copied());
+        all
+    }
+
+    /// Replaces what other daemons' generations are known.
+    pub(crate) fn set_others_generations(&self, generations: Vec<RunView>) {
+        *self.others_generations.lock().unwrap_or_else(PoisonError::into_inner) = generations;
+    }
+
     /// How much longer the upstream is slow after its start.
     pub(crate) fn cold_ms(&self, now_ms: u64) -> u64 {
         (self.first_seen_ms + self.record.cold_ms).saturating_sub(now_ms)
--- a/crates/platform/src/answer_head.rs
+++ b/crates/platform/src/answer_head.rs
@@ -1,6 +1,6 @@
+use hyper::StatusCode;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::StatusCode;
 
 use crate::names;
 
--- a/crates/platform/src/call_head.rs
+++ b/crates/platform/src/call_head.rs
@@ -179,8 +179,16 @@
 }
 
 fn is_dropped(name: &HeaderName) -> bool {
-    let connection =
-        [AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    let connection = [
+        AUTHORIZATION,
+        CONNECTION,
+        CONTENT_LENGTH,
+        EXPECT,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ];
     connection.contains(name)
         || ["keep-alive", "proxy-connection", "proxy-authorization"].contains(&name.as_str())
         || names::RESERVED.contains(&name.as_str())
@@ -190,7 +198,8 @@
 fn connection_headers(headers: &HeaderMap) -> Vec<HeaderName> {
     let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let names = values.flat_map(|value| value.split(','));
-    let forwarded = [names::ATTEMPT_ID, names::TOKEN_COUNTS, names::PROMPT_PREFIX, "x-model", "host"];
+    let forwarded =
+        [names::ATTEMPT_ID, names::TOKEN_COUNTS, names::PROMPT_PREFIX, "x-model", "host"];
     let names = names.filter_map(|name| name.trim().to_ascii_lowercase().parse().ok());
     names.filter(|name: &HeaderName| !forwarded.contains(&name.as_str())).collect()
 }
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -29,8 +29,7 @@
         routes.insert(route.into_route());
     }
     let specs = fields.services.into_iter().map(ServiceFields::into_spec);
-    let services: BTreeMap<_, _> =
-        specs.map(|spec| (spec.name.clone(), Arc::new(spec))).collect();
+    let services: BTreeMap<_, _> = specs.map(|spec| (spec.name.clone(), Arc::new(spec))).collect();
     Ok(Configuration {
         version: fields.version,
         routes,
--- a/crates/platform/src/engine_move.rs
+++ b/crates/platform/src/engine_move.rs
@@ -44,7 +44,12 @@
 ///
 /// A last copy stops the generation first; before it, copies bring over what is new.
 #[must_use]
-pub fn move_request(source: SocketAddr, id: &str, target: SocketAddr, is_last: bool) -> Request<Body> {
+pub fn move_request(
+    source: SocketAddr,
+    id: &str,
+    target: SocketAddr,
+    is_last: bool,
+) -> Request<Body> {
     let fields = MoveFields { id, target: target.to_string(), last: is_last };
     let mut request = request(source, "POST", names::MOVE_PATH, json(&fields));
     request.headers_mut().insert(
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -7,6 +7,7 @@
 //!   is sent instead.
 //! * [`AnswerHead`] — what the headers of an upstream's answer say.
 //! * [`move_request`], [`decode_move_reply`] — copying a running generation to another engine.
+//! * [`report_request`], [`decode_report`] — asking an engine how it is.
 //! * [`LogClient`] — appends and reads; a lost append reply is [`LogError::Unknown`].
 //! * [`VmList`] — reads the list of VMs; [`Vm`] is one entry.
 
@@ -14,6 +15,7 @@
 mod call_head;
 mod configuration;
 mod engine_move;
+mod engine_report;
 mod log_client;
 mod names;
 mod settings;
@@ -24,9 +26,12 @@
 mod vm_list;
 
 pub use answer_head::AnswerHead;
-pub use call_head::{CallHead, CallHeadError, Forward, Origin, PromptPart, PromptShape, forward_head};
+pub use call_head::{
+    CallHead, CallHeadError, Forward, Origin, PromptPart, PromptShape, forward_head,
+};
 pub use configuration::{ConfigurationError, decode_configuration};
 pub use engine_move::{Copied, MoveError, decode_move_reply, move_request};
+pub use engine_report::{EngineReport, decode_report, report_request};
 pub use log_client::{LogClient, LogError};
 pub use settings::{SettingsError, VmSettings, settings_path};
 pub use store::{Newest, Page, StoreClient, StoreError, Topic};
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -47,3 +47,7 @@
 pub(crate) const READ_PATH: &str = "/-/log-read";
 /// Reads the newest record of each key.
 pub(crate) const NEWEST_PATH: &str = "/-/log-newest";
+/// Asks an engine how it is.
+pub(crate) const REPORT_PATH: &str = "/-/report";
+/// The state of an upstream that is about to go.
+pub(crate) const LEAVING_STATE: &str = "draining";
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -80,7 +80,11 @@
             ready_addr: file.listen.ready,
             peers_addr: SocketAddr::new(file.ip, peer_port),
             store_addr: file.platform.address,
-            seed_ips: file.seeds.iter().filter_map(|seed| Some(seed.parse::<SocketAddr>().ok()?.ip())).collect(),
+            seed_ips: file
+                .seeds
+                .iter()
+                .filter_map(|seed| Some(seed.parse::<SocketAddr>().ok()?.ip()))
+                .collect(),
             grace_ms: seconds_to_ms(file.bounds.grace_s),
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_slack: file.bounds.budget_slack,
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -16,7 +16,7 @@
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 const OPEN_LIMIT_MS: u64 = 1_000;
 /// How long the store may take beyond the time it was asked to wait.
-const REPLY_LIMIT_MS: u64 = 2_000;
+const REPLY_LIMIT_MS: u64 = 1_200;
 const MAX_READ_KB: u32 = 1_024;
 
 /// A topic of the store that keeps the newest record of each key.
@@ -136,7 +136,8 @@
         topic: Topic,
         after: Option<&str>,
     ) -> Result<NewestReply, StoreError> {
-        let mut query = comfreymast_net::Query::default().with("topic", topic.name()).with("part", "0");
+        let mut query =
+            comfreymast_net::Query::default().with("topic", topic.name()).with("part", "0");
         if let Some(after) = after {
             query = query.with("after", after);
         }
@@ -150,7 +151,12 @@
     /// # Errors
     ///
     /// [`StoreError::Deleted`] when records are gone; any other [`StoreError`] but that.
-    pub async fn read(&mut self, topic: Topic, from: u64, wait_ms: u64) -> Result<Page, StoreError> {
+    pub async fn read(
+        &mut self,
+        topic: Topic,
+        from: u64,
+        wait_ms: u64,
+    ) -> Result<Page, StoreError> {
         let path = format!(
             "{}?topic={}&part=0&from={from}&maxKb={MAX_READ_KB}&waitMs={wait_ms}",
             names::READ_PATH,
