--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -12,8 +12,6 @@
 pub struct EvacuationOptions {
     /// A copy that took no longer than this leaves little for the last one.
     pub quick_copy_ms: u64,
-    /// How much longer than expected a copy takes at most when no other was ahead of it.
-    pub undisturbed_ms: u64,
     /// The latest time after the notice for the last copy.
     pub latest_stop_ms: u64,
     /// Time between the first copies of two generations, for the last copy of the earlier one.
@@ -22,7 +20,7 @@
 
 impl Default for EvacuationOptions {
     fn default() -> Self {
-        Self { quick_copy_ms: 40, undisturbed_ms: 30, latest_stop_ms: 1_150, gap_ms: 22 }
+        Self { quick_copy_ms: 40, latest_stop_ms: 1_150, gap_ms: 30 }
     }
 }
 
@@ -61,20 +59,11 @@
     Last,
 }
 
-/// What follows a copy that took `copy_ms`, where `expected_ms` was expected on an idle link, and
-/// that arrived `since_notice_ms` after the notice.
+/// What follows a copy that took `copy_ms` and arrived `since_notice_ms` after the notice. A slow
+/// copy waited behind others or left much that is new, so the next one tells whether the link is
+/// free.
 #[must_use]
-pub fn next_copy(
-    copy_ms: u64,
-    expected_ms: u64,
-    since_notice_ms: u64,
-    options: &EvacuationOptions,
-) -> NextCopy {
+pub fn next_copy(copy_ms: u64, since_notice_ms: u64, options: &EvacuationOptions) -> NextCopy {
     let is_late = since_notice_ms + copy_ms >= options.latest_stop_ms;
-    let is_undisturbed = copy_ms <= expected_ms + options.undisturbed_ms;
-    if copy_ms <= options.quick_copy_ms || is_undisturbed || is_late {
-        NextCopy::Last
-    } else {
-        NextCopy::Again
-    }
+    if copy_ms <= options.quick_copy_ms || is_late { NextCopy::Last } else { NextCopy::Again }
 }
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -10,12 +10,16 @@
     pub memory_tokens: u64,
     /// Memory that generations hold or are expected to hold, over all daemons.
     pub reserved_tokens: u64,
+    /// Prompts that it still has to read, over all daemons.
+    pub prefill_tokens: u64,
     /// Generations on it, over all daemons.
     pub runs: u32,
     /// How many it runs at once.
     pub slots: u32,
     /// True when it is in the data centre of the asking daemon.
     pub is_near: bool,
+    /// True when another engine is in its data centre, to which its generations can move quickly.
+    pub has_neighbour: bool,
     /// How much longer it is slow after its start.
     pub cold_ms: u64,
     /// The share of recent requests that failed on it, 0 to 1.
@@ -29,6 +33,11 @@
     pub memory_share: f64,
     /// What another data centre costs, as a share of an engine's memory.
     pub far_cost: f64,
+    /// What a thousand tokens that it still has to read cost, as a share of an engine's memory.
+    pub prefill_cost: f64,
+    /// How much heavier memory weighs on an engine without another in its data centre, since what
+    /// it holds takes longer to move away.
+    pub lonely_weight: f64,
     /// What an engine on which everything fails costs, as a share of an engine's memory.
     pub failure_cost: f64,
     /// What a cold second costs, as a share of an engine's memory.
@@ -37,7 +46,14 @@
 
 impl Default for PlacementOptions {
     fn default() -> Self {
-        Self { memory_share: 0.95, far_cost: 0.05, failure_cost: 2.0, cold_cost: 0.1 }
+        Self {
+            memory_share: 0.95,
+            far_cost: 0.05,
+            prefill_cost: 0.1,
+            lonely_weight: 1.6,
+            failure_cost: 2.0,
+            cold_cost: 0.1,
+        }
     }
 }
 
@@ -68,8 +84,11 @@
 
 fn cost(engine: &EngineView, options: &PlacementOptions) -> f64 {
     const MS_PER_S: f64 = 1_000.0;
+    const TOKENS_PER_UNIT: f64 = 1_000.0;
     let filled = engine.reserved_tokens as f64 / engine.memory_tokens.max(1) as f64;
+    let weight = if engine.has_neighbour { 1.0 } else { options.lonely_weight };
     let far = if engine.is_near { 0.0 } else { options.far_cost };
     let cold = engine.cold_ms as f64 / MS_PER_S * options.cold_cost;
-    filled + far + cold + engine.failure_rate * options.failure_cost
+    let prefill = engine.prefill_tokens as f64 / TOKENS_PER_UNIT * options.prefill_cost;
+    filled * weight + prefill + far + cold + engine.failure_rate * options.failure_cost
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,5 +1,5 @@
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -37,7 +37,8 @@
     pub(crate) metrics: Metrics,
     /// True once the daemon was told to stop.
     draining: AtomicBool,
-    drain_started_ms: std::sync::atomic::AtomicU64,
+    drain_started_ms: AtomicU64,
+    store_silent_ms: AtomicU64,
 }
 
 impl Dispatch {
@@ -58,7 +59,8 @@
             configuration: ArcSwapOption::empty(),
             metrics: Metrics::new(),
             draining: AtomicBool::new(false),
-            drain_started_ms: std::sync::atomic::AtomicU64::new(0),
+            drain_started_ms: AtomicU64::new(0),
+            store_silent_ms: AtomicU64::new(0),
         }
     }
 
@@ -73,6 +75,17 @@
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
+    /// Notes that no daemon hears of the store.
+    pub(crate) fn note_store_silent(&self) {
+        self.store_silent_ms.store(self.clock.now_ms().max(1), Ordering::Release);
+    }
+
+    /// True when no daemon heard of the store at some time in the last `within_ms`.
+    pub(crate) fn was_store_silent(&self, within_ms: u64) -> bool {
+        let silent_ms = self.store_silent_ms.load(Ordering::Acquire);
+        silent_ms > 0 && self.clock.now_ms().saturating_sub(silent_ms) < within_ms
+    }
+
     /// Takes no new work for longer than needed.
     pub(crate) fn start_draining(&self) {
         self.drain_started_ms.store(self.clock.now_ms(), Ordering::Release);
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -27,6 +27,7 @@
         if age_ms < dispatch.options.store_silence_ms || !upstreams.is_loaded() {
             continue;
         }
+        dispatch.note_store_silent();
         for engine in dispatch.directory.load().all() {
             let is_used = engine.reserved_tokens.load(Ordering::Acquire) > 0;
             if is_used && !engine.is_leaving() {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,7 +24,6 @@
     on_change: OnChange,
     next_offset: AtomicU64,
     is_loaded: AtomicBool,
-    trouble_ms: AtomicU64,
     answers: AtomicBool,
     heard_ms: AtomicU64,
     wait_ms: AtomicU64,
@@ -41,7 +40,6 @@
             on_change,
             next_offset: AtomicU64::new(0),
             is_loaded: AtomicBool::new(false),
-            trouble_ms: AtomicU64::new(0),
             answers: AtomicBool::new(false),
             heard_ms: AtomicU64::new(0),
             wait_ms: AtomicU64::new(wait_ms),
@@ -59,12 +57,6 @@
         self.is_loaded.load(Ordering::Acquire)
     }
 
-    /// True when the store failed a call less than `within_ms` ago.
-    pub(crate) fn had_trouble(&self, within_ms: u64) -> bool {
-        let trouble_ms = self.trouble_ms.load(Ordering::Acquire);
-        trouble_ms > 0 && self.clock.now_ms().saturating_sub(trouble_ms) < within_ms
-    }
-
     /// True while the store answers.
     pub(crate) fn answers(&self) -> bool {
         self.answers.load(Ordering::Acquire)
@@ -163,7 +155,6 @@
             Some(Err(StoreError::Deleted)) => must_reload = true,
             Some(Err(error)) => {
                 followed.answers.store(false, Ordering::Release);
-                followed.trouble_ms.store(followed.clock.now_ms().max(1), Ordering::Release);
                 if !std::mem::replace(&mut is_lost, true) {
                     log::warn!(target: "comfreymast", code = 1201, topic:? = followed.topic,
                         offset = followed.next_offset(), error:%; "store does not answer");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,7 +33,7 @@
 
 const PEER_CONNECTION_WAIT_MS: u64 = 15_000;
 const PEER_HEAD_BYTES: usize = 16 * 1024;
-/// How long after trouble with the store a vanished entry may have lapsed because of it.
+/// How long after the store was silent a vanished entry may have lapsed because of it.
 const LAPSE_WINDOW_MS: u64 = 2_000;
 /// Left between the last request and the end that the platform puts to the process.
 const STOP_MARGIN_MS: u64 = 150;
@@ -159,7 +159,7 @@
 /// the time in which a living upstream would be back.
 fn drop_upstream(dispatch: &Arc<Dispatch>, followed: &std::sync::Weak<Followed>, key: &str) {
     let Some(strong) = followed.upgrade() else { return };
-    if !strong.had_trouble(LAPSE_WINDOW_MS) {
+    if !dispatch.was_store_silent(LAPSE_WINDOW_MS) {
         dispatch.directory.remove(key);
         return;
     }
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -19,11 +19,7 @@
 const MOVE_MEMORY_SHARE: f64 = 1.0;
 /// What a copy to another data centre costs, as a share of an engine's memory.
 const MOVE_FAR_COST: f64 = 0.6;
-/// How many times as long a copy to another data centre takes.
-const FAR_COPIES: u64 = 2;
 const BUSY_PAUSE_MS: u64 = 30;
-/// How long after the notice a generation that has not begun is still asked for.
-const UNKNOWN_LIMIT_MS: u64 = 1_500;
 
 /// What the mover needs to know of the generation.
 pub(super) struct Moving {
@@ -34,8 +30,6 @@
     pub(super) id: Arc<str>,
     /// Names it among those of its engine.
     pub(super) key: u32,
-    /// The memory it holds.
-    pub(super) held_tokens: u64,
     /// The memory it will hold at its end.
     pub(super) need_tokens: u64,
 }
@@ -118,24 +112,11 @@
                     sleep_ms(BUSY_PAUSE_MS).await;
                     continue;
                 }
-                // A generation that still reads its prompt is not known to the engine yet.
-                Err(MoveError::Unknown)
-                    if self.source.since_notice_ms(clock.now_ms()) < UNKNOWN_LIMIT_MS =>
-                {
-                    sleep_ms(BUSY_PAUSE_MS).await;
-                    continue;
-                }
                 Err(error) => return Err(error),
             }
             let copy_ms = clock.now_ms() - started_ms;
             let since_notice_ms = self.source.since_notice_ms(clock.now_ms());
-            let copies = if target.record.data_centre == self.source.record.data_centre {
-                1
-            } else {
-                FAR_COPIES
-            };
-            let expected_ms = self.spec.copy_ms(self.held_tokens) * copies;
-            if next_copy(copy_ms, expected_ms, since_notice_ms, &options) == NextCopy::Last {
+            if next_copy(copy_ms, since_notice_ms, &options) == NextCopy::Last {
                 return self.copy(target, true).await;
             }
         }
--- a/crates/gateway/src/generation/placing.rs
+++ b/crates/gateway/src/generation/placing.rs
@@ -32,23 +32,31 @@
     let now_ms = dispatch.clock.now_ms();
     let views: Vec<_> = open
         .iter()
-        .map(|engine| view(engine, spec, engine.record.data_centre == *near, now_ms))
+        .map(|engine| {
+            let data_centre = &engine.record.data_centre;
+            let here = open.iter().filter(|other| other.record.data_centre == *data_centre);
+            let has_neighbour = here.count() > 1;
+            EngineView { has_neighbour, is_near: data_centre == near, ..view(engine, spec, now_ms) }
+        })
         .collect();
     let noise = |_| rand::random::<f64>() * CHOICE_NOISE;
     let chosen = choose_engine(&views, need_tokens, options, noise)?;
     open.get(chosen).map(|engine| Arc::clone(engine))
 }
 
-fn view(engine: &UpstreamState, spec: &EngineSpec, is_near: bool, now_ms: u64) -> EngineView {
+fn view(engine: &UpstreamState, spec: &EngineSpec, now_ms: u64) -> EngineView {
     let own_runs = engine.outstanding.load(Ordering::Acquire);
     let own_tokens = engine.reserved_tokens.load(Ordering::Acquire);
     let is_suspect = engine.is_suspect(now_ms);
     EngineView {
         memory_tokens: spec.memory_tokens,
         reserved_tokens: own_tokens + engine.others_reserved_tokens.load(Ordering::Acquire),
+        prefill_tokens: engine.prefill_tokens.load(Ordering::Acquire)
+            + engine.others_prefill_tokens.load(Ordering::Acquire),
         runs: own_runs + engine.others_runs.load(Ordering::Acquire),
         slots: engine.record.slots,
-        is_near,
+        is_near: false,
+        has_neighbour: false,
         cold_ms: engine.cold_ms(now_ms),
         failure_rate: if is_suspect { SUSPECT_FAILURE_RATE } else { engine.failure_rate() },
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -240,7 +240,6 @@
             source: self.upstream.clone(),
             id: self.call.head.id.clone(),
             key: self.key,
-            held_tokens: self.held_tokens(),
             need_tokens: self.need_tokens(),
         };
         self.dispatch.spawner.spawn(moving.run())
--- a/crates/gateway/src/generation/reservation.rs
+++ b/crates/gateway/src/generation/reservation.rs
@@ -49,6 +49,27 @@
     }
 }
 
+/// A prompt that an engine still has to read, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Prefill {
+    upstream: Arc<UpstreamState>,
+    tokens: u64,
+}
+
+impl Prefill {
+    /// `tokens` of a prompt are sent to `upstream`.
+    pub(crate) fn new(upstream: &Arc<UpstreamState>, tokens: u64) -> Self {
+        upstream.prefill_tokens.fetch_add(tokens, Ordering::AcqRel);
+        Self { upstream: upstream.clone(), tokens }
+    }
+}
+
+impl Drop for Prefill {
+    fn drop(&mut self) {
+        self.upstream.prefill_tokens.fetch_sub(self.tokens, Ordering::AcqRel);
+    }
+}
+
 /// Names a request's generation among those of one engine.
 pub(crate) fn generation_key(id: &str) -> u32 {
     let mut hasher = DefaultHasher::new();
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -11,7 +11,7 @@
 
 use super::placing::place;
 use super::relay::{Relay, RelayBody};
-use super::reservation::{Reservation, expected_tokens, generation_key};
+use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
@@ -23,6 +23,10 @@
 const MOST_SENDS: u32 = 4;
 const ROOM_POLL_MS: u64 = 40;
 const FULL_RETRY_MS: u64 = 700;
+/// The usual time of a token on a busy engine.
+const TOKEN_MS: u64 = 9;
+/// A caller comes back on a new connection, which goes to another daemon.
+const STOPPING_RETRY_MS: u64 = 50;
 const NOT_RUN_RETRY_MS: u64 = 300;
 /// The share of the target latency that a generation may wait for room.
 const WAIT_SHARE: f64 = 0.6;
@@ -88,18 +92,33 @@
 }
 
 impl Start<'_> {
+    /// Refuses a stream that would be cut when this daemon stops; another one can serve it whole.
+    fn check_stopping(&self) -> Result<(), CallError> {
+        let Some(stops_in_ms) = self.dispatch.stops_in_ms() else { return Ok(()) };
+        let expected_tokens = expected_tokens(self.shape, 0) - self.shape.prompt_tokens;
+        let expected_ms = self.call.route.target_latency_ms + expected_tokens * TOKEN_MS;
+        if self.call.route.repeat == Repeat::Once && expected_ms > stops_in_ms {
+            return Err(self.refused(Refusal::Stopping, STOPPING_RETRY_MS));
+        }
+        Ok(())
+    }
+
     async fn first_answer(&mut self) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
+        self.check_stopping()?;
         loop {
             let upstream = self.room().await?;
             let need_tokens = expected_tokens(self.shape, 0);
             let reservation =
                 Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
+            let prefill = Prefill::new(&upstream, self.shape.prompt_tokens);
             let started_ms = self.dispatch.clock.now_ms();
             let limit_ms = self.call.left_ms(&self.dispatch.clock);
             let priority = Some(self.call.priority());
             let options = SendOptions { limit_ms, priority, ..SendOptions::default() };
             self.sends += 1;
-            match send(self.dispatch, self.call, &upstream, &options).await {
+            let sent = send(self.dispatch, self.call, &upstream, &options).await;
+            drop(prefill);
+            match sent {
                 Ok(sent) => {
                     let is_good = !sent.parts.status.is_server_error();
                     upstream.answered(is_good, self.dispatch.clock.now_ms() - started_ms);
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -33,7 +33,7 @@
             idle_connection_ms: 3_000,
             store_wait_ms: 10_000,
             reader_wait_ms: 800,
-            store_silence_ms: 1_150,
+            store_silence_ms: 1_400,
             readers: 2,
             heartbeat_interval_ms: 150,
             peer_silence_ms: 1_500,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -201,6 +201,7 @@
                 upstream: upstream.record.name.as_str().to_owned(),
                 runs: upstream.outstanding.load(Ordering::Acquire),
                 reserved_tokens,
+                prefill_tokens: upstream.prefill_tokens.load(Ordering::Acquire),
                 generations: upstream.own_generations().iter().map(generation_use).collect(),
             })
         });
@@ -241,15 +242,15 @@
     /// Adds up what all other daemons run and send.
     fn use_news(&self) {
         let table = self.peers.table();
-        let mut engines: HashMap<&str, (u32, u64, Vec<RunView>)> = HashMap::new();
+        let mut engines: HashMap<&str, EngineSum> = HashMap::new();
         let mut services: HashMap<Service, Traffic> = HashMap::new();
         for peer in table.by_name.values() {
             for engine in &peer.heartbeat.engines {
-                let (runs, tokens, generations) =
-                    engines.entry(engine.upstream.as_str()).or_default();
-                *runs += engine.runs;
-                *tokens += engine.reserved_tokens;
-                generations.extend(engine.generations.iter().map(run_view));
+                let sum = engines.entry(engine.upstream.as_str()).or_default();
+                sum.runs += engine.runs;
+                sum.reserved_tokens += engine.reserved_tokens;
+                sum.prefill_tokens += engine.prefill_tokens;
+                sum.generations.extend(engine.generations.iter().map(run_view));
             }
             for service in &peer.heartbeat.services {
                 let traffic = services.entry(Service::from(service.service.as_str())).or_default();
@@ -260,11 +261,11 @@
             }
         }
         for upstream in self.dispatch.directory.load().all() {
-            let (runs, tokens, generations) =
-                engines.remove(upstream.record.name.as_str()).unwrap_or_default();
-            upstream.set_others_generations(generations);
-            upstream.others_runs.store(runs, Ordering::Release);
-            upstream.others_reserved_tokens.store(tokens, Ordering::Release);
+            let sum = engines.remove(upstream.record.name.as_str()).unwrap_or_default();
+            upstream.set_others_generations(sum.generations);
+            upstream.others_runs.store(sum.runs, Ordering::Release);
+            upstream.others_reserved_tokens.store(sum.reserved_tokens, Ordering::Release);
+            upstream.others_prefill_tokens.store(sum.prefill_tokens, Ordering::Release);
             upstream.pool.expire(self.dispatch.clock.now_ms());
         }
         self.dispatch.budget.set_others(services);
@@ -285,6 +286,15 @@
     }
 }
 
+/// What all other daemons run on one engine.
+#[derive(Debug, Default)]
+struct EngineSum {
+    runs: u32,
+    reserved_tokens: u64,
+    prefill_tokens: u64,
+    generations: Vec<RunView>,
+}
+
 fn generation_use(run: &RunView) -> GenerationUse {
     GenerationUse {
         key: run.key,
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -23,9 +23,12 @@
     pub(crate) outstanding: AtomicU32,
     /// Memory that this daemon's generations hold or are expected to hold on it.
     pub(crate) reserved_tokens: AtomicU64,
-    /// The same two figures of all other daemons.
+    /// Prompts of this daemon's requests that the upstream still has to read.
+    pub(crate) prefill_tokens: AtomicU64,
+    /// The same figures of all other daemons.
     pub(crate) others_runs: AtomicU32,
     pub(crate) others_reserved_tokens: AtomicU64,
+    pub(crate) others_prefill_tokens: AtomicU64,
     /// This daemon's generations on it, and those of all others.
     generations: Mutex<Vec<RunView>>,
     others_generations: Mutex<Vec<RunView>>,
@@ -55,6 +58,8 @@
             pool: Pool::default(),
             outstanding: AtomicU32::new(0),
             reserved_tokens: AtomicU64::new(0),
+            prefill_tokens: AtomicU64::new(0),
+            others_prefill_tokens: AtomicU64::new(0),
             others_runs: AtomicU32::new(0),
             others_reserved_tokens: AtomicU64::new(0),
             generations: Mutex::default(),
