--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -14,13 +14,15 @@
     pub quick_copy_ms: u64,
     /// The latest time after the notice for the last copy.
     pub latest_stop_ms: u64,
+    /// How many times as long as expected a copy takes at most.
+    pub slowest_copy: u64,
     /// Time between the first copies of two generations, for the last copy of the earlier one.
     pub gap_ms: u64,
 }
 
 impl Default for EvacuationOptions {
     fn default() -> Self {
-        Self { quick_copy_ms: 40, latest_stop_ms: 1_150, gap_ms: 30 }
+        Self { quick_copy_ms: 40, latest_stop_ms: 1_150, slowest_copy: 2, gap_ms: 30 }
     }
 }
 
@@ -35,8 +37,8 @@
     pub started_unix_ms: u64,
 }
 
-/// How long the generation `own` waits for its turn to be copied. The oldest go first: what they
-/// have made is worth most for the time that their copy takes.
+/// How long the generation `own` waits at most for its turn to be copied; 0 when it is its turn.
+/// The oldest go first: what they have made is worth most for the time that their copy takes.
 #[must_use]
 pub fn turn_ms(
     runs: &[RunView],
@@ -47,7 +49,8 @@
     let Some(own) = runs.iter().find(|run| run.key == own) else { return 0 };
     let rank = |run: &RunView| (run.started_unix_ms, run.key);
     let earlier = runs.iter().filter(|run| rank(run) < rank(own));
-    earlier.map(|run| copy_ms(run.tokens) + options.gap_ms).sum()
+    let longest_ms = |run: &RunView| copy_ms(run.tokens) * options.slowest_copy + options.gap_ms;
+    earlier.map(longest_ms).sum()
 }
 
 /// What to do after a copy arrived.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,8 +6,9 @@
 use comfreymast_base::{Clock, Service};
 use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_repeat};
 use comfreymast_fleet::Configuration;
-use comfreymast_net::Spawner;
+use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_platform::VmSettings;
+use event_listener::Event;
 
 use crate::GatewayOptions;
 use crate::directory::Directory;
@@ -35,6 +36,8 @@
     pub(crate) budget: Budget,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// Notified when peers should hear of this daemon soon.
+    news: Event,
     /// True once the daemon was told to stop.
     draining: AtomicBool,
     drain_started_ms: AtomicU64,
@@ -58,6 +61,7 @@
             settings: arc_swap::ArcSwap::from_pointee(settings),
             configuration: ArcSwapOption::empty(),
             metrics: Metrics::new(),
+            news: Event::new(),
             draining: AtomicBool::new(false),
             drain_started_ms: AtomicU64::new(0),
             store_silent_ms: AtomicU64::new(0),
@@ -75,6 +79,17 @@
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
+    /// Makes peers hear soon of what this daemon runs.
+    pub(crate) fn tell_peers(&self) {
+        self.news.notify(usize::MAX);
+    }
+
+    /// Waits for news for peers, `limit_ms` at most.
+    pub(crate) async fn news_within(&self, limit_ms: u64) {
+        let news = self.news.listen();
+        futures_lite::future::or(news, sleep_ms(limit_ms)).await;
+    }
+
     /// Notes that no daemon hears of the store.
     pub(crate) fn note_store_silent(&self) {
         self.store_silent_ms.store(self.clock.now_ms().max(1), Ordering::Release);
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -19,6 +19,7 @@
 const MOVE_MEMORY_SHARE: f64 = 1.0;
 /// What a copy to another data centre costs, as a share of an engine's memory.
 const MOVE_FAR_COST: f64 = 0.6;
+const TURN_POLL_MS: u64 = 8;
 const BUSY_PAUSE_MS: u64 = 30;
 
 /// What the mover needs to know of the generation.
@@ -74,16 +75,25 @@
         }
     }
 
-    /// Waits until the generations that go first have been copied.
+    /// Waits until the generations that go first have left, as far as other daemons tell.
     async fn wait_turn(&self) {
+        let clock = &self.dispatch.clock;
+        let started_ms = clock.now_ms();
+        let longest_ms = self.turn_ms();
+        while self.turn_ms() > 0 && clock.now_ms() - started_ms < longest_ms {
+            sleep_ms(TURN_POLL_MS).await;
+        }
+        let now_ms = clock.now_ms();
+        log::info!(target: "comfreymast", code = 1408, request = &*self.id,
+            upstream = self.source.record.name.as_str(), longest_ms,
+            waited_ms = now_ms - started_ms, since_notice_ms = self.source.since_notice_ms(now_ms);
+            "generation waited for its turn to be copied");
+    }
+
+    fn turn_ms(&self) -> u64 {
         let runs = self.source.all_generations();
         let copy_ms = |tokens| self.spec.copy_ms(tokens);
-        let turn_ms = turn_ms(&runs, self.key, copy_ms, &EvacuationOptions::default());
-        let passed_ms = self.source.since_notice_ms(self.dispatch.clock.now_ms());
-        log::info!(target: "comfreymast", code = 1408, request = &*self.id,
-            upstream = self.source.record.name.as_str(), generations = runs.len(), turn_ms,
-            since_notice_ms = passed_ms; "generation waits for its turn to be copied");
-        sleep_ms(turn_ms).await;
+        turn_ms(&runs, self.key, copy_ms, &EvacuationOptions::default())
     }
 
     fn origin(&self, handle: String) -> Origin {
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -70,6 +70,7 @@
     splitter: EventSplitter,
     last_event: Option<u64>,
     events: u64,
+    may_move: bool,
     runs: u32,
     last_event_ms: u64,
     longest_pause_ms: u64,
@@ -121,6 +122,8 @@
             splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
+            // A resumable stream is short or starts again where it broke off.
+            may_move: spec.can_move && call.route.repeat == Repeat::Once,
             runs: 1,
             last_event_ms: dispatch.clock.now_ms(),
             longest_pause_ms: 0,
@@ -165,13 +168,11 @@
     /// Relays from one upstream until the stream ends there.
     async fn relay(&mut self, source: &mut Source) -> Result<(), Interrupted> {
         let mut mover: Option<Task<Moved>> = None;
-        // A resumable stream is short or starts again where it broke off.
-        let mut may_move = self.spec.can_move && self.call.route.repeat == Repeat::Once;
         let upstream = self.upstream.clone();
         let left_ms = self.call.left_ms(&self.dispatch.clock);
         let mut time_up = std::pin::pin!(sleep_ms(left_ms));
         loop {
-            let wants_move = may_move && mover.is_none() && self.events > 0;
+            let wants_move = self.may_move && mover.is_none() && self.events > 0;
             let step = {
                 let frame = async {
                     match source.body.frame().await {
@@ -206,7 +207,9 @@
                 Step::Moved(Moved::Stays(reason)) => {
                     self.log_move("stays", reason);
                     mover = None;
-                    may_move = false;
+                    self.may_move = false;
+                    self.reservation.unlist();
+                    self.dispatch.tell_peers();
                 }
                 Step::Moved(moved) => return Err(Interrupted::Moved(moved)),
                 Step::End | Step::Broken => {
@@ -245,6 +248,13 @@
         self.dispatch.spawner.spawn(moving.run())
     }
 
+    /// Lists the generation for its turn when the engine goes, if it would move.
+    fn list(&self) {
+        if self.may_move {
+            self.reservation.list(self.run_view());
+        }
+    }
+
     fn run_view(&self) -> RunView {
         RunView { key: self.key, tokens: self.held_tokens(), started_unix_ms: self.started_unix_ms }
     }
@@ -278,7 +288,8 @@
             self.last_event_ms = now_ms;
             self.send(event.bytes).await?;
         }
-        self.reservation.set(self.need_tokens(), self.run_view());
+        self.reservation.set(self.need_tokens());
+        self.list();
         Ok(())
     }
 
@@ -292,8 +303,9 @@
         let leaving = self.upstream.clone();
         let (candidates, origin, events) = match moved {
             Moved::Arrived { target, reservation, origin, events } => {
-                reservation.set(self.need_tokens(), self.run_view());
                 self.reservation = reservation;
+                self.list();
+                self.dispatch.tell_peers();
                 (vec![target, leaving.clone()], origin, events)
             }
             Moved::Kept { origin } => (vec![leaving.clone()], origin, self.last_event.unwrap_or(0)),
--- a/crates/gateway/src/generation/reservation.rs
+++ b/crates/gateway/src/generation/reservation.rs
@@ -28,24 +28,33 @@
         Self { upstream: upstream.clone(), key, tokens: AtomicU64::new(tokens) }
     }
 
-    /// Reserves `expected_tokens` from now on, of which the generation `run` holds some already.
-    pub(crate) fn set(&self, expected_tokens: u64, run: RunView) {
+    /// Reserves `expected_tokens` from now on.
+    pub(crate) fn set(&self, expected_tokens: u64) {
         let before = self.tokens.swap(expected_tokens, Ordering::AcqRel);
         self.upstream.reserved_tokens.fetch_add(expected_tokens, Ordering::AcqRel);
         self.upstream.reserved_tokens.fetch_sub(before, Ordering::AcqRel);
+    }
+
+    /// Lists the generation among those that move away when the engine goes.
+    pub(crate) fn list(&self, run: RunView) {
         let mut generations = self.upstream.own_generations();
         match generations.iter_mut().find(|known| known.key == self.key) {
             Some(known) => *known = run,
             None => generations.push(run),
         }
     }
+
+    /// Takes the generation off that list.
+    pub(crate) fn unlist(&self) {
+        self.upstream.own_generations().retain(|known| known.key != self.key);
+    }
 }
 
 impl Drop for Reservation {
     fn drop(&mut self) {
         let tokens = self.tokens.load(Ordering::Acquire);
         self.upstream.reserved_tokens.fetch_sub(tokens, Ordering::AcqRel);
-        self.upstream.own_generations().retain(|known| known.key != self.key);
+        self.unlist();
     }
 }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -111,6 +111,7 @@
             let reservation =
                 Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
             let prefill = Prefill::new(&upstream, self.shape.prompt_tokens);
+            self.dispatch.tell_peers();
             let started_ms = self.dispatch.clock.now_ms();
             let limit_ms = self.call.left_ms(&self.dispatch.clock);
             let priority = Some(self.call.priority());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -26,6 +26,8 @@
 const FETCH_PAUSE_MS: u64 = 400;
 /// How long an address without any sign of life is still tried.
 const FORGET_MS: u64 = 30_000;
+/// The least time between two heartbeats for each peer that gets them.
+const SPACING_MS_PER_PEER: u64 = 2;
 /// Addresses of peers that one heartbeat passes on.
 const PASSED_ON: usize = 8;
 
@@ -188,7 +190,11 @@
             operators_behind.check(&self.dispatch, &self.operators, ahead, "/peer/operators");
             let ahead = self.peers.ahead(|heartbeat| heartbeat.upstreams_offset);
             upstreams_behind.check(&self.dispatch, &self.upstreams, ahead, "/peer/upstreams");
-            sleep_ms(self.dispatch.options.heartbeat_interval_ms).await;
+            let options = &self.dispatch.options;
+            let spacing_ms = SPACING_MS_PER_PEER * self.peers.table().contacts.len() as u64;
+            sleep_ms(spacing_ms).await;
+            let rest_ms = options.heartbeat_interval_ms.saturating_sub(spacing_ms);
+            self.dispatch.news_within(rest_ms).await;
         }
     }
 
