--- a/crates/comfreymast/src/serve.rs
+++ b/crates/comfreymast/src/serve.rs
@@ -1,5 +1,5 @@
 use async_signal::{Signal, Signals};
-use comfreymast_gateway::{GatewayOptions, install_log};
+use comfreymast_gateway::{GatewayAddresses, GatewayOptions, install_log};
 use comfreymast_net::Spawner;
 use comfreymast_platform::{VmSettings, settings_path};
 use futures_lite::StreamExt;
@@ -42,7 +42,22 @@
             }
         });
         let options = GatewayOptions::default();
-        comfreymast_gateway::run(spawner, settings, path, options, stopped, reloads).await
+        comfreymast_gateway::run(
+            spawner,
+            settings,
+            path,
+            options,
+            stopped,
+            reloads,
+            print_addresses,
+        )
+        .await
     })?;
     Ok(())
 }
+
+/// The first line on standard output, for scripts that let the system choose ports.
+fn print_addresses(addresses: GatewayAddresses) {
+    let GatewayAddresses { callers, ready, peers } = addresses;
+    println!("listening on callers={callers} ready={ready} peers={peers}");
+}
--- a/crates/daemon/src/claims/claim_log.rs
+++ b/crates/daemon/src/claims/claim_log.rs
@@ -142,7 +142,12 @@
     appended: &Result<u64, LogError>,
 ) {
     let claimed = match appended {
-        Ok(_) | Err(LogError::Unknown { .. } | LogError::Malformed { .. }) => Appended::Perhaps,
+        Ok(_)
+        | Err(
+            LogError::Unknown { .. }
+            | LogError::Malformed { .. }
+            | LogError::MalformedRecords { .. },
+        ) => Appended::Perhaps,
         Err(LogError::Unavailable { .. } | LogError::Refused { .. }) => Appended::Never,
     };
     for entry in batch {
--- a/crates/daemon/src/log_follower.rs
+++ b/crates/daemon/src/log_follower.rs
@@ -5,8 +5,8 @@
 use comfreymast_base::hex;
 use comfreymast_ledger::{Applied, Skip, SnapshotCheck};
 use comfreymast_net::sleep_ms;
-use comfreymast_platform::LogError;
-use comfreymast_wire::log::{ReadReply, Record, Snapshot, record};
+use comfreymast_platform::{LogError, LogPage};
+use comfreymast_wire::log::{Record, Snapshot, record};
 use prost::Message;
 
 use crate::daemon::Daemon;
@@ -68,7 +68,7 @@
     Reading::Following
 }
 
-fn take_reply(daemon: &Daemon, reply: ReadReply, asked_ms: u64) {
+fn take_reply(daemon: &Daemon, reply: LogPage, asked_ms: u64) {
     let entries: Vec<_> =
         reply.entries.into_iter().map(|entry| (entry.offset, entry.record)).collect();
     let bytes = entries.iter().map(|(_, record)| record.len()).sum();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,11 +7,13 @@
 //! * [`vm_list`] — the list of VMs, set by `PUT /vms`.
 //! * [`engine`] — a model engine that batches continuously in limited memory.
 //! * [`plain_service`] — a service that answers what it was asked and counts its runs.
+//! * [`platform_upstream`] — an upstream as the platform runs them, started inside a test.
 //! * [`history`] — the events that checkers read after a run.
 
 pub mod engine;
 pub mod history;
 pub mod log_service;
 pub mod plain_service;
+pub mod platform_upstream;
 mod reply;
 pub mod vm_list;
--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -1,25 +1,29 @@
-//! An append-only log with offsets and limited retention.
+//! The platform's store: topics of records with offsets and limited retention.
 //!
-//! `POST /append`, `GET /read?from=&max=&wait_ms=`, `POST /faults`, `GET /stats`.
+//! `POST /-/log-append`, `GET /-/log-read`, `GET /-/log-newest` as the platform publishes them;
+//! `POST /faults` and `GET /stats` for tests.
 
-use std::collections::VecDeque;
+mod topic;
+
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
 use comfreymast_base::Clock;
-use comfreymast_net::{Body, Handler, collect, handler, sleep_ms};
-use comfreymast_wire::log::{AppendReply, AppendRequest, Entry, ReadReply};
+use comfreymast_net::{Body, Handler, Query, collect, handler, json, sleep_ms};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
-use prost::Message;
 use serde::{Deserialize, Serialize};
 
 use crate::reply;
+use topic::{TopicState, split};
 
 const MAX_APPEND_BYTES: usize = 32 * 1024 * 1024;
 const POLL_MS: u64 = 2;
-/// A reply holds fewer records than asked for once they have this many bytes.
+/// A reply holds fewer records than there are once they have this many bytes.
 const MAX_READ_BYTES: usize = 8 * 1024 * 1024;
+/// Topics whose name begins so keep the newest record of each key.
+const KEYED_PREFIX: &str = "keyed.";
 
 /// What goes wrong from now on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -29,13 +33,15 @@
     pub down: bool,
     /// Accepts calls and never answers them.
     pub hang: bool,
+    /// Reads that wait for a record are not told of it until their time is over.
+    pub forget_readers: bool,
     /// Delays every append by this much, before it takes effect.
     pub append_delay_ms: u64,
     /// Delays every read's answer by this much, after its records were taken.
     pub read_delay_ms: u64,
     /// The next appends take effect, but their replies are lost.
     pub lose_append_replies: u32,
-    /// How many records are kept; 0 keeps all.
+    /// How many records are kept of each topic; 0 keeps all.
     pub retention_records: usize,
 }
 
@@ -54,61 +60,48 @@
 
 #[derive(Debug, Default)]
 struct State {
-    start_offset: u64,
-    records: VecDeque<Bytes>,
+    topics: BTreeMap<String, TopicState>,
     faults: LogFaults,
     stats: LogStats,
 }
 
 impl State {
-    fn end_offset(&self) -> u64 {
-        self.start_offset + self.records.len() as u64
+    fn topic(&mut self, name: &str) -> &mut TopicState {
+        let is_keyed = name.starts_with(KEYED_PREFIX);
+        self.topics.entry(name.to_owned()).or_insert_with(|| TopicState::new(is_keyed))
     }
 
-    fn append(&mut self, records: Vec<Bytes>) -> u64 {
-        let first_offset = self.end_offset();
+    fn append(&mut self, name: &str, records: Vec<Bytes>) -> (u64, u64) {
         self.stats.appends += 1;
         self.stats.records += records.len() as u64;
-        self.records.extend(records);
-        self.expire();
-        first_offset
-    }
-
-    fn expire(&mut self) {
         let kept = self.faults.retention_records;
-        while kept > 0 && self.records.len() > kept {
-            self.records.pop_front();
-            self.start_offset += 1;
-        }
-    }
-
-    fn read(&self, from: u64, max: usize) -> ReadReply {
-        let from = from.max(self.start_offset);
-        let skip = usize::try_from(from - self.start_offset).unwrap_or(usize::MAX);
-        let mut read_bytes = 0;
-        let kept = self.records.iter().skip(skip).take(max).take_while(|record| {
-            let fits = read_bytes < MAX_READ_BYTES;
-            read_bytes += record.len();
-            fits
-        });
-        let entries =
-            kept.zip(from..).map(|(record, offset)| Entry { offset, record: record.clone() });
-        ReadReply {
-            start_offset: self.start_offset,
-            end_offset: self.end_offset(),
-            entries: entries.collect(),
-        }
+        let topic = self.topic(name);
+        let offset = topic.end();
+        topic.append(records);
+        topic.expire(kept);
+        (offset, topic.end())
     }
 }
 
-/// A log service. Clones share one log.
+/// A store. Clones share its topics.
 #[derive(Clone, Debug, Default)]
 pub struct LogService {
     state: Arc<Mutex<State>>,
 }
 
+#[derive(Serialize)]
+struct AppendReply {
+    offset: u64,
+    end: u64,
+}
+
+#[derive(Serialize)]
+struct DeletedReply {
+    first: u64,
+}
+
 impl LogService {
-    /// An empty log.
+    /// A store without topics.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
@@ -121,6 +114,27 @@
         handler(move |request| service.clone().answer(request))
     }
 
+    /// Appends records to a topic, as a call would.
+    pub fn append_records(&self, topic: &str, records: Vec<Bytes>) {
+        self.state().append(topic, records);
+    }
+
+    /// Sets what goes wrong from now on.
+    pub fn set_faults(&self, faults: LogFaults) {
+        let mut state = self.state();
+        let kept = faults.retention_records;
+        state.faults = faults;
+        for topic in state.topics.values_mut() {
+            topic.expire(kept);
+        }
+    }
+
+    /// The counts since the start.
+    #[must_use]
+    pub fn stats(&self) -> LogStats {
+        self.state().stats.clone()
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -128,7 +142,7 @@
     async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         if path == "/faults" {
-            return self.set_faults(request).await;
+            return self.take_faults(request).await;
         }
         let faults = self.state().faults.clone();
         if faults.hang {
@@ -137,68 +151,108 @@
         if faults.down {
             return reply::status(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let query = Query::parse(request.uri().query().unwrap_or_default());
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/append") => self.append(request, &faults).await,
-            (&Method::GET, "/read") => self.read(&request).await,
-            (&Method::GET, "/stats") => reply::value(&self.state().stats),
+            (&Method::POST, "/-/log-append") => self.append(request, &query, &faults).await,
+            (&Method::GET, "/-/log-read") => self.read(&query).await,
+            (&Method::GET, "/-/log-newest") => self.newest(&query),
+            (&Method::GET, "/stats") => reply::value(&self.stats()),
             _ => reply::status(StatusCode::NOT_FOUND),
         }
     }
 
-    async fn set_faults(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn take_faults(&self, request: Request<Incoming>) -> Response<Body> {
         let Ok(body) = collect(request.into_body(), MAX_APPEND_BYTES).await else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
         match serde_json::from_slice(&body) {
             Ok(faults) => {
-                let mut state = self.state();
-                state.faults = faults;
-                state.expire();
+                self.set_faults(faults);
                 reply::status(StatusCode::NO_CONTENT)
             }
             Err(_) => reply::status(StatusCode::BAD_REQUEST),
         }
     }
 
-    async fn append(&self, request: Request<Incoming>, faults: &LogFaults) -> Response<Body> {
+    async fn append(
+        &self,
+        request: Request<Incoming>,
+        query: &Query,
+        faults: &LogFaults,
+    ) -> Response<Body> {
         let body = collect(request.into_body(), MAX_APPEND_BYTES).await;
-        let Some(append) = body.ok().and_then(|body| AppendRequest::decode(body).ok()) else {
+        let records = body.ok().and_then(split);
+        let (Some(records), Some(topic)) = (records, query.get("topic")) else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
         self.state().stats.append_calls += 1;
         sleep_ms(faults.append_delay_ms).await;
         let mut state = self.state();
-        let first_offset = state.append(append.records);
+        let (offset, end) = state.append(topic, records);
         if state.faults.lose_append_replies > 0 {
             state.faults.lose_append_replies -= 1;
             return reply::lost();
         }
-        reply::bytes(AppendReply { first_offset }.encode_to_vec())
+        reply::value(&AppendReply { offset, end })
     }
 
-    async fn read(&self, request: &Request<Incoming>) -> Response<Body> {
-        let query = request.uri().query().unwrap_or_default();
-        let (Some(from), Some(max)) = (number(query, "from"), number(query, "max")) else {
+    async fn read(&self, query: &Query) -> Response<Body> {
+        let (Some(topic), Some(from)) = (query.get("topic"), query_number(query, "from")) else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
-        let clock = Clock::system();
-        let wait_ms = number(query, "wait_ms").unwrap_or(0);
-        while self.state().end_offset() <= from && clock.now_ms() < wait_ms {
-            sleep_ms(POLL_MS).await;
-        }
-        let (read, delay_ms) = {
+        self.wait_for_record(topic, from, query_number(query, "waitMs").unwrap_or(0)).await;
+        let (answer, delay_ms) = {
             let mut state = self.state();
             state.stats.reads += 1;
-            let read = state.read(from, usize::try_from(max).unwrap_or(usize::MAX));
-            (read, state.faults.read_delay_ms)
+            let delay_ms = state.faults.read_delay_ms;
+            let topic = state.topic(topic);
+            (read_answer(topic, from), delay_ms)
         };
         sleep_ms(delay_ms).await;
-        reply::bytes(read.encode_to_vec())
+        answer
+    }
+
+    async fn wait_for_record(&self, topic: &str, from: u64, wait_ms: u64) {
+        let clock = Clock::system();
+        let mut is_told = true;
+        while !(is_told && self.state().topic(topic).end() > from) && clock.now_ms() < wait_ms {
+            sleep_ms(POLL_MS).await;
+            is_told = !self.state().faults.forget_readers;
+        }
     }
+
+    fn newest(&self, query: &Query) -> Response<Body> {
+        match query.get("topic") {
+            Some(topic) => reply::value(&self.state().topic(topic).newest(query.get("after"))),
+            None => reply::status(StatusCode::BAD_REQUEST),
+        }
+    }
+}
+
+fn read_answer(topic: &TopicState, from: u64) -> Response<Body> {
+    if from < topic.start() {
+        let mut response = Response::new(json(&DeletedReply { first: topic.start() }));
+        *response.status_mut() = StatusCode::GONE;
+        return response;
+    }
+    let mut bytes = BytesMut::new();
+    bytes.put_u64(topic.end());
+    bytes.put_u64(topic.start());
+    for record in topic.records_from(from) {
+        if bytes.len() > MAX_READ_BYTES {
+            break;
+        }
+        bytes.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
+        bytes.put_slice(record);
+    }
+    reply::bytes(bytes.to_vec())
+}
+
+fn query_number(query: &Query, name: &str) -> Option<u64> {
+    query.get(name)?.parse().ok()
 }
 
 /// The value of `name` in a query such as `from=3&max=9`.
 pub(crate) fn number(query: &str, name: &str) -> Option<u64> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name)?.1.parse().ok()
+    query_number(&Query::parse(query), name)
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -15,11 +15,6 @@
 }
 
 impl Upstreams {
-    /// The upstream `name`.
-    pub(crate) fn get(&self, name: &str) -> Option<&Arc<UpstreamState>> {
-        self.by_name.get(name)
-    }
-
     /// The upstreams of a service.
     pub(crate) fn of_service(&self, service: &Service) -> &[Arc<UpstreamState>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -111,7 +106,7 @@
     known.addr == record.addr
         && known.service == record.service
         && known.started_unix_ms == record.started_unix_ms
-        && !(known.is_leaving && !record.is_leaving)
+        && (record.is_leaving || !known.is_leaving)
 }
 
 fn leave(state: &UpstreamState, now_ms: u64, reason: &str) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,17 @@
     pub source: std::io::Error,
 }
 
+/// Where a gateway listens, after the system has chosen ports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether it is ready.
+    pub ready: SocketAddr,
+    /// For other daemons and scrapers of metrics.
+    pub peers: SocketAddr,
+}
+
 const PEER_CONNECTION_WAIT_MS: u64 = 15_000;
 const PEER_HEAD_BYTES: usize = 16 * 1024;
 /// How long after the store was silent a vanished entry may have lapsed because of it.
@@ -39,34 +50,43 @@
 const STOP_MARGIN_MS: u64 = 150;
 
 /// Runs one daemon on the platform until `stop` closes, then drains. A message on `reload` makes
-/// it read its settings again.
+/// it read its settings again. `started` is called once with the addresses.
 ///
 /// # Errors
 ///
 /// [`GatewayError`] when a port cannot be opened.
 pub async fn run(
     spawner: Spawner,
-    settings: VmSettings,
+    mut settings: VmSettings,
     settings_path: PathBuf,
     options: GatewayOptions,
     stop: Receiver<()>,
     reload: Receiver<()>,
+    started: impl FnOnce(GatewayAddresses),
 ) -> Result<(), GatewayError> {
     let clock = Clock::system();
     let callers = listen(settings.callers_addr).await?;
     let balancer = listen(settings.ready_addr).await?;
     let peers_listener = listen(settings.peers_addr).await?;
+    settings.callers_addr = local_addr(&callers, settings.callers_addr)?;
+    settings.ready_addr = local_addr(&balancer, settings.ready_addr)?;
+    settings.peers_addr = local_addr(&peers_listener, settings.peers_addr)?;
     let socket = UdpSocket::bind(settings.peers_addr)
         .await
         .map_err(|source| GatewayError { addr: settings.peers_addr, source })?;
+    started(GatewayAddresses {
+        callers: settings.callers_addr,
+        ready: settings.ready_addr,
+        peers: settings.peers_addr,
+    });
     log::info!(target: "comfreymast", code = 1001, daemon = settings.name.as_str(),
         callers:% = settings.callers_addr, peers:% = settings.peers_addr,
         store:% = settings.store_addr; "daemon started");
 
     let store_addr = settings.store_addr;
     let peers = Arc::new(Peers::new(clock.clone(), settings.peers_addr));
-    for ip in &settings.seed_ips {
-        peers.meet(SocketAddr::new(*ip, settings.peers_addr.port()));
+    for addr in &settings.seed_addrs {
+        peers.meet(*addr);
     }
     let dispatch = Arc::new(Dispatch::new(spawner.clone(), clock, settings, options));
     let operators = follow_operators(&dispatch);
@@ -292,3 +312,7 @@
 async fn listen(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(addr).await.map_err(|source| GatewayError { addr, source })
 }
+
+fn local_addr(listener: &TcpListener, addr: SocketAddr) -> Result<SocketAddr, GatewayError> {
+    listener.local_addr().map_err(|source| GatewayError { addr, source })
+}
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -21,6 +21,7 @@
 /// Chunks of a stream that wait for a caller who reads slowly.
 const UNREAD_CHUNKS: usize = 64;
 const MOST_SENDS: u32 = 4;
+const MS_PER_S: f64 = 1_000.0;
 const ROOM_POLL_MS: u64 = 40;
 const FULL_RETRY_MS: u64 = 700;
 /// The usual time of a token on a busy engine.
@@ -148,6 +149,8 @@
                 &self.tried,
             );
             if let Some(upstream) = found {
+                let waited_ms = self.call.age_ms(&self.dispatch.clock);
+                self.dispatch.metrics.wait_s.observe(waited_ms as f64 / MS_PER_S);
                 return Ok(upstream);
             }
             if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! when their engines go.
 //!
 //! * [`run`] — runs one daemon until its stop channel closes, then drains.
+//! * [`GatewayAddresses`] — where it listens.
 //! * [`GatewayOptions`] — its time limits.
 //! * [`install_log`] — structured log lines, bounded and off the request's path.
 //!
@@ -27,6 +28,6 @@
 mod server;
 mod upstream_state;
 
-pub use gateway::{GatewayError, run};
+pub use gateway::{GatewayAddresses, GatewayError, run};
 pub use json_log::install_log;
 pub use options::GatewayOptions;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::Ordering;
+
 use comfreymast_net::{Body, full};
 use hyper::Response;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -6,6 +8,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::json_log::DROPPED_LINES;
+
 const LATENCY_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0, 40.0];
 
@@ -42,7 +46,7 @@
     /// The time that generations waited for an engine.
     pub(crate) wait_s: Histogram,
     /// Log lines that were dropped because the log was full.
-    pub(crate) dropped_lines: Counter,
+    dropped_lines: Counter,
 }
 
 impl Metrics {
@@ -77,6 +81,8 @@
 
     /// All metrics as text.
     pub(crate) fn response(&self) -> Response<Body> {
+        let dropped = DROPPED_LINES.load(Ordering::Acquire);
+        self.dropped_lines.inc_by(dropped.saturating_sub(self.dropped_lines.get()));
         let mut text = String::new();
         if let Err(error) = prometheus_client::encoding::text::encode(&mut text, &self.registry) {
             log::error!(target: "comfreymast", error:%; "metrics cannot be encoded");
--- /dev/null
+++ b/crates/gateway/tests/news.rs
@@ -0,0 +1,154 @@
+//! Configurations and upstreams reach every daemon, whatever the store does.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use comfreymast_fakes::log_service::LogFaults;
+use comfreymast_gateway::GatewayOptions;
+use hyper::StatusCode;
+use serde_json::json;
+use support::{Gateway, Stage, call, stage, wait_for};
+
+const NEVER_MS: u64 = 600_000;
+
+async fn wait_added_route(stage: &Stage, gateway: &Gateway) {
+    wait_for("added route", async || {
+        let answer = gateway.call(&stage.spawner, call("GET", "/added/x", "id")).await;
+        answer.status == StatusCode::OK
+    })
+    .await;
+}
+
+fn publish_added_route(stage: &Stage, version: u64) {
+    stage.publish(version, |configuration| {
+        let routes = configuration["routes"].as_array_mut().expect("routes");
+        routes.push(json!({
+            "name": "r-added", "host": "h.example", "pathPrefix": "/added/", "kind": "safe",
+            "timeoutMs": 5000, "targetLatencyMs": 500, "service": "plain", "maxAttempts": 2,
+        }));
+    });
+}
+
+#[test]
+fn a_store_that_forgets_its_waiting_readers_delays_no_configuration() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        stage.publish(1, |_| ());
+        let _upstream = stage.upstream("u0", "plain").await;
+        let options = GatewayOptions::default().store_wait_ms(NEVER_MS);
+        let gateway = stage.gateway_at("d0", stage.store_addr, options, &[]).await;
+        gateway.wait_ready(&spawner).await;
+        stage.faults(LogFaults { forget_readers: true, ..LogFaults::default() });
+        publish_added_route(&stage, 2);
+        wait_added_route(&stage, &gateway).await;
+    });
+}
+
+#[test]
+fn a_daemon_that_the_store_turns_away_learns_from_its_peers() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        stage.publish(1, |_| ());
+        let _upstream = stage.upstream("u0", "plain").await;
+        let first = stage.gateway("d0").await;
+        first.wait_ready(&spawner).await;
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let options = GatewayOptions::default();
+        let second = stage.gateway_at("d1", nowhere, options, &[&first]).await;
+        second.wait_ready(&spawner).await;
+        publish_added_route(&stage, 2);
+        wait_added_route(&stage, &second).await;
+    });
+}
+
+#[test]
+fn deleted_records_are_made_up_for_by_the_newest_of_each_key() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        stage.publish(1, |_| ());
+        let gateway = stage.gateway("d0").await;
+        gateway.wait_ready(&spawner).await;
+        stage.faults(LogFaults { down: true, ..LogFaults::default() });
+        let _upstream = stage.upstream("u0", "plain").await;
+        publish_added_route(&stage, 2);
+        stage.publish(3, |_| ());
+        publish_added_route(&stage, 4);
+        stage.faults(LogFaults { retention_records: 1, ..LogFaults::default() });
+        wait_added_route(&stage, &gateway).await;
+    });
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        let _upstream = stage.upstream("u0", "plain").await;
+        publish_added_route(&stage, 9);
+        let gateway = stage.gateway("d0").await;
+        wait_added_route(&stage, &gateway).await;
+        stage.publish(3, |_| ());
+        let upstream = stage.upstream("u1", "late").await;
+        assert!(upstream.runs().is_empty());
+        for number in 0..20 {
+            let id = format!("id-{number}");
+            let answer = gateway.call(&spawner, call("GET", "/added/x", &id)).await;
+            assert_eq!(answer.status, StatusCode::OK);
+            comfreymast_net::sleep_ms(10).await;
+        }
+    });
+}
+
+#[test]
+fn an_upstream_whose_entry_lapsed_with_the_store_is_used_until_it_is_back() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        stage.publish(1, |_| ());
+        let upstream = stage.upstream("u0", "plain").await;
+        let gateway = stage.gateway("d0").await;
+        wait_for("answer", async || {
+            let answer = gateway.call(&spawner, call("GET", "/safe/x", "probe")).await;
+            answer.status == StatusCode::OK
+        })
+        .await;
+        stage.faults(LogFaults { down: true, ..LogFaults::default() });
+        // Long enough for the daemon to know that nobody hears of the store.
+        comfreymast_net::sleep_ms(2_500).await;
+        stage.write(support::UPSTREAMS, "u0", b"");
+        stage.faults(LogFaults::default());
+        for number in 0..40 {
+            let id = format!("id-{number}");
+            let answer = gateway.call(&spawner, call("POST", "/plain/x", &id)).await;
+            assert_eq!(answer.status, StatusCode::OK, "request {number}");
+            if number == 20 {
+                stage.announce(&upstream, "plain", "ready");
+            }
+            comfreymast_net::sleep_ms(50).await;
+        }
+    });
+}
+
+#[test]
+fn a_leaving_upstream_gets_nothing_new() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        stage.publish(1, |_| ());
+        let leaving = stage.upstream("u0", "plain").await;
+        let gateway = stage.gateway("d0").await;
+        wait_for("answer", async || {
+            let answer = gateway.call(&spawner, call("GET", "/safe/x", "probe")).await;
+            answer.status == StatusCode::OK
+        })
+        .await;
+        stage.announce(&leaving, "plain", "draining");
+        wait_for("refusal", async || {
+            let answer = gateway.call(&spawner, call("POST", "/plain/x", "id")).await;
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+        })
+        .await;
+        let before = leaving.runs().len();
+        let answer = gateway.call(&spawner, call("POST", "/plain/x", "id-last")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(leaving.runs().len(), before);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/requests.rs
@@ -0,0 +1,157 @@
+//! Which requests are served, refused, repeated or never repeated.
+
+mod support;
+
+use comfreymast_net::{Spawner, full};
+use hyper::StatusCode;
+use support::{Gateway, Stage, call, stage, wait_for};
+
+async fn ready(spawner: &Spawner) -> (Stage, Gateway) {
+    let stage = Stage::new(spawner).await;
+    stage.publish(1, |_| ());
+    let gateway = stage.gateway("d0").await;
+    gateway.wait_ready(spawner).await;
+    (stage, gateway)
+}
+
+/// Waits until a safe request is answered, so that the upstreams are known.
+async fn wait_served(spawner: &Spawner, gateway: &Gateway) {
+    wait_for("answer", async || {
+        let answer = gateway.call(spawner, call("GET", "/safe/x", "probe")).await;
+        answer.status == StatusCode::OK
+    })
+    .await;
+}
+
+#[test]
+fn a_request_reaches_its_upstream_as_the_platform_asks() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let upstream = stage.upstream("u0", "plain").await;
+        wait_served(&spawner, &gateway).await;
+        let mut sent = call("POST", "/plain/a?b=c", "id-1");
+        sent.headers_mut().insert("x-tenant", "forged".parse().expect("a value"));
+        sent.headers_mut().insert("x-hold", "forged".parse().expect("a value"));
+        let answer = gateway.call(&spawner, sent).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.headers["x-server-signature"], "signed-by-u0");
+        assert_eq!(&answer.body[..], b"answer of u0");
+        let runs = upstream.runs();
+        let run = runs.iter().find(|run| run.id == "id-1").expect("a run");
+        assert_eq!(run.headers["x-tenant"], "org");
+        assert_eq!(run.headers["x-expect-instance"], "u0");
+        assert_eq!(&run.body[..], b"body");
+        assert!(!run.headers.contains_key("authorization"));
+        assert!(!run.headers.contains_key("x-hold"));
+        let deadline_ms: u64 = run.headers["x-deadline-ms"].to_str().unwrap().parse().unwrap();
+        assert!(deadline_ms <= 10_000, "the route's timeout bounds it: {deadline_ms}");
+    });
+}
+
+#[test]
+fn nothing_is_denied_before_a_configuration_is_known() {
+    stage(async |spawner| {
+        let stage = Stage::new(&spawner).await;
+        let gateway = stage.gateway("d0").await;
+        let answer = gateway.call(&spawner, call("GET", "/nowhere/x", "id")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+        stage.publish(1, |_| ());
+        gateway.wait_ready(&spawner).await;
+        let answer = gateway.call(&spawner, call("GET", "/nowhere/x", "id")).await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+        let mut unknown = call("GET", "/safe/x", "id");
+        unknown.headers_mut().insert("authorization", "Bearer other".parse().expect("a value"));
+        assert_eq!(gateway.call(&spawner, unknown).await.status, StatusCode::UNAUTHORIZED);
+        let mut long = call("POST", "/plain/x", "id");
+        *long.body_mut() = full(vec![b'x'; 5_000]);
+        assert_eq!(gateway.call(&spawner, long).await.status, StatusCode::PAYLOAD_TOO_LARGE);
+    });
+}
+
+#[test]
+fn a_request_whose_answer_is_lost_runs_once_and_is_not_called_refused() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let upstreams = [stage.upstream("u0", "plain").await, stage.upstream("u1", "plain").await];
+        wait_served(&spawner, &gateway).await;
+        for upstream in &upstreams {
+            upstream.behave(|behaviour| behaviour.loses_answers = true);
+        }
+        let answer = gateway.call(&spawner, call("POST", "/plain/a", "id-1")).await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+        let runs = upstreams.iter().flat_map(|upstream| upstream.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 1);
+    });
+}
+
+#[test]
+fn an_idempotent_request_is_tried_at_another_upstream() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let good = stage.upstream("u0", "plain").await;
+        wait_served(&spawner, &gateway).await;
+        let bad = stage.upstream("u1", "plain").await;
+        bad.behave(|behaviour| behaviour.status = StatusCode::INTERNAL_SERVER_ERROR);
+        for number in 0..10 {
+            let id = format!("id-{number}");
+            let answer = gateway.call(&spawner, call("GET", "/safe/a", &id)).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+        assert!(!good.runs().is_empty());
+    });
+}
+
+#[test]
+fn a_request_that_no_upstream_ran_is_refused_with_a_time_to_come_back() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let upstream = stage.upstream("u0", "plain").await;
+        wait_served(&spawner, &gateway).await;
+        upstream.behave(|behaviour| behaviour.refuses = true);
+        let answer = gateway.call(&spawner, call("POST", "/plain/a", "id-1")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+        assert!(upstream.runs().iter().all(|run| run.id != "id-1"));
+    });
+}
+
+#[test]
+fn an_address_that_now_belongs_to_another_upstream_runs_nothing() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let reused = stage.upstream("u0", "other").await;
+        let mut stale = reused.clone();
+        stale.name = "gone".into();
+        stage.announce(&stale, "plain", "ready");
+        wait_for("refusal by the other upstream", async || {
+            let answer = gateway.call(&spawner, call("POST", "/plain/a", "id-1")).await;
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+        })
+        .await;
+        assert!(reused.runs().is_empty());
+    });
+}
+
+#[test]
+fn bad_entries_name_no_upstream_and_the_others_hold() {
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let _upstream = stage.upstream("u0", "plain").await;
+        for (key, value) in [
+            ("bad-1", &b"\xff\xfe not json"[..]),
+            ("bad-2", br#"{"service":"plain","address":7,"zone":"z1","slots":1,"state":"ready"}"#),
+            ("bad-3", br#"{"service":"plain","address":"127.0.0.1:1","zone":"z1","slots":1,"state":"odd"}"#),
+            ("bad-4", br#"{"service":"plain","address":"127.0.0.1:1","zone":"z1","slots":1,"state":"ready","born":"x"}"#),
+        ] {
+            stage.write(support::UPSTREAMS, key, value);
+        }
+        stage.write(support::OPERATORS, "config", b"{ not a configuration");
+        wait_served(&spawner, &gateway).await;
+        for number in 0..10 {
+            let id = format!("id-{number}");
+            let answer = gateway.call(&spawner, call("POST", "/plain/a", &id)).await;
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/streams.rs
@@ -0,0 +1,171 @@
+//! Streams stay whole while engines leave, break off or are full.
+
+mod support;
+
+use comfreymast_fakes::platform_upstream::PlatformUpstream;
+use comfreymast_net::Spawner;
+use hyper::StatusCode;
+use support::{Gateway, Stage, event_ids, generation, stage, wait_for};
+
+const EVENTS: u64 = 60;
+
+struct Streams {
+    stage: Stage,
+    gateway: Gateway,
+    engines: Vec<PlatformUpstream>,
+}
+
+/// A gateway and engines that make events slowly enough to be met midway.
+async fn streams(spawner: &Spawner, engines: usize) -> Streams {
+    let stage = Stage::new(spawner).await;
+    stage.publish(1, |_| ());
+    let gateway = stage.gateway("d0").await;
+    gateway.wait_ready(spawner).await;
+    let mut started = Vec::new();
+    for number in 0..engines {
+        let engine = stage.upstream(&format!("e{number}"), "engines").await;
+        engine.behave(|behaviour| behaviour.events = EVENTS);
+        started.push(engine);
+    }
+    wait_for("engines", async || {
+        let answer = gateway.call(spawner, generation("/caption/x", "probe")).await;
+        answer.status == StatusCode::OK
+    })
+    .await;
+    Streams { stage, gateway, engines: started }
+}
+
+impl Streams {
+    /// The engine that runs the generation `id`, once it does.
+    async fn engine_of(&self, id: &str) -> PlatformUpstream {
+        let ran = |engine: &&PlatformUpstream| engine.runs().iter().any(|run| run.id == id);
+        wait_for("run", async || self.engines.iter().any(|engine| ran(&engine))).await;
+        self.engines.iter().find(ran).cloned().expect("an engine")
+    }
+}
+
+fn all_events() -> Vec<u64> {
+    (1..=EVENTS).collect()
+}
+
+#[test]
+fn a_generation_moves_off_an_engine_that_leaves() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 3).await;
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            streams.stage.announce(&engine, "engines", "draining");
+            engine
+        };
+        let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
+        let (answer, engine) = futures_lite::future::zip(answer, leaving).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.headers["x-server-signature"], format!("signed-by-{}", engine.name));
+        assert_eq!(event_ids(&answer.body), all_events());
+        let others = streams.engines.iter().filter(|other| other.name != engine.name);
+        let runs: Vec<_> = others.flat_map(|other| other.runs()).collect();
+        let moved = runs.iter().find(|run| run.id == "id-1").expect("a run elsewhere");
+        let origin = format!("{}/copy-id-1", engine.addr);
+        assert_eq!(moved.origin.as_deref(), Some(origin.as_str()));
+        assert!(moved.after_event.is_some());
+    });
+}
+
+#[test]
+fn a_generation_moves_off_an_engine_whose_entry_vanishes() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            streams.stage.write(support::UPSTREAMS, &engine.name, b"");
+        };
+        let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
+        let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
+        assert_eq!(event_ids(&answer.body), all_events());
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2);
+    });
+}
+
+#[test]
+fn a_generation_that_finds_no_room_stays_where_it_is() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        for engine in &streams.engines {
+            engine.behave(|behaviour| behaviour.is_full = true);
+        }
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            streams.stage.announce(&engine, "engines", "draining");
+        };
+        let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
+        let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
+        assert_eq!(event_ids(&answer.body), all_events());
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 1);
+    });
+}
+
+#[test]
+fn a_resumable_stream_goes_on_after_its_last_whole_event() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        streams.engines[0].behave(|behaviour| behaviour.breaks_after = Some(7));
+        for number in 0..6 {
+            let id = format!("id-{number}");
+            let answer = streams.gateway.call(&spawner, generation("/caption/x", &id)).await;
+            assert_eq!(event_ids(&answer.body), all_events());
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_may_run_once_ends_cut_and_never_looks_complete() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        for engine in &streams.engines {
+            engine.behave(|behaviour| behaviour.breaks_after = Some(7));
+        }
+        let (_connection, response) =
+            streams.gateway.open(&spawner, generation("/report/x", "id-1")).await;
+        let body = comfreymast_net::collect(response.into_body(), 1 << 20).await;
+        assert!(body.is_err(), "the stream was cut");
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 1);
+    });
+}
+
+#[test]
+fn a_caller_who_leaves_ends_its_generation() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 1).await;
+        streams.engines[0].behave(|behaviour| behaviour.events = 100_000);
+        let (connection, response) =
+            streams.gateway.open(&spawner, generation("/report/x", "id-1")).await;
+        assert_eq!(streams.engines[0].open_streams(), 1);
+        drop((connection, response));
+        wait_for("end of the generation", async || streams.engines[0].open_streams() == 0).await;
+    });
+}
+
+#[test]
+fn engines_are_asked_whether_they_leave_while_the_store_is_silent() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        streams
+            .stage
+            .faults(comfreymast_fakes::log_service::LogFaults { down: true, ..Default::default() });
+        for engine in &streams.engines {
+            engine.behave(|behaviour| behaviour.events = 1_500);
+        }
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            engine.behave(|behaviour| behaviour.is_leaving = true);
+        };
+        let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
+        let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
+        assert_eq!(event_ids(&answer.body).len(), 1_500);
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2);
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,274 @@
+//! A store, upstreams and gateways in one process, on ports from the system.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use comfreymast_fakes::log_service::{LogFaults, LogService};
+use comfreymast_fakes::platform_upstream::PlatformUpstream;
+use comfreymast_gateway::{GatewayAddresses, GatewayOptions, run};
+use comfreymast_net::{
+    Body, OwnedConnection, ServeLimits, Spawner, collect, empty, full, request, serve, sleep_ms,
+    within,
+};
+use comfreymast_platform::{KeyedRecord, VmSettings};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// Where upstreams write what they say of themselves.
+pub const UPSTREAMS: &str = "keyed.servers";
+/// Where operators write.
+pub const OPERATORS: &str = "keyed.op";
+const WAIT_LIMIT_MS: u64 = 20_000;
+const POLL_MS: u64 = 10;
+const CALL_LIMIT_MS: u64 = 20_000;
+const MAX_BODY_BYTES: usize = 1024 * 1024;
+
+/// Runs a test on an executor of two threads.
+pub fn stage<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+    Spawner::run(2, test);
+}
+
+/// A store and the gateways that follow it.
+pub struct Stage {
+    pub spawner: Spawner,
+    pub store: LogService,
+    pub store_addr: SocketAddr,
+    _store_running: Sender<()>,
+    folder: TempDir,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    pub addresses: GatewayAddresses,
+    pub settings_path: PathBuf,
+    pub reload: Sender<()>,
+    stop: Sender<()>,
+    ended: async_channel::Receiver<()>,
+}
+
+/// An answer read whole.
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Stage {
+    /// An empty store.
+    pub async fn new(spawner: &Spawner) -> Self {
+        let store = LogService::new();
+        let (store_addr, running) = listen(spawner, store.clone()).await;
+        let folder = TempDir::new().expect("a folder");
+        Self { spawner: spawner.clone(), store, store_addr, _store_running: running, folder }
+    }
+
+    /// Publishes a configuration with one plain and one streaming route.
+    pub fn publish(&self, version: u64, change: impl FnOnce(&mut Value)) {
+        let mut configuration = configuration(version);
+        change(&mut configuration);
+        self.write(OPERATORS, "config", configuration.to_string().as_bytes());
+    }
+
+    /// Writes what an upstream says of itself.
+    pub fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
+        let entry = json!({
+            "service": service, "address": upstream.addr.to_string(), "zone": "z1", "slots": 8,
+            "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 5,
+        });
+        self.write(UPSTREAMS, &upstream.name, entry.to_string().as_bytes());
+    }
+
+    /// Appends one record of a keyed topic; an empty value drops the key.
+    pub fn write(&self, topic: &str, key: &str, value: &[u8]) {
+        let framed = KeyedRecord::encode(key, value);
+        self.store.append_records(topic, vec![framed.slice(4..)]);
+    }
+
+    /// Sets what goes wrong with the store.
+    pub fn faults(&self, faults: LogFaults) {
+        self.store.set_faults(faults);
+    }
+
+    /// Starts an upstream and announces it.
+    pub async fn upstream(&self, name: &str, service: &str) -> PlatformUpstream {
+        let upstream = PlatformUpstream::start(&self.spawner, name).await.expect("a port");
+        self.announce(&upstream, service, "ready");
+        upstream
+    }
+
+    /// Starts a gateway that follows this store.
+    pub async fn gateway(&self, name: &str) -> Gateway {
+        self.gateway_at(name, self.store_addr, GatewayOptions::default(), &[]).await
+    }
+
+    /// Starts a gateway that follows the store at `store` and knows the VMs of `seeds`.
+    pub async fn gateway_at(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        options: GatewayOptions,
+        seeds: &[&Gateway],
+    ) -> Gateway {
+        let path = self.folder.path().join(format!("{name}.json"));
+        let file = json!({
+            "node": name, "ip": "127.0.0.1", "zone": "z1", "portRange": [0, 0],
+            "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
+            "platform": { "address": store.to_string() },
+            "bounds": { "graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 50, "budgetWindowS": 10 },
+        });
+        std::fs::write(&path, file.to_string()).expect("a settings file");
+        let mut settings = VmSettings::read(&path).expect("good settings");
+        settings.seed_addrs = seeds.iter().map(|seed| seed.addresses.peers).collect();
+        let (stop, stopped) = async_channel::bounded(1);
+        let (reload, reloads) = async_channel::bounded(1);
+        let (started, addresses) = async_channel::bounded(1);
+        let (end, ended) = async_channel::bounded(1);
+        let running = run(
+            self.spawner.clone(),
+            settings,
+            path.clone(),
+            options,
+            stopped,
+            reloads,
+            move |addresses| started.try_send(addresses).expect("one start"),
+        );
+        self.spawner.detach(async move {
+            running.await.expect("a gateway that starts");
+            drop(end);
+        });
+        let addresses = addresses.recv().await.expect("a gateway that starts");
+        Gateway { addresses, settings_path: path, reload, stop, ended }
+    }
+}
+
+impl Gateway {
+    /// Tells the gateway to stop.
+    pub fn stop(&self) {
+        self.stop.close();
+    }
+
+    /// Waits until the gateway has ended.
+    pub async fn ended(&self) {
+        within(WAIT_LIMIT_MS, self.ended.recv())
+            .await
+            .expect("an end")
+            .expect_err("a closed channel");
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub async fn wait_ready(&self, spawner: &Spawner) {
+        wait_for("readiness", async || {
+            let ready = request(self.addresses.ready, "GET", "/-/ready", empty());
+            status(spawner, self.addresses.ready, ready).await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+
+    /// Makes one request on a connection of its own and reads its answer whole.
+    pub async fn call(&self, spawner: &Spawner, call: Request<Body>) -> Answer {
+        let (connection, response) = self.open(spawner, call).await;
+        let (head, body) = response.into_parts();
+        let body = within(CALL_LIMIT_MS, collect(body, MAX_BODY_BYTES)).await.expect("an end");
+        drop(connection);
+        Answer { status: head.status, headers: head.headers, body: body.unwrap_or_default() }
+    }
+
+    /// Makes one request and waits for the head of its answer.
+    pub async fn open(
+        &self,
+        spawner: &Spawner,
+        call: Request<Body>,
+    ) -> (OwnedConnection, Response<Incoming>) {
+        let addr = self.addresses.callers;
+        let mut connection =
+            OwnedConnection::open(spawner, addr, CALL_LIMIT_MS).await.expect("a connection");
+        let response = within(CALL_LIMIT_MS, connection.send(call)).await.expect("an answer");
+        (connection, response.expect("an answer"))
+    }
+}
+
+/// A caller's request with the key of `org`.
+pub fn call(method: &str, path: &str, id: &str) -> Request<Body> {
+    let mut call = request(SocketAddr::from(([127, 0, 0, 1], 1)), method, path, full("body"));
+    for (name, value) in [
+        ("host", "h.example"),
+        ("x-attempt-id", id),
+        ("x-deadline-ms", "15000"),
+        ("authorization", "Bearer key-1"),
+    ] {
+        call.headers_mut().insert(name, value.parse().expect("a value"));
+    }
+    call
+}
+
+/// A caller's request for a generation.
+pub fn generation(path: &str, id: &str) -> Request<Body> {
+    let mut call = call("POST", path, id);
+    call.headers_mut().insert("x-token-counts", "100,80".parse().expect("a value"));
+    call
+}
+
+/// The ids of the events in a stream.
+pub fn event_ids(body: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body);
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.map(|id| id.parse().expect("a number")).collect()
+}
+
+/// Waits until `is_there` holds.
+pub async fn wait_for(what: &str, is_there: impl AsyncFn() -> bool) {
+    let clock = comfreymast_base::Clock::system();
+    while !is_there().await {
+        assert!(clock.now_ms() < WAIT_LIMIT_MS, "no {what}");
+        sleep_ms(POLL_MS).await;
+    }
+}
+
+async fn status(spawner: &Spawner, addr: SocketAddr, call: Request<Body>) -> Option<StatusCode> {
+    let mut connection = OwnedConnection::open(spawner, addr, CALL_LIMIT_MS).await.ok()?;
+    Some(connection.send(call).await.ok()?.status())
+}
+
+async fn listen(spawner: &Spawner, store: LogService) -> (SocketAddr, Sender<()>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = async_net::TcpListener::bind(any).await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let (running, stop) = async_channel::bounded(1);
+    let served = serve(spawner.clone(), listener, store.handler(), ServeLimits::default(), stop);
+    spawner.detach(served);
+    (addr, running)
+}
+
+fn configuration(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            { "name": "r-plain", "host": "h.example", "pathPrefix": "/plain/", "kind": "unsafe",
+              "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 2, "service": "plain",
+              "maxAttempts": 1, "public": false },
+            { "name": "r-safe", "host": "h.example", "pathPrefix": "/safe/", "kind": "safe",
+              "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 2, "service": "plain",
+              "maxAttempts": 2, "public": false },
+            { "name": "r-report", "host": "h.example", "pathPrefix": "/report/",
+              "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 2000, "priority": 1,
+              "service": "engines", "maxAttempts": 1, "public": false, "resumable": false },
+            { "name": "r-caption", "host": "h.example", "pathPrefix": "/caption/",
+              "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 2000, "priority": 0,
+              "service": "engines", "maxAttempts": 2, "public": false, "resumable": true },
+        ],
+        "services": [
+            { "name": "plain", "maxConnections": 50 },
+            { "name": "engines", "maxConnections": 50, "engine": {
+                "slots": 8, "kvCapacityTokens": 10000, "kvTokenBytes": 1000, "linkMbps": 1000.0,
+                "moves": true, "stride": 4 } },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000,
+                    "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "org", "apiKeys": ["key-1"], "priority": 1 }],
+    })
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -32,7 +32,7 @@
 pub use configuration::{ConfigurationError, decode_configuration};
 pub use engine_move::{Copied, MoveError, decode_move_reply, move_request};
 pub use engine_report::{EngineReport, decode_report, report_request};
-pub use log_client::{LogClient, LogError};
+pub use log_client::{LogClient, LogEntry, LogError, LogPage};
 pub use settings::{SettingsError, VmSettings, settings_path};
 pub use store::{Newest, Page, StoreClient, StoreError, Topic};
 pub use store_record::{KeyedRecord, RecordError};
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -43,8 +43,8 @@
     pub peers_addr: SocketAddr,
     /// The platform's store.
     pub store_addr: SocketAddr,
-    /// VMs that may run daemons; they may be old or down.
-    pub seed_ips: Vec<IpAddr>,
+    /// Where other daemons may listen for their peers; these may be old or down.
+    pub seed_addrs: Vec<SocketAddr>,
     /// How long the VM waits between SIGTERM and SIGKILL.
     pub grace_ms: u64,
     /// The share of a service's requests that may be repeated, over all daemons.
@@ -80,11 +80,7 @@
             ready_addr: file.listen.ready,
             peers_addr: SocketAddr::new(file.ip, peer_port),
             store_addr: file.platform.address,
-            seed_ips: file
-                .seeds
-                .iter()
-                .filter_map(|seed| Some(seed.parse::<SocketAddr>().ok()?.ip()))
-                .collect(),
+            seed_addrs: seed_addrs(&file.seeds, peer_port),
             grace_ms: seconds_to_ms(file.bounds.grace_s),
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_slack: file.bounds.budget_slack,
@@ -93,6 +89,12 @@
     }
 }
 
+/// Daemons use the same port on every VM, so a seed's own port, which is another's, is left out.
+fn seed_addrs(seeds: &[String], peer_port: u16) -> Vec<SocketAddr> {
+    let seeds = seeds.iter().filter_map(|seed| seed.parse::<SocketAddr>().ok());
+    seeds.map(|seed| SocketAddr::new(seed.ip(), peer_port)).collect()
+}
+
 fn seconds_to_ms(seconds: f64) -> u64 {
     const MS_PER_S: f64 = 1_000.0;
     (seconds * MS_PER_S) as u64
--- a/crates/platform/src/store_record.rs
+++ b/crates/platform/src/store_record.rs
@@ -62,12 +62,27 @@
 ///
 /// [`RecordError::Cut`] when the bytes end inside a record.
 pub(crate) fn split_records(
-    mut bytes: Bytes,
+    bytes: Bytes,
     first: u64,
     mut skipped: impl FnMut(u64, RecordError),
 ) -> Result<Vec<KeyedRecord>, RecordError> {
     let mut records = Vec::new();
-    let mut offset = first;
+    for (bytes, offset) in split_bytes(bytes)?.into_iter().zip(first..) {
+        match KeyedRecord::decode(offset, bytes) {
+            Ok(record) => records.push(record),
+            Err(error) => skipped(offset, error),
+        }
+    }
+    Ok(records)
+}
+
+/// Splits the bytes of a read into the bytes of its records.
+///
+/// # Errors
+///
+/// [`RecordError::Cut`] when the bytes end inside a record.
+pub(crate) fn split_bytes(mut bytes: Bytes) -> Result<Vec<Bytes>, RecordError> {
+    let mut records = Vec::new();
     while !bytes.is_empty() {
         if bytes.len() < LENGTH_BYTES {
             return Err(RecordError::Cut);
@@ -76,11 +91,7 @@
         if bytes.len() < length {
             return Err(RecordError::Cut);
         }
-        match KeyedRecord::decode(offset, bytes.split_to(length)) {
-            Ok(record) => records.push(record),
-            Err(error) => skipped(offset, error),
-        }
-        offset += 1;
+        records.push(bytes.split_to(length));
     }
     Ok(records)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,7 +3,7 @@
 //! The types in [`cursor`], [`log`], [`news`] and [`peer`] are generated from `proto/` by `cargo run -p xtask` and
 //! committed, so a build needs no generator.
 //!
-//! * [`log`] — records on the platform's log and the log service's messages.
+//! * [`log`] — records on the platform's log.
 //! * [`news`] — what daemons on the platform tell each other.
 //! * [`peer`] — messages between daemons.
 //! * [`cursor`] — what a reader gives back to continue a stream.
@@ -13,7 +13,7 @@
 pub mod engine;
 pub mod frames;
 
-/// Records on the platform's log and the log service's messages.
+/// Records on the platform's log.
 #[allow(missing_docs, clippy::all)]
 #[rustfmt::skip]
 #[path = "generated/comfreymast.log.rs"]
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -1,7 +1,7 @@
 //! Any bytes from a peer give messages or a typed error, never a panic or an endless read.
 
 use comfreymast_wire::frames::{FrameError, MAX_FRAME_BYTES, PeerFrames};
-use comfreymast_wire::log::{AppendRequest, ReadReply, Record};
+use comfreymast_wire::log::Record;
 use comfreymast_wire::peer::{Heartbeat, PeerMessage, peer_message};
 use futures_lite::future::block_on;
 use futures_lite::io::Cursor;
@@ -67,8 +67,6 @@
     #[test]
     fn any_bytes_decode_or_fail(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
         let _ = Record::decode(&bytes[..]);
-        let _ = ReadReply::decode(&bytes[..]);
-        let _ = AppendRequest::decode(&bytes[..]);
     }
 }
 
