Mend the watch of settings, which spun once its channel had closed; the gateway's tests pass

Cause: a closed reload channel answered at once, again and again (seen as hanging tests; a debugger showed the thread in the loop). Change: a closed channel ends the task.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use async_channel::Receiver;
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
-use comfreymast_net::{Spawner, empty, handler, sleep_ms};
+use comfreymast_net::{Spawner, empty, handler, sleep_ms, within};
 use comfreymast_platform::{
     CONFIGURATION_KEY, READY_PATH, StoreClient, Topic, VmSettings, decode_configuration,
     decode_upstream,
@@ -224,15 +224,16 @@
     }
 }
 
-/// Reads the settings again when asked to, or when their file has changed.
+/// Reads the settings again when asked to, or when their file has changed, until `reload` closes.
 async fn watch_settings(dispatch: Arc<Dispatch>, path: PathBuf, reload: Receiver<()>) {
     let mut known = modified(&path);
     loop {
-        let asked = futures_lite::future::or(async { reload.recv().await.is_ok() }, async {
-            sleep_ms(dispatch.options.settings_interval_ms).await;
-            false
-        });
-        let is_asked = asked.await;
+        let asked = within(dispatch.options.settings_interval_ms, reload.recv()).await;
+        let is_asked = match asked {
+            Ok(Err(_)) => return,
+            Ok(Ok(())) => true,
+            Err(_) => false,
+        };
         let now = modified(&path);
         if !is_asked && now == known {
             continue;
