--- a/crates/comfreymast/src/failure.rs
+++ b/crates/comfreymast/src/failure.rs
@@ -38,6 +38,14 @@
     /// Another logger is there already.
     #[display("{_0}")]
     Log(log::SetLoggerError),
+    /// The logs say nothing of a request.
+    #[display("the logs have no line of the request {request}")]
+    #[from(ignore)]
+    #[error(ignore)]
+    NoLines {
+        /// The request.
+        request: String,
+    },
     /// A file cannot be read.
     #[display("cannot read {}: {source}", path.display())]
     #[from(ignore)]
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -80,6 +80,14 @@
             optional --settings settings: PathBuf
         }
 
+        /// Tell a request's story from collected logs of `serve`.
+        cmd explain {
+            /// The identifier that the caller sent.
+            required request: String
+            /// The log files of all daemons.
+            repeated log: PathBuf
+        }
+
         /// Publish, read and check contracts.
         cmd contract {
             /// Publish a contract from a TOML file.
--- a/crates/comfreymast/src/main.rs
+++ b/crates/comfreymast/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod contract;
 mod daemon;
+mod explain;
 mod failure;
 mod flags;
 mod fleet;
@@ -47,6 +48,7 @@
 fn run(flags: &Comfreymast, output: Format) -> Result<(), failure::Failure> {
     match &flags.subcommand {
         ComfreymastCmd::Daemon(daemon) => daemon::run(flags, daemon, output),
+        ComfreymastCmd::Explain(explain) => explain::run(explain),
         ComfreymastCmd::Serve(serve) => serve::run(serve, output),
         ComfreymastCmd::Contract(command) => contract::run(flags, &command.subcommand, output),
         ComfreymastCmd::Status(_) => fleet::status(flags, output),
--- /dev/null
+++ b/crates/decide/tests/fleet_budget.rs
@@ -0,0 +1,54 @@
+//! The retry budget of the fleet, under the load of one daemon that needs most repeats.
+
+use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_repeat};
+
+const OPTIONS: FleetBudgetOptions =
+    FleetBudgetOptions { ratio: 0.2, slack: 58.0, used_share: 0.75 };
+const WINDOW_MS: u64 = 10_000;
+
+#[test]
+fn one_daemon_may_use_what_the_others_leave() {
+    let others = Traffic { requests: 400, repeats: 2 };
+    let own = Traffic { requests: 30, repeats: 60 };
+    assert!(may_repeat(own.plus(others), &OPTIONS));
+}
+
+#[test]
+fn nine_daemons_with_news_as_old_as_a_heartbeat_stay_within_the_budget() {
+    const DAEMONS: usize = 9;
+    const HEARTBEAT_MS: u64 = 150;
+    let mut windows = vec![TrafficWindow::new(WINDOW_MS); DAEMONS];
+    let mut told = [Traffic::default(); DAEMONS];
+    for now_ms in (0..40_000).step_by(10) {
+        if now_ms % HEARTBEAT_MS == 0 {
+            for (told, window) in told.iter_mut().zip(&mut windows) {
+                *told = window.total(now_ms);
+            }
+        }
+        for (daemon, window) in windows.iter_mut().enumerate() {
+            // Each request fails: every daemon wants to repeat it at once.
+            if (now_ms / 10 + daemon as u64).is_multiple_of(20) {
+                window.request(now_ms);
+                let others = (0..DAEMONS).filter(|other| *other != daemon);
+                let others = others.fold(Traffic::default(), |sum, other| sum.plus(told[other]));
+                if may_repeat(window.total(now_ms).plus(others), &OPTIONS) {
+                    window.repeat(now_ms);
+                }
+            }
+        }
+        let fleet = windows.iter_mut().map(|window| window.total(now_ms));
+        let fleet = fleet.fold(Traffic::default(), Traffic::plus);
+        let allowed = fleet.requests as f64 * OPTIONS.ratio + OPTIONS.slack;
+        assert!(fleet.repeats as f64 <= allowed, "{fleet:?} at {now_ms} ms");
+    }
+}
+
+#[test]
+fn counts_leave_the_window() {
+    let mut window = TrafficWindow::new(WINDOW_MS);
+    window.request(0);
+    window.repeat(5_000);
+    assert_eq!(window.total(9_000), Traffic { requests: 1, repeats: 1 });
+    assert_eq!(window.total(12_000), Traffic { requests: 0, repeats: 1 });
+    assert_eq!(window.total(100_000), Traffic::default());
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -20,47 +20,47 @@
 use tempfile::TempDir;
 
 /// Where upstreams write what they say of themselves.
-pub const UPSTREAMS: &str = "keyed.servers";
+pub(crate) const UPSTREAMS: &str = "keyed.servers";
 /// Where operators write.
-pub const OPERATORS: &str = "keyed.op";
+pub(crate) const OPERATORS: &str = "keyed.op";
 const WAIT_LIMIT_MS: u64 = 20_000;
 const POLL_MS: u64 = 10;
 const CALL_LIMIT_MS: u64 = 20_000;
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 
 /// Runs a test on an executor of two threads.
-pub fn stage<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
+pub(crate) fn stage<F: Future<Output = ()>>(test: impl FnOnce(Spawner) -> F) {
     Spawner::run(2, test);
 }
 
 /// A store and the gateways that follow it.
-pub struct Stage {
-    pub spawner: Spawner,
-    pub store: LogService,
-    pub store_addr: SocketAddr,
+pub(crate) struct Stage {
+    pub(crate) spawner: Spawner,
+    pub(crate) store: LogService,
+    pub(crate) store_addr: SocketAddr,
     _store_running: Sender<()>,
     folder: TempDir,
 }
 
 /// A running gateway.
-pub struct Gateway {
-    pub addresses: GatewayAddresses,
-    pub settings_path: PathBuf,
-    pub reload: Sender<()>,
+pub(crate) struct Gateway {
+    pub(crate) addresses: GatewayAddresses,
+    pub(crate) settings_path: PathBuf,
+    pub(crate) reload: Sender<()>,
     stop: Sender<()>,
     ended: async_channel::Receiver<()>,
 }
 
 /// An answer read whole.
-pub struct Answer {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
 }
 
 impl Stage {
     /// An empty store.
-    pub async fn new(spawner: &Spawner) -> Self {
+    pub(crate) async fn new(spawner: &Spawner) -> Self {
         let store = LogService::new();
         let (store_addr, running) = listen(spawner, store.clone()).await;
         let folder = TempDir::new().expect("a folder");
@@ -68,14 +68,14 @@
     }
 
     /// Publishes a configuration with one plain and one streaming route.
-    pub fn publish(&self, version: u64, change: impl FnOnce(&mut Value)) {
+    pub(crate) fn publish(&self, version: u64, change: impl FnOnce(&mut Value)) {
         let mut configuration = configuration(version);
         change(&mut configuration);
         self.write(OPERATORS, "config", configuration.to_string().as_bytes());
     }
 
     /// Writes what an upstream says of itself.
-    pub fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
+    pub(crate) fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
         let entry = json!({
             "service": service, "address": upstream.addr.to_string(), "zone": "z1", "slots": 8,
             "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 5,
@@ -84,30 +84,30 @@
     }
 
     /// Appends one record of a keyed topic; an empty value drops the key.
-    pub fn write(&self, topic: &str, key: &str, value: &[u8]) {
+    pub(crate) fn write(&self, topic: &str, key: &str, value: &[u8]) {
         let framed = KeyedRecord::encode(key, value);
         self.store.append_records(topic, vec![framed.slice(4..)]);
     }
 
     /// Sets what goes wrong with the store.
-    pub fn faults(&self, faults: LogFaults) {
+    pub(crate) fn faults(&self, faults: LogFaults) {
         self.store.set_faults(faults);
     }
 
     /// Starts an upstream and announces it.
-    pub async fn upstream(&self, name: &str, service: &str) -> PlatformUpstream {
+    pub(crate) async fn upstream(&self, name: &str, service: &str) -> PlatformUpstream {
         let upstream = PlatformUpstream::start(&self.spawner, name).await.expect("a port");
         self.announce(&upstream, service, "ready");
         upstream
     }
 
     /// Starts a gateway that follows this store.
-    pub async fn gateway(&self, name: &str) -> Gateway {
+    pub(crate) async fn gateway(&self, name: &str) -> Gateway {
         self.gateway_at(name, self.store_addr, GatewayOptions::default(), &[]).await
     }
 
     /// Starts a gateway that follows the store at `store` and knows the VMs of `seeds`.
-    pub async fn gateway_at(
+    pub(crate) async fn gateway_at(
         &self,
         name: &str,
         store: SocketAddr,
@@ -148,12 +148,12 @@
 
 impl Gateway {
     /// Tells the gateway to stop.
-    pub fn stop(&self) {
+    pub(crate) fn stop(&self) {
         self.stop.close();
     }
 
     /// Waits until the gateway has ended.
-    pub async fn ended(&self) {
+    pub(crate) async fn ended(&self) {
         within(WAIT_LIMIT_MS, self.ended.recv())
             .await
             .expect("an end")
@@ -161,7 +161,7 @@
     }
 
     /// Waits until the gateway says that it is ready.
-    pub async fn wait_ready(&self, spawner: &Spawner) {
+    pub(crate) async fn wait_ready(&self, spawner: &Spawner) {
         wait_for("readiness", async || {
             let ready = request(self.addresses.ready, "GET", "/-/ready", empty());
             status(spawner, self.addresses.ready, ready).await == Some(StatusCode::OK)
@@ -170,7 +170,7 @@
     }
 
     /// Makes one request on a connection of its own and reads its answer whole.
-    pub async fn call(&self, spawner: &Spawner, call: Request<Body>) -> Answer {
+    pub(crate) async fn call(&self, spawner: &Spawner, call: Request<Body>) -> Answer {
         let (connection, response) = self.open(spawner, call).await;
         let (head, body) = response.into_parts();
         let body = within(CALL_LIMIT_MS, collect(body, MAX_BODY_BYTES)).await.expect("an end");
@@ -179,7 +179,7 @@
     }
 
     /// Makes one request and waits for the head of its answer.
-    pub async fn open(
+    pub(crate) async fn open(
         &self,
         spawner: &Spawner,
         call: Request<Body>,
@@ -193,7 +193,7 @@
 }
 
 /// A caller's request with the key of `org`.
-pub fn call(method: &str, path: &str, id: &str) -> Request<Body> {
+pub(crate) fn call(method: &str, path: &str, id: &str) -> Request<Body> {
     let mut call = request(SocketAddr::from(([127, 0, 0, 1], 1)), method, path, full("body"));
     for (name, value) in [
         ("host", "h.example"),
@@ -207,21 +207,21 @@
 }
 
 /// A caller's request for a generation.
-pub fn generation(path: &str, id: &str) -> Request<Body> {
+pub(crate) fn generation(path: &str, id: &str) -> Request<Body> {
     let mut call = call("POST", path, id);
     call.headers_mut().insert("x-token-counts", "100,80".parse().expect("a value"));
     call
 }
 
 /// The ids of the events in a stream.
-pub fn event_ids(body: &[u8]) -> Vec<u64> {
+pub(crate) fn event_ids(body: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(body);
     let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
     ids.map(|id| id.parse().expect("a number")).collect()
 }
 
 /// Waits until `is_there` holds.
-pub async fn wait_for(what: &str, is_there: impl AsyncFn() -> bool) {
+pub(crate) async fn wait_for(what: &str, is_there: impl AsyncFn() -> bool) {
     let clock = comfreymast_base::Clock::system();
     while !is_there().await {
         assert!(clock.now_ms() < WAIT_LIMIT_MS, "no {what}");
