News by links: full mesh in small fleets, data centres with summaries between them in large ones

Change: one reader in each data centre pushes what it reads; summaries go between data centres by the links that decide/links.rs chooses, and on with a relay's own heartbeats.

--- /dev/null
+++ b/crates/gateway/src/fleet_sum.rs
@@ -0,0 +1,86 @@
+use std::collections::BTreeMap;
+
+use comfreymast_decide::evacuation::RunView;
+use comfreymast_decide::fleet_budget::Traffic;
+use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic};
+
+/// What several daemons run and send, added up.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FleetSum {
+    /// By engine.
+    pub(crate) engines: BTreeMap<String, EngineSum>,
+    /// By service.
+    pub(crate) services: BTreeMap<String, Traffic>,
+}
+
+/// What several daemons run on one engine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EngineSum {
+    /// Generations.
+    pub(crate) runs: u32,
+    /// Memory that they hold or are expected to hold.
+    pub(crate) reserved_tokens: u64,
+    /// Prompts that the engine still has to read.
+    pub(crate) prefill_tokens: u64,
+    /// Generations that move away when the engine goes.
+    pub(crate) generations: Vec<RunView>,
+}
+
+impl FleetSum {
+    /// Adds what one daemon or data centre says.
+    pub(crate) fn add(&mut self, engines: &[EngineUse], services: &[ServiceTraffic]) {
+        for engine in engines {
+            let sum = self.engines.entry(engine.upstream.clone()).or_default();
+            sum.runs += engine.runs;
+            sum.reserved_tokens += engine.reserved_tokens;
+            sum.prefill_tokens += engine.prefill_tokens;
+            sum.generations.extend(engine.generations.iter().map(run_view));
+        }
+        for service in services {
+            let sum = self.services.entry(service.service.clone()).or_default();
+            *sum = sum.plus(Traffic {
+                requests: u64::from(service.requests),
+                repeats: u64::from(service.repeats),
+            });
+        }
+    }
+
+    /// The sums by engine, for a message.
+    pub(crate) fn engine_uses(&self) -> Vec<EngineUse> {
+        let uses = self.engines.iter().map(|(upstream, sum)| EngineUse {
+            upstream: upstream.clone(),
+            runs: sum.runs,
+            reserved_tokens: sum.reserved_tokens,
+            prefill_tokens: sum.prefill_tokens,
+            generations: sum.generations.iter().map(generation_use).collect(),
+        });
+        uses.collect()
+    }
+
+    /// The sums by service, for a message.
+    pub(crate) fn service_traffic(&self) -> Vec<ServiceTraffic> {
+        let traffic = self.services.iter().map(|(service, traffic)| ServiceTraffic {
+            service: service.clone(),
+            requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
+            repeats: u32::try_from(traffic.repeats).unwrap_or(u32::MAX),
+        });
+        traffic.collect()
+    }
+}
+
+/// A generation for a message.
+pub(crate) fn generation_use(run: &RunView) -> GenerationUse {
+    GenerationUse {
+        key: run.key,
+        tokens: u32::try_from(run.tokens).unwrap_or(u32::MAX),
+        started_unix_ms: run.started_unix_ms,
+    }
+}
+
+fn run_view(generation: &GenerationUse) -> RunView {
+    RunView {
+        key: generation.key,
+        tokens: u64::from(generation.tokens),
+        started_unix_ms: generation.started_unix_ms,
+    }
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,10 +1,11 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use async_channel::Sender;
 use comfreymast_base::Clock;
 use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_platform::{KeyedRecord, Newest, Page, StoreClient, StoreError, Topic};
-use comfreymast_wire::news::TopicSnapshot;
+use comfreymast_wire::news::{self, TopicDelta, TopicRecord, TopicSnapshot};
 use event_listener::Event;
 use futures_lite::future;
 
@@ -28,11 +29,22 @@
     heard_ms: AtomicU64,
     wait_ms: AtomicU64,
     hurry: Event,
+    read: Sender<TopicDelta>,
 }
 
 impl Followed {
-    /// Follows `topic` from its beginning; `on_change` puts changes in force.
-    pub(crate) fn new(topic: Topic, clock: Clock, wait_ms: u64, on_change: OnChange) -> Self {
+    /// The wait of a daemon that leaves reading to others.
+    pub(crate) const NOT_READ_MS: u64 = u64::MAX;
+
+    /// Follows `topic` from its beginning; `on_change` puts changes in force, and what is read of
+    /// the store goes to `read` for peers.
+    pub(crate) fn new(
+        topic: Topic,
+        clock: Clock,
+        wait_ms: u64,
+        on_change: OnChange,
+        read: Sender<TopicDelta>,
+    ) -> Self {
         Self {
             topic,
             clock,
@@ -44,6 +56,7 @@
             heard_ms: AtomicU64::new(0),
             wait_ms: AtomicU64::new(wait_ms),
             hurry: Event::new(),
+            read,
         }
     }
 
@@ -96,6 +109,21 @@
         self.publish(&feed, &changes);
     }
 
+    /// Takes in records that a peer has just read, if none is missing before them.
+    pub(crate) fn take_delta(&self, delta: TopicDelta) {
+        let mut feed = self.feed();
+        if !feed.is_loaded() || delta.from_offset > feed.next_offset() {
+            return;
+        }
+        let records = delta.records.into_iter().map(|record| KeyedRecord {
+            offset: record.offset,
+            key: record.key,
+            value: (!record.value.is_empty()).then_some(record.value),
+        });
+        let changes = feed.apply(records.collect(), delta.next_offset);
+        self.publish(&feed, &changes);
+    }
+
     /// Makes the follower ask the store again at once, on a new connection.
     pub(crate) fn hurry(&self) {
         self.hurry.notify(usize::MAX);
@@ -108,11 +136,36 @@
     }
 
     fn take_page(&self, page: Page) {
+        if let Some(delta) = self.delta(&page) {
+            // Peers that miss this one notice from heartbeats that they are behind.
+            let _ = self.read.try_send(delta);
+        }
         let mut feed = self.feed();
         let changes = feed.apply(page.records, page.next);
         self.publish(&feed, &changes);
     }
 
+    fn delta(&self, page: &Page) -> Option<TopicDelta> {
+        let topic = match self.topic {
+            Topic::Operators => news::Topic::Operators,
+            Topic::Upstreams => news::Topic::Upstreams,
+            Topic::Daemons => return None,
+        };
+        let records = page.records.iter().map(|record| TopicRecord {
+            key: record.key.clone(),
+            offset: record.offset,
+            value: record.value.clone().unwrap_or_default(),
+        });
+        let records: Vec<_> = records.collect();
+        let from_offset = self.next_offset();
+        (page.next > from_offset).then_some(TopicDelta {
+            topic: topic.into(),
+            from_offset,
+            next_offset: page.next,
+            records,
+        })
+    }
+
     /// Runs under the feed's lock, so that changes are put in force in order.
     fn publish(&self, feed: &Feed, changes: &[FeedChange]) {
         if !changes.is_empty() {
@@ -173,6 +226,10 @@
     client: &mut StoreClient,
     must_reload: bool,
 ) -> Result<(), StoreError> {
+    if !must_reload && followed.wait_ms.load(Ordering::Acquire) == Followed::NOT_READ_MS {
+        // Ends when this daemon is to read again, or a peer's word is missing.
+        future::pending::<()>().await;
+    }
     if must_reload {
         followed.take_newest(client.newest(followed.topic).await?);
     } else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,21 +3,25 @@
 use std::sync::Arc;
 use std::time::SystemTime;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
+use comfreymast_decide::links::Member;
 use comfreymast_net::{Spawner, empty, handler, sleep_ms, within};
 use comfreymast_platform::{
     CONFIGURATION_KEY, READY_PATH, StoreClient, Topic, VmSettings, decode_configuration,
     decode_upstream,
 };
+use comfreymast_wire::news::{Member as NewsMember, TopicDelta};
 use derive_more::{Display, Error};
 use hyper::{Response, StatusCode};
+use prost::Message;
 
 use crate::dispatch::Dispatch;
+use crate::exchange::Exchange;
 use crate::feed::FeedChange;
 use crate::follow::{Followed, follow};
-use crate::peers::{Exchange, Peers};
+use crate::peers::Peers;
 use crate::server::{ConnectionLimits, Server};
 use crate::{GatewayOptions, engine_watch, front};
 
@@ -44,6 +48,8 @@
 
 const PEER_CONNECTION_WAIT_MS: u64 = 15_000;
 const PEER_HEAD_BYTES: usize = 16 * 1024;
+/// Reads of the store that wait to be passed on to peers.
+const WAITING_READS: usize = 64;
 /// How long after the store was silent a vanished entry may have lapsed because of it.
 const LAPSE_WINDOW_MS: u64 = 2_000;
 /// Left between the last request and the end that the platform puts to the process.
@@ -84,13 +90,15 @@
         store:% = settings.store_addr; "daemon started");
 
     let store_addr = settings.store_addr;
-    let peers = Arc::new(Peers::new(clock.clone(), settings.peers_addr));
+    let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
+    let peers = Arc::new(Peers::new(clock.clone(), me, settings.peers_addr));
     for addr in &settings.seed_addrs {
-        peers.meet(*addr);
+        peers.seed(*addr);
     }
     let dispatch = Arc::new(Dispatch::new(spawner.clone(), clock, settings, options));
-    let operators = follow_operators(&dispatch);
-    let upstreams = follow_upstreams(&dispatch);
+    let (read, reads) = async_channel::bounded(WAITING_READS);
+    let operators = follow_operators(&dispatch, read.clone());
+    let upstreams = follow_upstreams(&dispatch, read);
     let exchange = Arc::new(Exchange {
         dispatch: dispatch.clone(),
         peers: peers.clone(),
@@ -108,6 +116,7 @@
         spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone(), peers.clone())),
         spawner.spawn(exchange.clone().listen()),
         spawner.spawn(exchange.clone().speak()),
+        spawner.spawn(exchange.clone().push(reads)),
         spawner.spawn(announce(dispatch.clone(), peers)),
         spawner.spawn(watch_settings(dispatch.clone(), settings_path, reload)),
         spawner.spawn(ready_server(&dispatch, &operators, &upstreams, balancer_stop).run(balancer)),
@@ -121,7 +130,7 @@
 }
 
 /// Waits for the word to stop; then takes connections for a while, and closes the door.
-async fn drain(dispatch: Arc<Dispatch>, stop: Receiver<()>, accepting: async_channel::Sender<()>) {
+async fn drain(dispatch: Arc<Dispatch>, stop: Receiver<()>, accepting: Sender<()>) {
     let _ = stop.recv().await;
     dispatch.start_draining();
     let grace_ms = dispatch.settings.load().grace_ms;
@@ -131,7 +140,7 @@
     drop(accepting);
 }
 
-fn follow_operators(dispatch: &Arc<Dispatch>) -> Arc<Followed> {
+fn follow_operators(dispatch: &Arc<Dispatch>, read: Sender<TopicDelta>) -> Arc<Followed> {
     let target = dispatch.clone();
     let on_change = move |changes: &[FeedChange]| {
         for change in changes.iter().filter(|change| change.key == CONFIGURATION_KEY) {
@@ -145,10 +154,16 @@
         }
     };
     let wait_ms = dispatch.options.store_wait_ms;
-    Arc::new(Followed::new(Topic::Operators, dispatch.clock.clone(), wait_ms, Box::new(on_change)))
+    Arc::new(Followed::new(
+        Topic::Operators,
+        dispatch.clock.clone(),
+        wait_ms,
+        Box::new(on_change),
+        read,
+    ))
 }
 
-fn follow_upstreams(dispatch: &Arc<Dispatch>) -> Arc<Followed> {
+fn follow_upstreams(dispatch: &Arc<Dispatch>, read: Sender<TopicDelta>) -> Arc<Followed> {
     Arc::new_cyclic(|followed: &std::sync::Weak<Followed>| {
         let target = dispatch.clone();
         let followed = followed.clone();
@@ -161,7 +176,7 @@
             }
         };
         let wait_ms = dispatch.options.store_wait_ms;
-        Followed::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, Box::new(on_change))
+        Followed::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, Box::new(on_change), read)
     })
 }
 
@@ -199,9 +214,9 @@
     const PAUSE_MS: u64 = 500;
     let settings = dispatch.settings.load_full();
     let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
-    let addr = settings.peers_addr.to_string();
+    let own = peers.own_member().encode_to_vec();
     loop {
-        let put = client.put(Topic::Daemons, settings.name.as_str(), addr.as_bytes()).await;
+        let put = client.put(Topic::Daemons, settings.name.as_str(), &own).await;
         let newest = match put {
             Ok(()) => client.newest(Topic::Daemons).await,
             Err(error) => Err(error),
@@ -209,11 +224,9 @@
         match newest {
             Ok(newest) => {
                 let values = newest.records.into_iter().filter_map(|record| record.value);
-                for addr in
-                    values.filter_map(|value| std::str::from_utf8(&value).ok()?.parse().ok())
-                {
-                    peers.meet(addr);
-                }
+                let members: Vec<_> =
+                    values.filter_map(|value| NewsMember::decode(value).ok()).collect();
+                peers.meet(&members);
                 return;
             }
             Err(error) => {
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -12,6 +12,8 @@
     pub reader_wait_ms: u64,
     /// How many daemons do that.
     pub readers: usize,
+    /// How many do that in each data centre of a large fleet, where the others do not ask at all.
+    pub readers_of_large: usize,
     /// How long no daemon may hear of the store before engines are asked themselves.
     pub store_silence_ms: u64,
     /// Time between heartbeats to other daemons.
@@ -35,6 +37,7 @@
             reader_wait_ms: 800,
             store_silence_ms: 1_400,
             readers: 2,
+            readers_of_large: 1,
             heartbeat_interval_ms: 150,
             peer_silence_ms: 1_500,
             lapse_grace_ms: 2_300,
--- a/crates/gateway/tests/events_catalogue.rs
+++ b/crates/gateway/tests/events_catalogue.rs
@@ -21,8 +21,8 @@
 /// Reads `1001, daemon = …; "daemon started")`.
 fn event(text: &str) -> (u32, String) {
     let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
-    let call = &text[..text.find(");").expect("the end of a log line")];
-    let title = call.rsplit('"').nth(1).expect("a title");
+    let (_, title) = text.split_once(';').expect("a title after the fields");
+    let title = title.split('"').nth(1).expect("a title");
     (digits.parse().expect("a code"), title.to_owned())
 }
 
--- a/crates/proof/tests/cli.rs
+++ b/crates/proof/tests/cli.rs
@@ -18,8 +18,10 @@
 max_output_tokens = 100
 "#;
 
-const COMMANDS: [&[&str]; 16] = [
+const COMMANDS: [&[&str]; 18] = [
     &["daemon"],
+    &["serve"],
+    &["explain"],
     &["contract"],
     &["contract", "put"],
     &["contract", "get"],
