--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -44,12 +44,21 @@
     pub cold_cost: f64,
 }
 
+impl PlacementOptions {
+    /// Where news of other data centres comes late: their engines are for what finds no good place
+    /// nearby, so that few daemons choose among the same engines at the same time.
+    #[must_use]
+    pub fn with_late_news() -> Self {
+        Self { far_cost: 0.3, ..Self::default() }
+    }
+}
+
 impl Default for PlacementOptions {
     fn default() -> Self {
         Self {
             memory_share: 0.95,
             far_cost: 0.05,
-            prefill_cost: 0.1,
+            prefill_cost: 0.2,
             lonely_weight: 1.6,
             failure_cost: 2.0,
             cold_cost: 0.1,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -38,6 +38,8 @@
     pub(crate) metrics: Metrics,
     /// Notified when peers should hear of this daemon soon.
     news: Event,
+    /// True in a fleet in which news of other data centres comes late.
+    pub(crate) is_large_fleet: AtomicBool,
     /// True once the daemon was told to stop.
     draining: AtomicBool,
     drain_started_ms: AtomicU64,
@@ -62,6 +64,7 @@
             configuration: ArcSwapOption::empty(),
             metrics: Metrics::new(),
             news: Event::new(),
+            is_large_fleet: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             drain_started_ms: AtomicU64::new(0),
             store_silent_ms: AtomicU64::new(0),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -96,6 +96,7 @@
             if clock.now_ms() - linked_ms >= LINKS_INTERVAL_MS || links.near.is_empty() {
                 links = self.peers.links();
                 linked_ms = clock.now_ms();
+                self.dispatch.is_large_fleet.store(links.is_large, Ordering::Release);
             }
             let options = &self.dispatch.options;
             let is_due = clock.now_ms() - summed_ms >= options.heartbeat_interval_ms;
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use async_channel::bounded;
 use comfreymast_base::{Service, Upstream};
@@ -136,7 +137,9 @@
     async fn room(&self) -> Result<Arc<UpstreamState>, CallError> {
         let need_tokens = expected_tokens(self.shape, 0);
         let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
-        let options = PlacementOptions::default();
+        let is_late = self.dispatch.is_large_fleet.load(Ordering::Acquire);
+        let options =
+            if is_late { PlacementOptions::with_late_news() } else { PlacementOptions::default() };
         loop {
             let near = &self.dispatch.settings.load().data_centre;
             let found = place(
