--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -49,7 +49,7 @@
     /// nearby, so that few daemons choose among the same engines at the same time.
     #[must_use]
     pub fn with_late_news() -> Self {
-        Self { far_cost: 0.3, ..Self::default() }
+        Self { far_cost: 1.0, ..Self::default() }
     }
 }
 
