Use news as it comes, not with the next heartbeat

Cause: what peers told was put to use at the daemon's own pace, and news during the pause between two heartbeats was forgotten, so daemons chose engines on views some 100 ms old.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,14 +5,16 @@
 use arc_swap::ArcSwapOption;
 use comfreymast_base::{Clock, Service};
 use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_repeat};
+use comfreymast_decide::links::Member;
 use comfreymast_fleet::Configuration;
-use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_net::Spawner;
 use comfreymast_platform::VmSettings;
-use event_listener::Event;
+use event_listener::{Event, EventListener};
 
 use crate::GatewayOptions;
 use crate::directory::Directory;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 
 /// The part of the retry budget that is used; the rest covers late news of other daemons.
 const USED_SHARE: f64 = 0.75;
@@ -36,6 +38,8 @@
     pub(crate) budget: Budget,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// Other daemons.
+    pub(crate) peers: Peers,
     /// Notified when peers should hear of this daemon soon.
     news: Event,
     /// True in a fleet in which news of other data centres comes late.
@@ -54,9 +58,11 @@
         settings: VmSettings,
         options: GatewayOptions,
     ) -> Self {
+        let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
         Self {
             budget: Budget::new(settings.retry_window_ms),
             directory: Directory::new(clock.clone()),
+            peers: Peers::new(clock.clone(), me, settings.peers_addr),
             spawner,
             clock,
             options,
@@ -87,10 +93,24 @@
         self.news.notify(usize::MAX);
     }
 
-    /// Waits for news for peers, `limit_ms` at most.
-    pub(crate) async fn news_within(&self, limit_ms: u64) {
-        let news = self.news.listen();
-        futures_lite::future::or(news, sleep_ms(limit_ms)).await;
+    /// Completes with the next news for peers.
+    pub(crate) fn news(&self) -> EventListener {
+        self.news.listen()
+    }
+
+    /// Puts to use what all other daemons run and send, if anything came since the last time.
+    pub(crate) fn use_news(&self) {
+        let Some(mut sum) = self.peers.new_sum() else { return };
+        for upstream in self.directory.load().all() {
+            let engine = sum.engines.remove(upstream.record.name.as_str()).unwrap_or_default();
+            upstream.set_others_generations(engine.generations);
+            upstream.others_runs.store(engine.runs, Ordering::Release);
+            upstream.others_reserved_tokens.store(engine.reserved_tokens, Ordering::Release);
+            upstream.others_prefill_tokens.store(engine.prefill_tokens, Ordering::Release);
+        }
+        let services = sum.services.into_iter();
+        let services = services.map(|(name, traffic)| (Service::from(name), traffic));
+        self.budget.set_others(services.collect());
     }
 
     /// Notes that no daemon hears of the store.
@@ -130,6 +150,7 @@
             slack: settings.retry_slack,
             used_share: USED_SHARE,
         };
+        self.use_news();
         let allowed = self.budget.try_repeat(service, &options, self.clock.now_ms());
         if allowed {
             self.metrics.repeats.inc();
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -6,7 +6,6 @@
 
 use crate::dispatch::Dispatch;
 use crate::follow::Followed;
-use crate::peers::Peers;
 use crate::upstream_state::UpstreamState;
 
 const INTERVAL_MS: u64 = 250;
@@ -19,11 +18,12 @@
 
 /// Asks the engines that run this daemon's generations whether they leave, while the store answers
 /// neither this daemon nor its peers.
-pub(crate) async fn watch(dispatch: Arc<Dispatch>, upstreams: Arc<Followed>, peers: Arc<Peers>) {
+pub(crate) async fn watch(dispatch: Arc<Dispatch>, upstreams: Arc<Followed>) {
     loop {
         sleep_ms(INTERVAL_MS).await;
         let own_age_ms = upstreams.heard_age_ms();
-        let age_ms = peers.store_heard_age_ms().map_or(own_age_ms, |age_ms| age_ms.min(own_age_ms));
+        let age_ms =
+            dispatch.peers.store_heard_age_ms().map_or(own_age_ms, |age_ms| age_ms.min(own_age_ms));
         if age_ms < dispatch.options.store_silence_ms || !upstreams.is_loaded() {
             continue;
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,8 +4,6 @@
 
 use async_channel::Receiver;
 use async_net::UdpSocket;
-use comfreymast_base::Service;
-use comfreymast_decide::fleet_budget::Traffic;
 use comfreymast_net::{
     Body, OwnedConnection, Spawner, collect, empty, full, request, sleep_ms, within,
 };
@@ -19,7 +17,6 @@
 use crate::dispatch::Dispatch;
 use crate::fleet_sum::generation_use;
 use crate::follow::Followed;
-use crate::peers::Peers;
 use crate::roster::Links;
 
 const DATAGRAM_BYTES: usize = 60 * 1024;
@@ -40,7 +37,6 @@
 /// The exchange of news with other daemons.
 pub(crate) struct Exchange {
     pub(crate) dispatch: Arc<Dispatch>,
-    pub(crate) peers: Arc<Peers>,
     pub(crate) operators: Arc<Followed>,
     pub(crate) upstreams: Arc<Followed>,
     pub(crate) socket: UdpSocket,
@@ -70,8 +66,10 @@
 
     fn hear(&self, addr: SocketAddr, news: News) {
         match news.body {
-            Some(news::Body::Heartbeat(heartbeat)) => self.peers.hear(addr, heartbeat),
-            Some(news::Body::Summary(summary)) => self.peers.hear_summary(addr, summary, true),
+            Some(news::Body::Heartbeat(heartbeat)) => self.dispatch.peers.hear(addr, heartbeat),
+            Some(news::Body::Summary(summary)) => {
+                self.dispatch.peers.hear_summary(addr, summary, true)
+            }
             Some(news::Body::Delta(delta)) => match delta.topic() {
                 Topic::Operators => self.operators.take_delta(delta),
                 Topic::Upstreams => self.upstreams.take_delta(delta),
@@ -88,13 +86,15 @@
         let mut sequence = 0;
         let mut operators_behind = Behind::default();
         let mut upstreams_behind = Behind::default();
-        let mut links = self.peers.links();
+        let mut links = self.dispatch.peers.links();
         let mut linked_ms = clock.now_ms();
         let mut summed_ms = 0;
         loop {
             sequence += 1;
+            // Listens from here on, so that no news is missed while this heartbeat is sent.
+            let news = self.dispatch.news();
             if clock.now_ms() - linked_ms >= LINKS_INTERVAL_MS || links.near.is_empty() {
-                links = self.peers.links();
+                links = self.dispatch.peers.links();
                 linked_ms = clock.now_ms();
                 self.dispatch.is_large_fleet.store(links.is_large, Ordering::Release);
             }
@@ -102,26 +102,32 @@
             let is_due = clock.now_ms() - summed_ms >= options.heartbeat_interval_ms;
             let heartbeat = self.heartbeat(started_unix_ms, sequence, is_due);
             if is_due && !links.far.is_empty() {
-                let summary = self.peers.summary(&heartbeat);
+                let summary = self.dispatch.peers.summary(&heartbeat);
                 self.send(news::Body::Summary(summary), &links.far).await;
             }
             if is_due {
                 summed_ms = clock.now_ms();
             }
             self.send(news::Body::Heartbeat(heartbeat), &links.near).await;
-            self.peers.expire(options.peer_silence_ms);
-            self.use_news();
+            self.dispatch.peers.expire(options.peer_silence_ms);
+            self.dispatch.use_news();
+            self.close_idle();
             self.share_reading(&links);
-            let ahead =
-                self.peers.ahead(|daemon| daemon.operators_offset, |dc| dc.operators_offset);
+            let ahead = self
+                .dispatch
+                .peers
+                .ahead(|daemon| daemon.operators_offset, |dc| dc.operators_offset);
             operators_behind.check(&self.dispatch, &self.operators, ahead, "/peer/operators");
-            let ahead =
-                self.peers.ahead(|daemon| daemon.upstreams_offset, |dc| dc.upstreams_offset);
+            let ahead = self
+                .dispatch
+                .peers
+                .ahead(|daemon| daemon.upstreams_offset, |dc| dc.upstreams_offset);
             upstreams_behind.check(&self.dispatch, &self.upstreams, ahead, "/peer/upstreams");
             let spacing_ms = SPACING_MS_PER_PEER * links.near.len() as u64;
             sleep_ms(spacing_ms).await;
             let rest_ms = options.heartbeat_interval_ms.saturating_sub(spacing_ms);
-            self.dispatch.news_within(rest_ms).await;
+            // An error means that nothing new came.
+            let _ = within(rest_ms, news).await;
         }
     }
 
@@ -129,7 +135,7 @@
     /// closes.
     pub(crate) async fn push(self: Arc<Self>, read: Receiver<TopicDelta>) {
         while let Ok(delta) = read.recv().await {
-            let links = self.peers.links();
+            let links = self.dispatch.peers.links();
             let is_short = delta.encoded_len() <= MOST_PUSHED_BYTES;
             if links.is_large && is_short {
                 self.send(news::Body::Delta(delta), &links.near).await;
@@ -165,7 +171,7 @@
                 requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
                 repeats: u32::try_from(traffic.repeats).unwrap_or(u32::MAX),
             });
-        let own = self.peers.own_member();
+        let own = self.dispatch.peers.own_member();
         Heartbeat {
             daemon: own.daemon,
             data_centre: own.data_centre,
@@ -175,11 +181,11 @@
             upstreams_offset: offset_if_loaded(&self.upstreams),
             engines: engines.collect(),
             services: services.collect(),
-            members: self.peers.some_members(sequence, TOLD_MEMBERS),
+            members: self.dispatch.peers.some_members(sequence, TOLD_MEMBERS),
             store_answers: self.operators.answers() && self.upstreams.answers(),
             store_heard_age_ms: self.upstreams.heard_age_ms(),
             // News from afar is passed on at the usual pace, not with each of our own.
-            summaries: if is_due { self.peers.first_hand() } else { Vec::new() },
+            summaries: if is_due { self.dispatch.peers.first_hand() } else { Vec::new() },
         }
     }
 
@@ -189,7 +195,7 @@
     fn share_reading(&self, links: &Links) {
         let options = &self.dispatch.options;
         let readers = if links.is_large { options.readers_of_large } else { options.readers };
-        let is_reader = self.peers.readers_before() < readers;
+        let is_reader = self.dispatch.peers.readers_before() < readers;
         let wait_ms = match (is_reader, links.is_large) {
             (true, _) => options.reader_wait_ms,
             (false, false) => options.store_wait_ms,
@@ -199,21 +205,12 @@
         self.upstreams.set_wait_ms(wait_ms);
     }
 
-    /// Puts to use what all other daemons run and send.
-    fn use_news(&self) {
-        let mut sum = self.peers.sum();
+    /// Closes connections to upstreams that were kept too long.
+    fn close_idle(&self) {
+        let now_ms = self.dispatch.clock.now_ms();
         for upstream in self.dispatch.directory.load().all() {
-            let engine = sum.engines.remove(upstream.record.name.as_str()).unwrap_or_default();
-            upstream.set_others_generations(engine.generations);
-            upstream.others_runs.store(engine.runs, Ordering::Release);
-            upstream.others_reserved_tokens.store(engine.reserved_tokens, Ordering::Release);
-            upstream.others_prefill_tokens.store(engine.prefill_tokens, Ordering::Release);
-            upstream.pool.expire(self.dispatch.clock.now_ms());
+            upstream.pool.expire(now_ms);
         }
-        let services = sum.services.into_iter();
-        let services =
-            services.map(|(name, traffic): (String, Traffic)| (Service::from(name), traffic));
-        self.dispatch.budget.set_others(services.collect());
     }
 
     /// Answers requests of peers and scrapers.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,7 +6,6 @@
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
-use comfreymast_decide::links::Member;
 use comfreymast_net::{Spawner, empty, handler, sleep_ms, within};
 use comfreymast_platform::{
     CONFIGURATION_KEY, READY_PATH, StoreClient, Topic, VmSettings, decode_configuration,
@@ -21,7 +20,6 @@
 use crate::exchange::Exchange;
 use crate::feed::FeedChange;
 use crate::follow::{Followed, follow};
-use crate::peers::Peers;
 use crate::server::{ConnectionLimits, Server};
 use crate::{GatewayOptions, engine_watch, front};
 
@@ -90,18 +88,16 @@
         store:% = settings.store_addr; "daemon started");
 
     let store_addr = settings.store_addr;
-    let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
-    let peers = Arc::new(Peers::new(clock.clone(), me, settings.peers_addr));
-    for addr in &settings.seed_addrs {
-        peers.seed(*addr);
-    }
+    let seeds = settings.seed_addrs.clone();
     let dispatch = Arc::new(Dispatch::new(spawner.clone(), clock, settings, options));
+    for addr in seeds {
+        dispatch.peers.seed(addr);
+    }
     let (read, reads) = async_channel::bounded(WAITING_READS);
     let operators = follow_operators(&dispatch, read.clone());
     let upstreams = follow_upstreams(&dispatch, read);
     let exchange = Arc::new(Exchange {
         dispatch: dispatch.clone(),
-        peers: peers.clone(),
         operators: operators.clone(),
         upstreams: upstreams.clone(),
         socket,
@@ -113,11 +109,11 @@
     let _tasks = [
         spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
-        spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone(), peers.clone())),
+        spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone())),
         spawner.spawn(exchange.clone().listen()),
         spawner.spawn(exchange.clone().speak()),
         spawner.spawn(exchange.clone().push(reads)),
-        spawner.spawn(announce(dispatch.clone(), peers)),
+        spawner.spawn(announce(dispatch.clone())),
         spawner.spawn(watch_settings(dispatch.clone(), settings_path, reload)),
         spawner.spawn(ready_server(&dispatch, &operators, &upstreams, balancer_stop).run(balancer)),
         spawner.spawn(peer_server(&dispatch, &exchange, peers_stop).run(peers_listener)),
@@ -210,11 +206,11 @@
 }
 
 /// Writes this daemon's address to the store and reads those of the others, until both are done.
-async fn announce(dispatch: Arc<Dispatch>, peers: Arc<Peers>) {
+async fn announce(dispatch: Arc<Dispatch>) {
     const PAUSE_MS: u64 = 500;
     let settings = dispatch.settings.load_full();
     let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
-    let own = peers.own_member().encode_to_vec();
+    let own = dispatch.peers.own_member().encode_to_vec();
     loop {
         let put = client.put(Topic::Daemons, settings.name.as_str(), &own).await;
         let newest = match put {
@@ -226,7 +222,7 @@
                 let values = newest.records.into_iter().filter_map(|record| record.value);
                 let members: Vec<_> =
                     values.filter_map(|value| NewsMember::decode(value).ok()).collect();
-                peers.meet(&members);
+                dispatch.peers.meet(&members);
                 return;
             }
             Err(error) => {
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -91,6 +91,7 @@
     }
 
     fn turn_ms(&self) -> u64 {
+        self.dispatch.use_news();
         let runs = self.source.all_generations();
         let copy_ms = |tokens| self.spec.copy_ms(tokens);
         turn_ms(&runs, self.key, copy_ms, &EvacuationOptions::default())
--- a/crates/gateway/src/generation/placing.rs
+++ b/crates/gateway/src/generation/placing.rs
@@ -23,6 +23,7 @@
     near: &DataCentre,
     excluded: &[Upstream],
 ) -> Option<Arc<UpstreamState>> {
+    dispatch.use_news();
     let upstreams = dispatch.directory.load();
     let open: Vec<_> = upstreams
         .of_service(service)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use comfreymast_base::Clock;
@@ -18,6 +19,8 @@
     clock: Clock,
     me: Member,
     own_addr: SocketAddr,
+    /// True when something was heard since the last sum.
+    has_news: AtomicBool,
     table: Mutex<Table>,
 }
 
@@ -48,7 +51,7 @@
 impl Peers {
     /// No peers yet of the daemon `me`, which listens at `own_addr`.
     pub(crate) fn new(clock: Clock, me: Member, own_addr: SocketAddr) -> Self {
-        Self { clock, me, own_addr, table: Mutex::default() }
+        Self { clock, me, own_addr, has_news: AtomicBool::new(true), table: Mutex::default() }
     }
 
     /// Takes in an address at which a daemon may listen.
@@ -119,6 +122,7 @@
                 "peer heard");
         }
         table.by_name.insert(name, Peer { addr, heard_ms: now_ms, heartbeat });
+        self.has_news.store(true, Ordering::Release);
     }
 
     /// Takes in the word of another data centre; an older one changes nothing.
@@ -135,6 +139,7 @@
         }
         let told = Told { addr, heard_ms: now_ms, is_first_hand, summary };
         table.summaries.insert(told.summary.data_centre.clone(), told);
+        self.has_news.store(true, Ordering::Release);
     }
 
     /// Drops peers that were not heard for `silence_ms`, and data centres that were not.
@@ -144,6 +149,7 @@
         table.by_name.retain(|name, peer| {
             let is_alive = now_ms.saturating_sub(peer.heard_ms) < silence_ms;
             if !is_alive {
+                self.has_news.store(true, Ordering::Release);
                 log::info!(target: "comfreymast", code = 1502, peer = name.as_str();
                     "peer silent");
             }
@@ -152,8 +158,11 @@
         table.summaries.retain(|_, told| now_ms.saturating_sub(told.heard_ms) < SUMMARY_SILENCE_MS);
     }
 
-    /// What all other daemons run and send.
-    pub(crate) fn sum(&self) -> FleetSum {
+    /// What all other daemons run and send; `None` when nothing was heard since the last time.
+    pub(crate) fn new_sum(&self) -> Option<FleetSum> {
+        if !self.has_news.swap(false, Ordering::AcqRel) {
+            return None;
+        }
         let table = self.table();
         let mut sum = FleetSum::default();
         for peer in table.by_name.values() {
@@ -162,7 +171,7 @@
         for told in table.summaries.values() {
             sum.add(&told.summary.engines, &told.summary.services);
         }
-        sum
+        Some(sum)
     }
 
     /// The word of this data centre for others: `own` and what its other daemons say.
