--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -131,39 +131,44 @@
 
     fn take_newest(&self, newest: Newest) {
         let mut feed = self.feed();
+        let (was_loaded, from_offset) = (feed.is_loaded(), feed.next_offset());
         let changes = feed.replace(newest.records, newest.end);
+        if was_loaded {
+            let records = changes.iter().map(|change| TopicRecord {
+                key: change.key.clone(),
+                // The records between are gone, so what they came to is told as one change.
+                offset: newest.end.saturating_sub(1),
+                value: change.value.clone().unwrap_or_default(),
+            });
+            self.pass_on(from_offset, newest.end, records.collect());
+        }
         self.publish(&feed, &changes);
     }
 
     fn take_page(&self, page: Page) {
-        if let Some(delta) = self.delta(&page) {
-            // Peers that miss this one notice from heartbeats that they are behind.
-            let _ = self.read.try_send(delta);
-        }
+        let records = page.records.iter().map(|record| TopicRecord {
+            key: record.key.clone(),
+            offset: record.offset,
+            value: record.value.clone().unwrap_or_default(),
+        });
+        self.pass_on(self.next_offset(), page.next, records.collect());
         let mut feed = self.feed();
         let changes = feed.apply(page.records, page.next);
         self.publish(&feed, &changes);
     }
 
-    fn delta(&self, page: &Page) -> Option<TopicDelta> {
+    /// Gives peers what was read of the store. Those that miss it notice from heartbeats that they
+    /// are behind.
+    fn pass_on(&self, from_offset: u64, next_offset: u64, records: Vec<TopicRecord>) {
         let topic = match self.topic {
             Topic::Operators => news::Topic::Operators,
             Topic::Upstreams => news::Topic::Upstreams,
-            Topic::Daemons => return None,
+            Topic::Daemons => return,
         };
-        let records = page.records.iter().map(|record| TopicRecord {
-            key: record.key.clone(),
-            offset: record.offset,
-            value: record.value.clone().unwrap_or_default(),
-        });
-        let records: Vec<_> = records.collect();
-        let from_offset = self.next_offset();
-        (page.next > from_offset).then_some(TopicDelta {
-            topic: topic.into(),
-            from_offset,
-            next_offset: page.next,
-            records,
-        })
+        if next_offset > from_offset {
+            let delta = TopicDelta { topic: topic.into(), from_offset, next_offset, records };
+            let _ = self.read.try_send(delta);
+        }
     }
 
     /// Runs under the feed's lock, so that changes are put in force in order.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -216,7 +216,8 @@
         told.map(|told| told.summary.clone()).collect()
     }
 
-    /// The peer or data centre that knows most of a topic, and how far it is.
+    /// A peer or data centre that knows most of a topic, and how far it is. One of several is drawn
+    /// at random, so that not all daemons that are behind ask the same.
     pub(crate) fn ahead(
         &self,
         of_daemon: impl Fn(&Heartbeat) -> u64,
@@ -226,7 +227,7 @@
         let daemons = table.by_name.values().map(|peer| (peer.addr, of_daemon(&peer.heartbeat)));
         let centres =
             table.summaries.values().map(|told| (told.addr, of_data_centre(&told.summary)));
-        daemons.chain(centres).max_by_key(|(_, offset)| *offset)
+        daemons.chain(centres).max_by_key(|(_, offset)| (*offset, rand::random::<u32>()))
     }
 
     /// The time since the store last answered any living peer; `None` without peers.
