--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,19 +7,16 @@
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
 use comfreymast_net::{Spawner, empty, handler, sleep_ms, within};
-use comfreymast_platform::{
-    CONFIGURATION_KEY, READY_PATH, StoreClient, Topic, VmSettings, decode_configuration,
-    decode_upstream,
-};
-use comfreymast_wire::news::{Member as NewsMember, TopicDelta};
+use comfreymast_platform::{READY_PATH, StoreClient, Topic, VmSettings};
+use comfreymast_wire::news::Member;
 use derive_more::{Display, Error};
 use hyper::{Response, StatusCode};
 use prost::Message;
 
 use crate::dispatch::Dispatch;
 use crate::exchange::Exchange;
-use crate::feed::FeedChange;
 use crate::follow::{Followed, follow};
+use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
 use crate::{GatewayOptions, engine_watch, front};
 
@@ -48,8 +45,6 @@
 const PEER_HEAD_BYTES: usize = 16 * 1024;
 /// Reads of the store that wait to be passed on to peers.
 const WAITING_READS: usize = 64;
-/// How long after the store was silent a vanished entry may have lapsed because of it.
-const LAPSE_WINDOW_MS: u64 = 2_000;
 /// Left between the last request and the end that the platform puts to the process.
 const STOP_MARGIN_MS: u64 = 150;
 
@@ -136,75 +131,6 @@
     drop(accepting);
 }
 
-fn follow_operators(dispatch: &Arc<Dispatch>, read: Sender<TopicDelta>) -> Arc<Followed> {
-    let target = dispatch.clone();
-    let on_change = move |changes: &[FeedChange]| {
-        for change in changes.iter().filter(|change| change.key == CONFIGURATION_KEY) {
-            let Some(value) = &change.value else { continue };
-            match decode_configuration(value) {
-                Ok(configuration) => target.put_in_force(configuration),
-                Err(error) => {
-                    log::error!(target: "comfreymast", code = 1204, error:%; "configuration skipped");
-                }
-            }
-        }
-    };
-    let wait_ms = dispatch.options.store_wait_ms;
-    Arc::new(Followed::new(
-        Topic::Operators,
-        dispatch.clock.clone(),
-        wait_ms,
-        Box::new(on_change),
-        read,
-    ))
-}
-
-fn follow_upstreams(dispatch: &Arc<Dispatch>, read: Sender<TopicDelta>) -> Arc<Followed> {
-    Arc::new_cyclic(|followed: &std::sync::Weak<Followed>| {
-        let target = dispatch.clone();
-        let followed = followed.clone();
-        let on_change = move |changes: &[FeedChange]| {
-            for change in changes {
-                match &change.value {
-                    Some(value) => take_upstream(&target, &change.key, value),
-                    None => drop_upstream(&target, &followed, &change.key),
-                }
-            }
-        };
-        let wait_ms = dispatch.options.store_wait_ms;
-        Followed::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, Box::new(on_change), read)
-    })
-}
-
-fn take_upstream(dispatch: &Dispatch, key: &str, value: &[u8]) {
-    match decode_upstream(key, value) {
-        Ok(record) => dispatch.directory.insert(record),
-        Err(error) => {
-            log::warn!(target: "comfreymast", code = 1304, upstream = key, error:%; "entry skipped");
-            dispatch.directory.remove(key);
-        }
-    }
-}
-
-/// Takes an upstream out, at once or, when its entry may have lapsed with the store's outage, after
-/// the time in which a living upstream would be back.
-fn drop_upstream(dispatch: &Arc<Dispatch>, followed: &std::sync::Weak<Followed>, key: &str) {
-    let Some(strong) = followed.upgrade() else { return };
-    if !dispatch.was_store_silent(LAPSE_WINDOW_MS) {
-        dispatch.directory.remove(key);
-        return;
-    }
-    log::info!(target: "comfreymast", code = 1305, upstream = key; "entry may have lapsed with the store");
-    let dispatch_later = dispatch.clone();
-    let key = key.to_owned();
-    dispatch.spawner.detach(async move {
-        sleep_ms(dispatch_later.options.lapse_grace_ms).await;
-        if !strong.has(&key) {
-            dispatch_later.directory.remove(&key);
-        }
-    });
-}
-
 /// Writes this daemon's address to the store and reads those of the others, until both are done.
 async fn announce(dispatch: Arc<Dispatch>) {
     const PAUSE_MS: u64 = 500;
@@ -221,7 +147,7 @@
             Ok(newest) => {
                 let values = newest.records.into_iter().filter_map(|record| record.value);
                 let members: Vec<_> =
-                    values.filter_map(|value| NewsMember::decode(value).ok()).collect();
+                    values.filter_map(|value| Member::decode(value).ok()).collect();
                 dispatch.peers.meet(&members);
                 return;
             }
--- /dev/null
+++ b/crates/gateway/src/generation/continuation.rs
@@ -0,0 +1,150 @@
+use std::sync::Arc;
+
+use comfreymast_decide::placement::PlacementOptions;
+use comfreymast_fleet::Repeat;
+use comfreymast_net::within;
+use comfreymast_platform::Origin;
+use http_body_util::BodyExt;
+
+use super::mover::Moved;
+use super::placing::place;
+use super::relay::{Relay, Source};
+use super::reservation::Reservation;
+use crate::metrics::MoveLabels;
+use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::upstream_state::UpstreamState;
+
+/// How long events are still read from a stream whose generation was stopped.
+const STOPPED_READ_MS: u64 = 60;
+/// How long an engine may take to go on with a generation.
+const CONTINUE_LIMIT_MS: u64 = 1_500;
+
+/// Going on with a stream at another upstream.
+impl Relay {
+    /// Goes on with a generation that was stopped on the engine it leaves.
+    pub(super) async fn go_on(&mut self, moved: Moved, mut source: Source) -> Option<Source> {
+        let started_ms = self.dispatch.clock.now_ms();
+        let leaving = self.upstream.clone();
+        let (candidates, origin, events) = match moved {
+            Moved::Arrived { target, reservation, origin, events } => {
+                self.reservation = reservation;
+                self.list();
+                self.dispatch.tell_peers();
+                (vec![target, leaving.clone()], origin, events)
+            }
+            Moved::Kept { origin } => (vec![leaving.clone()], origin, self.last_event.unwrap_or(0)),
+            Moved::Stays(_) => return None,
+        };
+        self.read_stopped(&mut source, events).await?;
+        drop(source);
+        for target in candidates {
+            self.dispatch.budget.repeat(&self.service, self.dispatch.clock.now_ms());
+            match self.continue_at(&target, Some(&origin)).await {
+                Ok(next) => {
+                    self.upstream = target;
+                    self.moves += 1;
+                    let pause_ms = self.dispatch.clock.now_ms() - started_ms;
+                    self.log_moved(&leaving, pause_ms);
+                    return Some(next);
+                }
+                Err(failure) => self.log_not_continued(&target, failure),
+            }
+        }
+        None
+    }
+
+    /// Reads the events that a stopped generation had still made.
+    async fn read_stopped(&mut self, source: &mut Source, events: u64) -> Option<()> {
+        let started_ms = self.dispatch.clock.now_ms();
+        while self.last_event.unwrap_or(0) < events {
+            let waited_ms = self.dispatch.clock.now_ms() - started_ms;
+            let left_ms = STOPPED_READ_MS.saturating_sub(waited_ms);
+            match within(left_ms, source.body.frame()).await {
+                Ok(Some(Ok(frame))) => {
+                    let bytes = frame.into_data().unwrap_or_default();
+                    self.deliver(&bytes).await.ok()?;
+                }
+                _ => break,
+            }
+        }
+        // What is left is a part of an event, which comes again.
+        let _ = self.splitter.rest();
+        Some(())
+    }
+
+    /// Goes on with a stream that broke off, where its kind allows that.
+    pub(super) async fn resume(&mut self) -> Option<Source> {
+        let _ = self.splitter.rest();
+        let mut tried = vec![self.upstream.record.name.clone()];
+        let is_allowed = self.call.route.repeat == Repeat::Resumable;
+        while is_allowed && self.runs < self.call.route.max_attempts {
+            if !self.dispatch.try_repeat(&self.service) {
+                return None;
+            }
+            let options = PlacementOptions::default();
+            let need_tokens = self.need_tokens();
+            let target = place(
+                &self.dispatch,
+                &self.service,
+                &self.spec,
+                need_tokens,
+                &options,
+                &self.dispatch.settings.load().data_centre,
+                &tried,
+            )?;
+            tried.push(target.record.name.clone());
+            let reservation = Reservation::new(&target, self.key, need_tokens);
+            match self.continue_at(&target, None).await {
+                Ok(next) => {
+                    self.runs += 1;
+                    self.reservation = reservation;
+                    self.upstream = target;
+                    return Some(next);
+                }
+                Err(failure) => {
+                    self.log_not_continued(&target, failure);
+                    if matches!(failure, SendFailure::Lost(_)) {
+                        self.runs += 1;
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    async fn continue_at(
+        &self,
+        target: &Arc<UpstreamState>,
+        origin: Option<&Origin>,
+    ) -> Result<Source, SendFailure> {
+        let left_ms = self.call.left_ms(&self.dispatch.clock);
+        let options = SendOptions {
+            limit_ms: if origin.is_some() { left_ms.min(CONTINUE_LIMIT_MS) } else { left_ms },
+            priority: Some(self.call.priority()),
+            last_event: self.last_event,
+            origin,
+        };
+        let sent = send(&self.dispatch, &self.call, target, &options).await?;
+        if !sent.parts.status.is_success() || !sent.answer.is_signed || sent.answer.is_encoded {
+            return Err(SendFailure::Lost("stream was not continued"));
+        }
+        let Sent { connection, answer, body, outstanding, .. } = sent;
+        Ok(Source { body, connection, answer, _outstanding: outstanding })
+    }
+
+    fn log_moved(&self, leaving: &UpstreamState, pause_ms: u64) {
+        const MS_PER_S: f64 = 1_000.0;
+        self.dispatch.metrics.moves.get_or_create(&MoveLabels { outcome: "moved" }).inc();
+        self.dispatch.metrics.move_pause_s.observe(pause_ms as f64 / MS_PER_S);
+        let since_notice_ms = leaving.since_notice_ms(self.dispatch.clock.now_ms());
+        log::info!(target: "comfreymast", code = 1405, request = &*self.call.head.id,
+            upstream = leaving.record.name.as_str(), to = self.upstream.record.name.as_str(),
+            pause_ms, since_notice_ms, events = self.events; "generation moved");
+    }
+
+    fn log_not_continued(&self, target: &UpstreamState, failure: SendFailure) {
+        log::warn!(target: "comfreymast", code = 1406, request = &*self.call.head.id,
+            upstream = target.record.name.as_str(), failure:?, last_event:? = self.last_event;
+            "stream not continued");
+    }
+}
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -1,88 +1,55 @@
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
 use comfreymast_base::Service;
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::{EngineSpec, Repeat};
-use comfreymast_net::{Body, BodyError, OwnedConnection, sleep_ms, within};
-use comfreymast_platform::{AnswerHead, Origin, PromptShape};
-use futures_lite::{Stream, future};
-use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Frame, Incoming};
+use comfreymast_net::{BodyError, OwnedConnection, sleep_ms};
+use comfreymast_platform::{AnswerHead, PromptShape};
+use futures_lite::future;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
 
 use super::events::EventSplitter;
 use super::mover::{Moved, Moving};
-use super::placing::place;
+use super::relay_body::Chunk;
 use super::reservation::{Reservation, expected_tokens, generation_key};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::metrics::MoveLabels;
-use crate::send::{Outstanding, SendFailure, SendOptions, Sent, send};
+use crate::send::{Outstanding, Sent};
 use crate::upstream_state::UpstreamState;
 
-type Chunk = Result<Bytes, BodyError>;
-
-/// How long events are still read from a stream whose generation was stopped.
-const STOPPED_READ_MS: u64 = 60;
-/// How long an engine may take to go on with a generation.
-const CONTINUE_LIMIT_MS: u64 = 1_500;
-
-/// The body that a caller reads. Dropping it ends the relay, and with it the upstream's work.
-pub(super) struct RelayBody {
-    chunks: Pin<Box<Receiver<Chunk>>>,
-    _relay: Task<()>,
-}
-
-impl RelayBody {
-    /// The body made of `chunks`, which `relay` sends.
-    pub(super) fn body(chunks: Receiver<Chunk>, relay: Task<()>) -> Body {
-        BodyExt::boxed_unsync(StreamBody::new(Self { chunks: Box::pin(chunks), _relay: relay }))
-    }
-}
-
-impl Stream for RelayBody {
-    type Item = Result<Frame<Bytes>, BodyError>;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.chunks
-            .as_mut()
-            .poll_next(context)
-            .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-    }
-}
-
 /// One stream on its way from an upstream to its caller.
 pub(super) struct Relay {
-    dispatch: Arc<Dispatch>,
-    call: Arc<Call>,
-    service: Service,
-    spec: EngineSpec,
-    shape: PromptShape,
-    upstream: Arc<UpstreamState>,
-    reservation: Reservation,
-    key: u32,
-    started_unix_ms: u64,
-    chunks: Sender<Chunk>,
-    splitter: EventSplitter,
-    last_event: Option<u64>,
-    events: u64,
-    may_move: bool,
-    runs: u32,
-    last_event_ms: u64,
-    longest_pause_ms: u64,
-    moves: u32,
+    pub(super) dispatch: Arc<Dispatch>,
+    pub(super) call: Arc<Call>,
+    pub(super) service: Service,
+    pub(super) spec: EngineSpec,
+    pub(super) shape: PromptShape,
+    pub(super) upstream: Arc<UpstreamState>,
+    pub(super) reservation: Reservation,
+    pub(super) key: u32,
+    pub(super) started_unix_ms: u64,
+    pub(super) chunks: Sender<Chunk>,
+    pub(super) splitter: EventSplitter,
+    pub(super) last_event: Option<u64>,
+    pub(super) events: u64,
+    pub(super) may_move: bool,
+    pub(super) runs: u32,
+    pub(super) last_event_ms: u64,
+    pub(super) longest_pause_ms: u64,
+    pub(super) moves: u32,
 }
 
 /// An open stream of an upstream.
-struct Source {
-    body: Incoming,
-    connection: OwnedConnection,
-    answer: AnswerHead,
-    _outstanding: Outstanding,
+pub(super) struct Source {
+    pub(super) body: Incoming,
+    pub(super) connection: OwnedConnection,
+    pub(super) answer: AnswerHead,
+    pub(super) _outstanding: Outstanding,
 }
 
 /// What happens next to a stream.
@@ -249,7 +216,7 @@
     }
 
     /// Lists the generation for its turn when the engine goes, if it would move.
-    fn list(&self) {
+    pub(super) fn list(&self) {
         if self.may_move {
             self.reservation.list(self.run_view());
         }
@@ -263,12 +230,12 @@
         self.shape.prompt_tokens + self.events * u64::from(self.spec.tokens_per_event)
     }
 
-    fn need_tokens(&self) -> u64 {
+    pub(super) fn need_tokens(&self) -> u64 {
         expected_tokens(&self.shape, self.events * u64::from(self.spec.tokens_per_event))
     }
 
     /// Passes on the whole events that `bytes` complete.
-    async fn deliver(&mut self, bytes: &[u8]) -> Result<(), Interrupted> {
+    pub(super) async fn deliver(&mut self, bytes: &[u8]) -> Result<(), Interrupted> {
         self.splitter.push(bytes);
         while let Some(event) = self.splitter.next_event() {
             let is_repeated = match (event.id, self.last_event) {
@@ -297,117 +264,6 @@
         self.chunks.send(Ok(bytes)).await.map_err(|_| Interrupted::CallerGone)
     }
 
-    /// Goes on with a generation that was stopped on the engine it leaves.
-    async fn go_on(&mut self, moved: Moved, mut source: Source) -> Option<Source> {
-        let started_ms = self.dispatch.clock.now_ms();
-        let leaving = self.upstream.clone();
-        let (candidates, origin, events) = match moved {
-            Moved::Arrived { target, reservation, origin, events } => {
-                self.reservation = reservation;
-                self.list();
-                self.dispatch.tell_peers();
-                (vec![target, leaving.clone()], origin, events)
-            }
-            Moved::Kept { origin } => (vec![leaving.clone()], origin, self.last_event.unwrap_or(0)),
-            Moved::Stays(_) => return None,
-        };
-        self.read_stopped(&mut source, events).await?;
-        drop(source);
-        for target in candidates {
-            self.dispatch.budget.repeat(&self.service, self.dispatch.clock.now_ms());
-            match self.continue_at(&target, Some(&origin)).await {
-                Ok(next) => {
-                    self.upstream = target;
-                    self.moves += 1;
-                    let pause_ms = self.dispatch.clock.now_ms() - started_ms;
-                    self.log_moved(&leaving, pause_ms);
-                    return Some(next);
-                }
-                Err(failure) => self.log_not_continued(&target, failure),
-            }
-        }
-        None
-    }
-
-    /// Reads the events that a stopped generation had still made.
-    async fn read_stopped(&mut self, source: &mut Source, events: u64) -> Option<()> {
-        let started_ms = self.dispatch.clock.now_ms();
-        while self.last_event.unwrap_or(0) < events {
-            let waited_ms = self.dispatch.clock.now_ms() - started_ms;
-            let left_ms = STOPPED_READ_MS.saturating_sub(waited_ms);
-            match within(left_ms, source.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    self.deliver(&bytes).await.ok()?;
-                }
-                _ => break,
-            }
-        }
-        // What is left is a part of an event, which comes again.
-        let _ = self.splitter.rest();
-        Some(())
-    }
-
-    /// Goes on with a stream that broke off, where its kind allows that.
-    async fn resume(&mut self) -> Option<Source> {
-        let _ = self.splitter.rest();
-        let mut tried = vec![self.upstream.record.name.clone()];
-        let is_allowed = self.call.route.repeat == Repeat::Resumable;
-        while is_allowed && self.runs < self.call.route.max_attempts {
-            if !self.dispatch.try_repeat(&self.service) {
-                return None;
-            }
-            let options = comfreymast_decide::placement::PlacementOptions::default();
-            let need_tokens = self.need_tokens();
-            let target = place(
-                &self.dispatch,
-                &self.service,
-                &self.spec,
-                need_tokens,
-                &options,
-                &self.dispatch.settings.load().data_centre,
-                &tried,
-            )?;
-            tried.push(target.record.name.clone());
-            let reservation = Reservation::new(&target, self.key, need_tokens);
-            match self.continue_at(&target, None).await {
-                Ok(next) => {
-                    self.runs += 1;
-                    self.reservation = reservation;
-                    self.upstream = target;
-                    return Some(next);
-                }
-                Err(failure) => {
-                    self.log_not_continued(&target, failure);
-                    if matches!(failure, SendFailure::Lost(_)) {
-                        self.runs += 1;
-                    }
-                }
-            }
-        }
-        None
-    }
-
-    async fn continue_at(
-        &self,
-        target: &Arc<UpstreamState>,
-        origin: Option<&Origin>,
-    ) -> Result<Source, SendFailure> {
-        let left_ms = self.call.left_ms(&self.dispatch.clock);
-        let options = SendOptions {
-            limit_ms: if origin.is_some() { left_ms.min(CONTINUE_LIMIT_MS) } else { left_ms },
-            priority: Some(self.call.priority()),
-            last_event: self.last_event,
-            origin,
-        };
-        let sent = send(&self.dispatch, &self.call, target, &options).await?;
-        if !sent.parts.status.is_success() || !sent.answer.is_signed || sent.answer.is_encoded {
-            return Err(SendFailure::Lost("stream was not continued"));
-        }
-        let Sent { connection, answer, body, outstanding, .. } = sent;
-        Ok(Source { body, connection, answer, _outstanding: outstanding })
-    }
-
     /// Ends the caller's stream so that it does not look complete.
     async fn cut(self, reason: &str) {
         // A caller who is gone needs no word.
@@ -429,26 +285,10 @@
             upstream = self.upstream.record.name.as_str(), outcome, reason, since_notice_ms,
             events = self.events; "generation does not move");
     }
-
-    fn log_moved(&self, leaving: &UpstreamState, pause_ms: u64) {
-        const MS_PER_S: f64 = 1_000.0;
-        self.dispatch.metrics.moves.get_or_create(&MoveLabels { outcome: "moved" }).inc();
-        self.dispatch.metrics.move_pause_s.observe(pause_ms as f64 / MS_PER_S);
-        let since_notice_ms = leaving.since_notice_ms(self.dispatch.clock.now_ms());
-        log::info!(target: "comfreymast", code = 1405, request = &*self.call.head.id,
-            upstream = leaving.record.name.as_str(), to = self.upstream.record.name.as_str(),
-            pause_ms, since_notice_ms, events = self.events; "generation moved");
-    }
-
-    fn log_not_continued(&self, target: &UpstreamState, failure: SendFailure) {
-        log::warn!(target: "comfreymast", code = 1406, request = &*self.call.head.id,
-            upstream = target.record.name.as_str(), failure:?, last_event:? = self.last_event;
-            "stream not continued");
-    }
 }
 
 /// Why a relay from one upstream ended before the stream did.
-enum Interrupted {
+pub(super) enum Interrupted {
     Moved(Moved),
     Broken,
     TimeUp,
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -11,7 +11,8 @@
 use hyper::header::CONTENT_LENGTH;
 
 use super::placing::place;
-use super::relay::{Relay, RelayBody};
+use super::relay::Relay;
+use super::relay_body::RelayBody;
 use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod peers;
 mod plain;
 mod pool;
+mod records;
 mod roster;
 mod send;
 mod server;
