A fault soak: real daemons, faults from outside, checks of what callers and upstreams see

Change: crates/soak draws faults from a seed (kills, stops, pauses, reloads, links to the store and to upstreams that are delayed, reset or silent, a store and upstreams that misbehave, upstreams that leave, configurations), plays them in series and overlapping against comfreymast serve processes, and checks what callers and upstreams see while they run. It reuses the stand-ins and links of the proofs. Ruled out: clocks, which cannot be set from outside without rights.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_net::TcpListener;
+use comfreymast_base::Clock;
 use comfreymast_net::{
     Body, BodyError, Handler, ServeLimits, Spawner, channel, collect, full, handler, serve,
     sleep_ms,
@@ -71,12 +72,24 @@
     pub after_event: Option<u64>,
     /// The copy from which it went on.
     pub origin: Option<String>,
+    /// When it began, in Unix milliseconds.
+    pub started_unix_ms: u64,
+}
+
+/// One request that an upstream refused without running it.
+#[derive(Clone, Debug)]
+pub struct RefusedRun {
+    /// The caller's identifier.
+    pub id: String,
+    /// When it came, in Unix milliseconds.
+    pub at_unix_ms: u64,
 }
 
 #[derive(Debug, Default)]
 struct State {
     behaviour: UpstreamBehaviour,
     runs: Vec<Run>,
+    refused: Vec<RefusedRun>,
     /// Generations that run, with the events they have made; `None` once stopped.
     generations: BTreeMap<String, Option<u64>>,
     open_streams: usize,
@@ -123,6 +136,20 @@
         self.state().runs.clone()
     }
 
+    /// The requests that it refused, in order; those meant for another upstream are left out.
+    #[must_use]
+    pub fn refused(&self) -> Vec<RefusedRun> {
+        self.state().refused.clone()
+    }
+
+    /// The identifiers of the generations that run on it.
+    #[must_use]
+    pub fn running(&self) -> Vec<String> {
+        let state = self.state();
+        let running = state.generations.iter().filter(|(_, events)| events.is_some());
+        running.map(|(id, _)| id.clone()).collect()
+    }
+
     /// How many streams it is still sending.
     #[must_use]
     pub fn open_streams(&self) -> usize {
@@ -156,7 +183,9 @@
         if header(headers, "x-expect-instance").as_deref() != Some(&*self.name) {
             return not_run(StatusCode::MISDIRECTED_REQUEST);
         }
+        let now_unix_ms = Clock::system().unix_ms();
         if behaviour.refuses {
+            self.state().refused.push(RefusedRun { id, at_unix_ms: now_unix_ms });
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         }
         let after_event = header(headers, "last-event-id").and_then(|id| id.parse().ok());
@@ -167,6 +196,7 @@
             body: body.clone(),
             after_event,
             origin,
+            started_unix_ms: now_unix_ms,
         });
         if behaviour.hangs {
             futures_lite::future::pending::<()>().await;
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -20,7 +20,7 @@
     Back,
 }
 
-/// A TCP link whose open connections can go silent, one way or both, or be cut.
+/// A TCP link whose open connections can be slow, go silent, one way or both, or be cut.
 #[derive(Clone, Debug)]
 pub struct Link {
     /// Where to dial instead of the target.
@@ -37,6 +37,7 @@
     /// Connections with a lower number are cut.
     cut: AtomicU64,
     was_cut: Event,
+    delay_ms: AtomicU64,
 }
 
 impl Link {
@@ -75,6 +76,11 @@
         self.state.silent_from(way).store(u64::MAX, Ordering::Release);
     }
 
+    /// Holds back what the link carries for `delay_ms`, both ways.
+    pub fn delay(&self, delay_ms: u64) {
+        self.state.delay_ms.store(delay_ms, Ordering::Release);
+    }
+
     /// New connections work again.
     pub fn restore(&self) {
         self.silence_open(Way::There);
@@ -123,6 +129,10 @@
         if number < state.silent_from(way).load(Ordering::Acquire) {
             continue;
         }
+        match state.delay_ms.load(Ordering::Acquire) {
+            0 => {}
+            delay_ms => sleep_ms(delay_ms).await,
+        }
         if to.write_all(&chunk[..bytes]).await.is_err() {
             break;
         }
--- a/crates/proof/src/process.rs
+++ b/crates/proof/src/process.rs
@@ -1,6 +1,7 @@
+use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStdout, Command, Stdio};
 
 use derive_more::{Display, Error, From};
 
@@ -52,18 +53,41 @@
     /// # Errors
     ///
     /// [`ProofError::Io`] or [`ProofError::NotStarted`].
-    pub fn start(mut command: Command) -> Result<Self, ProofError> {
+    pub fn start(command: Command) -> Result<Self, ProofError> {
+        Ok(Self::start_unread(command)?.0)
+    }
+
+    /// Starts `command` as [`Process::start`] does, and appends what it says afterwards to the file
+    /// at `log`.
+    ///
+    /// # Errors
+    ///
+    /// [`ProofError::Io`] or [`ProofError::NotStarted`].
+    pub fn start_logged(command: Command, log: &Path) -> Result<Self, ProofError> {
+        let mut file = File::options().create(true).append(true).open(log)?;
+        let (process, unread) = Self::start_unread(command)?;
+        if let Some(mut unread) = unread {
+            // Ends with the process, whose end closes its output.
+            std::thread::spawn(move || std::io::copy(&mut unread, &mut file));
+        }
+        Ok(process)
+    }
+
+    fn start_unread(
+        mut command: Command,
+    ) -> Result<(Self, Option<BufReader<ChildStdout>>), ProofError> {
         let program = command.get_program().to_string_lossy().into_owned();
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
         let mut first_line = String::new();
-        if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut first_line)?;
+        let mut unread = child.stdout.take().map(BufReader::new);
+        if let Some(stdout) = unread.as_mut() {
+            stdout.read_line(&mut first_line)?;
         }
         let mut process = Self { child, first_line: first_line.clone() };
         match first_line.trim_end().strip_prefix("listening on ") {
             Some(listening) => {
                 process.first_line = listening.to_owned();
-                Ok(process)
+                Ok((process, unread))
             }
             None => Err(ProofError::NotStarted { program, said: first_line }),
         }
--- /dev/null
+++ b/crates/soak/src/daemon.rs
@@ -0,0 +1,119 @@
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use comfreymast_proof::{Process, ProofError, program};
+use serde_json::json;
+
+/// How long a daemon is let live after SIGTERM.
+pub(crate) const GRACE_MS: u64 = 5_000;
+pub(crate) const RETRY_RATIO: f64 = 0.2;
+pub(crate) const RETRY_SLACK: f64 = 20.0;
+pub(crate) const RETRY_WINDOW_MS: u64 = 10_000;
+const MS_PER_S: u64 = 1_000;
+
+/// One daemon of the soak, which is started again and again.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    settings: PathBuf,
+    log: PathBuf,
+    running: Mutex<Running>,
+}
+
+#[derive(Debug, Default)]
+struct Running {
+    process: Option<Process>,
+    callers_addr: Option<SocketAddr>,
+    incarnation: u32,
+}
+
+/// Where callers reach a daemon, and in which of its lives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Door {
+    pub(crate) addr: SocketAddr,
+    pub(crate) incarnation: u32,
+}
+
+impl Daemon {
+    /// Writes the settings of daemon `index`, which reaches the store at `store`.
+    pub(crate) fn new(
+        folder: &std::path::Path,
+        index: usize,
+        store: SocketAddr,
+    ) -> Result<Self, ProofError> {
+        let settings = folder.join(format!("daemon-{index}.json"));
+        let file = json!({
+            "node": format!("daemon-{index}"), "ip": "127.0.0.1",
+            "zone": format!("z{}", index % 2), "portRange": [0, 0],
+            "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
+            "platform": { "address": store.to_string() },
+            "bounds": { "graceS": GRACE_MS / MS_PER_S, "retryBudgetRatio": RETRY_RATIO,
+                "budgetSlack": RETRY_SLACK, "budgetWindowS": RETRY_WINDOW_MS / MS_PER_S },
+        });
+        fs::write(&settings, file.to_string())?;
+        let log = folder.join(format!("daemon-{index}.log"));
+        Ok(Self { settings, log, running: Mutex::default() })
+    }
+
+    /// Starts the daemon unless it runs.
+    pub(crate) fn start(&self) -> Result<(), ProofError> {
+        let mut running = self.running();
+        if running.process.is_some() {
+            return Ok(());
+        }
+        let mut command = Command::new(program("comfreymast"));
+        command.arg("serve").arg("--settings").arg(&self.settings);
+        let process = Process::start_logged(command, &self.log)?;
+        let callers = process.listening().split_whitespace();
+        let callers = callers.filter_map(|word| word.strip_prefix("callers=")).next();
+        running.callers_addr = callers.and_then(|addr| addr.parse().ok());
+        running.process = Some(process);
+        running.incarnation += 1;
+        Ok(())
+    }
+
+    /// Kills the daemon, if it runs.
+    pub(crate) fn kill(&self) {
+        let mut running = self.running();
+        running.process = None;
+        running.callers_addr = None;
+    }
+
+    /// Sends a signal, if the daemon runs.
+    pub(crate) fn signal(&self, name: &str) -> Result<(), ProofError> {
+        match &self.running().process {
+            Some(process) => process.signal(name),
+            None => Ok(()),
+        }
+    }
+
+    /// Counts the starts.
+    pub(crate) fn incarnation(&self) -> u32 {
+        self.running().incarnation
+    }
+
+    /// True once the process has ended by itself. Its end is then taken note of.
+    pub(crate) fn has_ended(&self) -> Result<bool, ProofError> {
+        let mut running = self.running();
+        let Some(process) = &mut running.process else { return Ok(true) };
+        let has_ended = process.exit_code()?.is_some();
+        if has_ended {
+            running.process = None;
+            running.callers_addr = None;
+        }
+        Ok(has_ended)
+    }
+
+    /// Where callers reach it, while it runs.
+    pub(crate) fn door(&self) -> Option<Door> {
+        let running = self.running();
+        let incarnation = running.incarnation;
+        running.callers_addr.map(|addr| Door { addr, incarnation })
+    }
+
+    fn running(&self) -> MutexGuard<'_, Running> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/flags.rs
@@ -0,0 +1,24 @@
+//! The command line.
+#![allow(missing_docs, unreachable_pub, clippy::all)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Plays seeds of faults against real daemons and checks what callers and upstreams see.
+    cmd comfreymast-soak {
+        /// The first seed; default is drawn.
+        optional --seed seed: u64
+        /// How many seeds to play, one after another; default 1.
+        optional --seeds seeds: u64
+        /// How long each is played, in seconds; default 10.
+        optional --seconds seconds: u64
+        /// Daemons; default 4.
+        optional --daemons daemons: usize
+        /// Engines; default 4.
+        optional --engines engines: usize
+        /// Also check promises that hold within a time.
+        optional --times
+        /// Where settings and logs go; default is a folder for each seed below the system's.
+        optional --folder folder: PathBuf
+    }
+}
