--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -76,6 +76,8 @@
         cmd serve {
             /// Check the settings and exit.
             optional --check
+            /// A port for metrics alone, 1 to 65535; default is none beside the peers' port.
+            optional --metrics-port metrics_port: u16
             /// The settings file of this VM; default is where the platform says.
             optional --settings settings: PathBuf
         }
--- a/crates/comfreymast/src/serve.rs
+++ b/crates/comfreymast/src/serve.rs
@@ -24,6 +24,7 @@
     install_log(log::LevelFilter::Info)?;
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(Failure::Signals)?;
+    let metrics_port = serve.metrics_port;
     Spawner::run(THREADS, |spawner| async move {
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let (reload, reloads) = async_channel::bounded::<()>(1);
@@ -41,7 +42,7 @@
                 }
             }
         });
-        let options = GatewayOptions::default();
+        let options = GatewayOptions::default().metrics_port(metrics_port);
         comfreymast_gateway::run(
             spawner,
             settings,
--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -18,11 +18,31 @@
     pub slowest_copy: u64,
     /// Time between the first copies of two generations, for the last copy of the earlier one.
     pub gap_ms: u64,
+    /// The time between two requests for a copy when the first decided nothing.
+    pub retry_pause_ms: u64,
+    /// When an engine that does not answer is taken to be gone, from its notice.
+    pub give_up_ms: u64,
+}
+
+impl EvacuationOptions {
+    /// Where news of other daemons' moves comes late: nobody waits for word that an earlier copy
+    /// is done, but for the time that it usually takes.
+    #[must_use]
+    pub fn with_late_news() -> Self {
+        Self { slowest_copy: 1, gap_ms: 10, ..Self::default() }
+    }
 }
 
 impl Default for EvacuationOptions {
     fn default() -> Self {
-        Self { quick_copy_ms: 40, latest_stop_ms: 1_150, slowest_copy: 2, gap_ms: 30 }
+        Self {
+            quick_copy_ms: 40,
+            latest_stop_ms: 1_150,
+            slowest_copy: 2,
+            gap_ms: 30,
+            retry_pause_ms: 30,
+            give_up_ms: 2_600,
+        }
     }
 }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,8 @@
 //! * [`quarantine`] — which request kills the engines that run it.
 //! * [`placement`] — which engine takes a generation, from what all daemons run.
 //! * [`evacuation`] — how a running generation leaves an engine that goes.
+//! * [`move_steps`] — what is asked of that engine, one answer after another.
+//! * [`suspension`] — whether the VM was suspended.
 //! * [`upstream_choice`] — which upstream of a plain service gets a request.
 //! * [`fleet_budget`] — the retry budget that all daemons share.
 //! * [`retry`] — whether a request is tried again, and when a caller should come back.
@@ -31,10 +33,12 @@
 pub mod links;
 pub mod list_guard;
 pub mod membership;
+pub mod move_steps;
 pub mod placement;
 pub mod prefix;
 pub mod quarantine;
 mod queue;
 pub mod retry;
 pub mod routing;
+pub mod suspension;
 pub mod upstream_choice;
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -41,6 +41,8 @@
     pub is_full: bool,
     /// Says in its report that it leaves.
     pub is_leaving: bool,
+    /// The answers to its next copies are lost, though they are made.
+    pub lost_copy_answers: u32,
 }
 
 impl Default for UpstreamBehaviour {
@@ -55,6 +57,7 @@
             breaks_after: None,
             is_full: false,
             is_leaving: false,
+            lost_copy_answers: 0,
         }
     }
 }
@@ -283,6 +286,10 @@
         if order.last {
             *generation = None;
         }
+        if state.behaviour.lost_copy_answers > 0 {
+            state.behaviour.lost_copy_answers -= 1;
+            return crate::reply::lost();
+        }
         let reply = format!("{{\"handle\":\"copy-{}\",\"createdRev\":{events}}}", order.id);
         answer_with(StatusCode::OK, full(reply))
     }
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -19,14 +19,23 @@
 /// Asks the engines that run this daemon's generations whether they leave, while the store answers
 /// neither this daemon nor its peers.
 pub(crate) async fn watch(dispatch: Arc<Dispatch>, upstreams: Arc<Followed>) {
+    let mut is_silent = false;
     loop {
         sleep_ms(INTERVAL_MS).await;
         let own_age_ms = upstreams.heard_age_ms();
         let age_ms =
             dispatch.peers.store_heard_age_ms().map_or(own_age_ms, |age_ms| age_ms.min(own_age_ms));
         if age_ms < dispatch.options.store_silence_ms || !upstreams.is_loaded() {
+            if std::mem::take(&mut is_silent) {
+                log::info!(target: "comfreymast", code = 1207, age_ms, own_age_ms;
+                    "some daemon hears of the store again");
+            }
             continue;
         }
+        if !std::mem::replace(&mut is_silent, true) {
+            log::warn!(target: "comfreymast", code = 1206, age_ms, own_age_ms,
+                offset = upstreams.next_offset(); "no daemon hears of the store");
+        }
         dispatch.note_store_silent();
         for engine in dispatch.directory.load().all() {
             let is_used = engine.reserved_tokens.load(Ordering::Acquire) > 0;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_net::{Body, BodyError, collect, within};
-use comfreymast_platform::CallHead;
+use comfreymast_platform::{CallHead, request_id};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
@@ -15,11 +15,14 @@
 /// Answers one caller's request.
 pub(crate) async fn answer(dispatch: Arc<Dispatch>, request: Request<Incoming>) -> Response<Body> {
     let started_ms = dispatch.clock.now_ms();
+    let id = request_id(request.headers()).map(str::to_owned);
     let mut response = match admit(&dispatch, request, started_ms).await {
         Ok(call) => serve(&dispatch, Arc::new(call)).await,
         Err(error) => {
-            log::info!(target: "comfreymast", code = 1101, status = error.status().as_u16(),
-                error:%; "request not admitted");
+            let known = dispatch.configuration.load();
+            log::info!(target: "comfreymast", code = 1101, request = id.as_deref(),
+                version = known.as_ref().map(|known| known.version),
+                status = error.status().as_u16(), error:%; "request not admitted");
             count(&dispatch, "", error.status().as_str());
             error.response()
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::follow::{Followed, follow};
 use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
-use crate::{GatewayOptions, engine_watch, front};
+use crate::{GatewayOptions, engine_watch, front, suspension_watch};
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
@@ -101,10 +101,16 @@
     // Dropping these tasks and senders at the end of this function ends them.
     let (_balancer_open, balancer_stop) = async_channel::bounded::<()>(1);
     let (_peers_open, peers_stop) = async_channel::bounded::<()>(1);
+    let (_metrics_open, metrics_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
         spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
         spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone())),
+        spawner.spawn(suspension_watch::watch(
+            dispatch.clone(),
+            [operators.clone(), upstreams.clone()],
+        )),
+        spawner.spawn(serve_metrics(dispatch.clone(), exchange.clone(), metrics_stop)),
         spawner.spawn(exchange.clone().listen()),
         spawner.spawn(exchange.clone().speak()),
         spawner.spawn(exchange.clone().push(reads)),
@@ -241,6 +247,20 @@
     Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
 }
 
+/// Serves metrics at a port of their own, where one is asked for.
+async fn serve_metrics(dispatch: Arc<Dispatch>, exchange: Arc<Exchange>, stop: Receiver<()>) {
+    let peers_addr = dispatch.settings.load().peers_addr;
+    let port = dispatch.options.metrics_port.filter(|port| *port != peers_addr.port());
+    let Some(port) = port else { return };
+    match listen(SocketAddr::new(peers_addr.ip(), port)).await {
+        Ok(listener) => peer_server(&dispatch, &exchange, stop).run(listener).await,
+        Err(error) => {
+            log::warn!(target: "comfreymast", code = 1007, error:%;
+                "metrics not served at their port");
+        }
+    }
+}
+
 fn peer_limits() -> ConnectionLimits {
     ConnectionLimits { max_head_bytes: PEER_HEAD_BYTES, head_wait_ms: PEER_CONNECTION_WAIT_MS }
 }
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -91,7 +91,8 @@
                 &options,
                 &self.dispatch.settings.load().data_centre,
                 &tried,
-            )?;
+            )?
+            .upstream;
             tried.push(target.record.name.clone());
             let reservation = Reservation::new(&target, self.key, need_tokens);
             match self.continue_at(&target, None).await {
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use comfreymast_base::{Service, Upstream};
-use comfreymast_decide::evacuation::{EvacuationOptions, NextCopy, next_copy, turn_ms};
+use comfreymast_decide::evacuation::{EvacuationOptions, turn_ms};
+use comfreymast_decide::move_steps::{CopyOutcome, MoveProgress, MoveStep, StayReason};
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::EngineSpec;
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
 use comfreymast_platform::{Copied, MoveError, Origin, decode_move_reply, move_request};
-use hyper::StatusCode;
 
 use super::placing::place;
 use super::reservation::Reservation;
@@ -19,8 +20,10 @@
 const MOVE_MEMORY_SHARE: f64 = 1.0;
 /// What a copy to another data centre costs, as a share of an engine's memory.
 const MOVE_FAR_COST: f64 = 0.6;
+/// What a thousand prompt tokens that a target has to read cost: a copy waits for none of them.
+const MOVE_PREFILL_COST: f64 = 0.02;
 const TURN_POLL_MS: u64 = 8;
-const BUSY_PAUSE_MS: u64 = 30;
+const ROOM_POLL_MS: u64 = 40;
 
 /// What the mover needs to know of the generation.
 pub(super) struct Moving {
@@ -50,31 +53,75 @@
     /// Copies the generation to another engine while it runs, then stops it and copies the rest.
     pub(super) async fn run(self) -> Moved {
         self.wait_turn().await;
+        let options = self.options();
+        let mut progress = MoveProgress::default();
         let mut tried = vec![self.source.record.name.clone()];
+        let mut is_last = false;
         loop {
             let Some(target) = self.target(&tried) else {
-                return Moved::Stays("no room elsewhere");
+                if self.since_notice_ms() >= options.latest_stop_ms {
+                    return Moved::Stays("no room elsewhere");
+                }
+                // Answers end all the time, so room may come up, also where there was none.
+                tried.truncate(1);
+                sleep_ms(ROOM_POLL_MS).await;
+                continue;
             };
             tried.push(target.record.name.clone());
             let reservation = Reservation::new(&target, self.key, self.need_tokens);
-            match self.move_to(&target).await {
-                Ok(copied) => {
-                    let origin = self.origin(copied.handle);
-                    return Moved::Arrived { target, reservation, origin, events: copied.events };
-                }
-                Err(MoveError::NoRoom { handle: Some(handle) }) => {
-                    return Moved::Kept { origin: self.origin(handle) };
-                }
-                Err(MoveError::NoRoom { handle: None }) => {}
-                Err(MoveError::Unknown) => return Moved::Stays("not running"),
-                Err(error) => {
-                    self.log_failed(&target, &error);
-                    return Moved::Stays("engine did not copy");
+            loop {
+                let started_ms = self.dispatch.clock.now_ms();
+                let copied = self.copy(&target, is_last).await;
+                let copy_ms = self.dispatch.clock.now_ms() - started_ms;
+                let outcome = outcome(&copied);
+                match progress.after(outcome, copy_ms, self.since_notice_ms(), &options) {
+                    MoveStep::Copy { pause_ms, is_last: next_is_last } => {
+                        is_last = next_is_last;
+                        sleep_ms(pause_ms).await;
+                    }
+                    MoveStep::OtherTarget { is_last: next_is_last } => {
+                        is_last = next_is_last;
+                        break;
+                    }
+                    MoveStep::Stay(reason) => return Moved::Stays(reason_text(reason)),
+                    MoveStep::GoOnAtTarget | MoveStep::GoOnAtSource => {
+                        return self.stopped(copied, target, reservation);
+                    }
                 }
             }
         }
     }
 
+    /// The generation has stopped, and `copied` says where it can go on.
+    fn stopped(
+        &self,
+        copied: Result<Copied, MoveError>,
+        target: Arc<UpstreamState>,
+        reservation: Reservation,
+    ) -> Moved {
+        match copied {
+            Ok(Copied { handle, events }) => {
+                Moved::Arrived { target, reservation, origin: self.origin(handle), events }
+            }
+            Err(MoveError::NoRoom { handle: Some(handle) }) => {
+                Moved::Kept { origin: self.origin(handle) }
+            }
+            Err(_) => Moved::Stays("engine did not copy"),
+        }
+    }
+
+    fn since_notice_ms(&self) -> u64 {
+        self.source.since_notice_ms(self.dispatch.clock.now_ms())
+    }
+
+    fn options(&self) -> EvacuationOptions {
+        if self.dispatch.is_large_fleet.load(Ordering::Acquire) {
+            EvacuationOptions::with_late_news()
+        } else {
+            EvacuationOptions::default()
+        }
+    }
+
     /// Waits until the generations that go first have left, as far as other daemons tell.
     async fn wait_turn(&self) {
         let clock = &self.dispatch.clock;
@@ -94,7 +141,7 @@
         self.dispatch.use_news();
         let runs = self.source.all_generations();
         let copy_ms = |tokens| self.spec.copy_ms(tokens);
-        turn_ms(&runs, self.key, copy_ms, &EvacuationOptions::default())
+        turn_ms(&runs, self.key, copy_ms, &self.options())
     }
 
     fn origin(&self, handle: String) -> Origin {
@@ -106,31 +153,12 @@
         let options = PlacementOptions {
             memory_share: MOVE_MEMORY_SHARE,
             far_cost: MOVE_FAR_COST,
+            prefill_cost: MOVE_PREFILL_COST,
             ..PlacementOptions::default()
         };
         let near = &self.source.record.data_centre;
         place(&self.dispatch, &self.service, &self.spec, self.need_tokens, &options, near, tried)
-    }
-
-    async fn move_to(&self, target: &UpstreamState) -> Result<Copied, MoveError> {
-        let clock = &self.dispatch.clock;
-        let options = EvacuationOptions::default();
-        loop {
-            let started_ms = clock.now_ms();
-            match self.copy(target, false).await {
-                Ok(_) => {}
-                Err(MoveError::Busy) => {
-                    sleep_ms(BUSY_PAUSE_MS).await;
-                    continue;
-                }
-                Err(error) => return Err(error),
-            }
-            let copy_ms = clock.now_ms() - started_ms;
-            let since_notice_ms = self.source.since_notice_ms(clock.now_ms());
-            if next_copy(copy_ms, since_notice_ms, &options) == NextCopy::Last {
-                return self.copy(target, true).await;
-            }
-        }
+            .map(|placed| placed.upstream)
     }
 
     async fn copy(&self, target: &UpstreamState, is_last: bool) -> Result<Copied, MoveError> {
@@ -146,7 +174,7 @@
         let started_ms = self.dispatch.clock.now_ms();
         let copied = match within(COPY_LIMIT_MS, exchange).await {
             Ok(Some((status, bytes))) => decode_move_reply(status, &bytes),
-            Ok(None) | Err(_) => Err(MoveError::Other { status: StatusCode::GATEWAY_TIMEOUT }),
+            Ok(None) | Err(_) => Err(MoveError::Unanswered),
         };
         let now_ms = self.dispatch.clock.now_ms();
         log::info!(target: "comfreymast", code = 1407, request = &*self.id,
@@ -156,10 +184,23 @@
             outcome:? = copied.as_ref().map(|copied| copied.events); "generation copied");
         copied
     }
+}
+
+/// What an engine's answer, or its absence, comes to.
+fn outcome(copied: &Result<Copied, MoveError>) -> CopyOutcome {
+    match copied {
+        Ok(_) => CopyOutcome::Arrived,
+        Err(MoveError::Busy) => CopyOutcome::Busy,
+        Err(MoveError::NoRoom { handle: Some(_) }) => CopyOutcome::Kept,
+        Err(MoveError::NoRoom { handle: None }) => CopyOutcome::NoRoom,
+        Err(MoveError::Unknown) => CopyOutcome::Unknown,
+        Err(MoveError::Other { .. } | MoveError::Unanswered) => CopyOutcome::Unanswered,
+    }
+}
 
-    fn log_failed(&self, target: &UpstreamState, error: &MoveError) {
-        log::warn!(target: "comfreymast", code = 1404, request = &*self.id,
-            upstream = self.source.record.name.as_str(), to = target.record.name.as_str(),
-            error:%; "generation not copied");
+fn reason_text(reason: StayReason) -> &'static str {
+    match reason {
+        StayReason::NotRunning => "not running",
+        StayReason::Unanswered => "engine did not answer",
     }
 }
--- a/crates/gateway/src/generation/placing.rs
+++ b/crates/gateway/src/generation/placing.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use comfreymast_base::{DataCentre, Service, Upstream};
-use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine};
+use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine, has_room};
 use comfreymast_fleet::EngineSpec;
 
 use crate::dispatch::Dispatch;
@@ -22,7 +22,7 @@
     options: &PlacementOptions,
     near: &DataCentre,
     excluded: &[Upstream],
-) -> Option<Arc<UpstreamState>> {
+) -> Option<Placed> {
     dispatch.use_news();
     let upstreams = dispatch.directory.load();
     let open: Vec<_> = upstreams
@@ -42,7 +42,27 @@
         .collect();
     let noise = |_| rand::random::<f64>() * CHOICE_NOISE;
     let chosen = choose_engine(&views, need_tokens, options, noise)?;
-    open.get(chosen).map(|engine| Arc::clone(engine))
+    let roomy = views.iter().filter(|view| has_room(view, need_tokens, options));
+    let (near, far): (Vec<&EngineView>, Vec<_>) = roomy.partition(|view| view.is_near);
+    Some(Placed {
+        upstream: open.get(chosen).map(|engine| Arc::clone(engine))?,
+        view: *views.get(chosen)?,
+        roomy_near: near.len(),
+        roomy_far: far.len(),
+    })
+}
+
+/// An engine that was chosen, and what decided it.
+#[derive(Clone, Debug)]
+pub(crate) struct Placed {
+    /// The engine.
+    pub(crate) upstream: Arc<UpstreamState>,
+    /// What was known of it.
+    pub(crate) view: EngineView,
+    /// Engines nearby that had room.
+    pub(crate) roomy_near: usize,
+    /// Engines of other data centres that had room.
+    pub(crate) roomy_far: usize,
 }
 
 fn view(engine: &UpstreamState, spec: &EngineSpec, now_ms: u64) -> EngineView {
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -10,7 +10,7 @@
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 
-use super::placing::place;
+use super::placing::{Placed, place};
 use super::relay::Relay;
 use super::relay_body::RelayBody;
 use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
@@ -51,6 +51,7 @@
         tried: Vec::new(),
         sends: 0,
         runs: 0,
+        room_ms: 0,
     };
     let (sent, upstream, reservation) = start.first_answer().await?;
     let Sent { connection, mut parts, answer, body, outstanding } = sent;
@@ -92,6 +93,8 @@
     tried: Vec<Upstream>,
     sends: u32,
     runs: u32,
+    /// The age of the call when an engine with room was found.
+    room_ms: u64,
 }
 
 impl Start<'_> {
@@ -109,7 +112,8 @@
     async fn first_answer(&mut self) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
         self.check_stopping()?;
         loop {
-            let upstream = self.room().await?;
+            let placed = self.room().await?;
+            let upstream = placed.upstream.clone();
             let need_tokens = expected_tokens(self.shape, 0);
             let reservation =
                 Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
@@ -119,14 +123,13 @@
             let limit_ms = self.call.left_ms(&self.dispatch.clock);
             let priority = Some(self.call.priority());
             let options = SendOptions { limit_ms, priority, ..SendOptions::default() };
-            self.sends += 1;
             let sent = send(self.dispatch, self.call, &upstream, &options).await;
             drop(prefill);
             match sent {
                 Ok(sent) => {
                     let is_good = !sent.parts.status.is_server_error();
                     upstream.answered(is_good, self.dispatch.clock.now_ms() - started_ms);
-                    self.log_started(&upstream, sent.parts.status.as_u16(), need_tokens);
+                    self.log_started(&placed, sent.parts.status.as_u16(), need_tokens);
                     return Ok((sent, upstream, reservation));
                 }
                 Err(failure) => self.failed(&upstream, failure)?,
@@ -135,7 +138,7 @@
     }
 
     /// Waits for an engine with room, but no longer than an answer would still be wanted.
-    async fn room(&self) -> Result<Arc<UpstreamState>, CallError> {
+    async fn room(&mut self) -> Result<Placed, CallError> {
         let need_tokens = expected_tokens(self.shape, 0);
         let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
         let is_late = self.dispatch.is_large_fleet.load(Ordering::Acquire);
@@ -152,10 +155,10 @@
                 near,
                 &self.tried,
             );
-            if let Some(upstream) = found {
-                let waited_ms = self.call.age_ms(&self.dispatch.clock);
-                self.dispatch.metrics.wait_s.observe(waited_ms as f64 / MS_PER_S);
-                return Ok(upstream);
+            if let Some(placed) = found {
+                self.room_ms = self.call.age_ms(&self.dispatch.clock);
+                self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
+                return Ok(placed);
             }
             if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
                 return Err(self.refused(Refusal::Full, FULL_RETRY_MS));
@@ -169,14 +172,21 @@
         self.tried.push(upstream.record.name.clone());
         log::info!(target: "comfreymast", code = 1401, request = &*self.call.head.id,
             upstream = upstream.record.name.as_str(), failure:?; "attempt failed");
+        let has_time = self.call.left_ms(&self.dispatch.clock) > 0;
         let may_repeat = match failure {
-            SendFailure::NotRun(_) => self.sends < MOST_SENDS,
+            // Nothing arrived, so the next send is no repeat.
+            SendFailure::Unreached if has_time => return Ok(()),
+            SendFailure::Unreached => false,
+            SendFailure::NotRun(_) => {
+                self.sends += 1;
+                self.sends < MOST_SENDS
+            }
             SendFailure::Lost(_) => {
+                self.sends += 1;
                 self.runs += 1;
                 self.call.route.repeat != Repeat::Once && self.runs < self.call.route.max_attempts
             }
         };
-        let has_time = self.call.left_ms(&self.dispatch.clock) > 0;
         if may_repeat && has_time && self.dispatch.try_repeat(self.service) {
             return Ok(());
         }
@@ -194,9 +204,14 @@
         CallError::Refused { reason, retry_after_ms }
     }
 
-    fn log_started(&self, upstream: &UpstreamState, status: u16, need_tokens: u64) {
+    fn log_started(&self, placed: &Placed, status: u16, need_tokens: u64) {
+        let Placed { upstream, view, roomy_near, roomy_far } = placed;
         log::info!(target: "comfreymast", code = 1402, request = &*self.call.head.id,
             upstream = upstream.record.name.as_str(), status, need_tokens,
-            waited_ms = self.call.age_ms(&self.dispatch.clock); "stream started");
+            room_ms = self.room_ms, started_ms = self.call.age_ms(&self.dispatch.clock),
+            is_near = view.is_near, reserved_tokens = view.reserved_tokens,
+            prefill_tokens = view.prefill_tokens, runs = view.runs,
+            roomy_near = *roomy_near, roomy_far = *roomy_far;
+            "stream started");
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod roster;
 mod send;
 mod server;
+mod suspension_watch;
 mod upstream_state;
 
 pub use gateway::{GatewayAddresses, GatewayError, run};
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -24,6 +24,8 @@
     pub lapse_grace_ms: u64,
     /// Time between looks at the settings file.
     pub settings_interval_ms: u64,
+    /// Where metrics are served beside the peers' port, which differs from one fleet to another.
+    pub metrics_port: Option<u16>,
     /// How long the daemon takes new connections after it was told to stop.
     pub drain_grace_ms: u64,
 }
@@ -42,6 +44,7 @@
             peer_silence_ms: 1_500,
             lapse_grace_ms: 2_300,
             settings_interval_ms: 1_000,
+            metrics_port: None,
             drain_grace_ms: 3_000,
         }
     }
@@ -55,6 +58,13 @@
         self
     }
 
+    /// Serves metrics at `metrics_port` too.
+    #[must_use]
+    pub fn metrics_port(mut self, metrics_port: Option<u16>) -> Self {
+        self.metrics_port = metrics_port;
+        self
+    }
+
     /// Sends heartbeats every `heartbeat_interval_ms`.
     #[must_use]
     pub fn heartbeat_interval_ms(mut self, heartbeat_interval_ms: u64) -> Self {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -40,7 +40,6 @@
                 give_up(failed, runs, Refusal::TimeUp)
             };
         }
-        sends += 1;
         let attempt = attempt(dispatch, call, &upstream, runs).await;
         tried.push(upstream.record.name.clone());
         match attempt {
@@ -49,6 +48,11 @@
                 runs += 1;
                 failed = Some(response);
             }
+            Err(SendFailure::Unreached) => {
+                // Nothing arrived, so the next attempt is no repeat.
+                log_attempt(call, &upstream, "not run", "not reached");
+                continue;
+            }
             Err(SendFailure::NotRun(reason)) => log_attempt(call, &upstream, "not run", reason),
             Err(SendFailure::Lost(reason)) => {
                 log_attempt(call, &upstream, "lost", reason);
@@ -58,6 +62,7 @@
                 }
             }
         }
+        sends += 1;
         let may_send = sends < MOST_SENDS && runs < call.route.max_attempts;
         if !may_send || !dispatch.try_repeat(service) {
             return give_up(failed, runs, Refusal::NotRun);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -66,6 +66,8 @@
 /// Why a send gave no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendFailure {
+    /// No connection to the upstream could be opened, so the request never reached it.
+    Unreached,
     /// The upstream did not run the request and will not.
     NotRun(&'static str),
     /// The upstream may have run the request.
@@ -160,7 +162,7 @@
             log::info!(target: "comfreymast", code = 1303, upstream = upstream.record.name.as_str(),
                 error:%; "upstream not reached");
             upstream.unreachable(dispatch.clock.now_ms());
-            Err(SendFailure::NotRun("not reached"))
+            Err(SendFailure::Unreached)
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/suspension_watch.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+
+use comfreymast_decide::suspension::{ClockPair, suspended_ms};
+use comfreymast_net::sleep_ms;
+use rustix::time::{ClockId, clock_gettime};
+
+use crate::dispatch::Dispatch;
+use crate::follow::Followed;
+
+const INTERVAL_MS: u64 = 200;
+
+/// Notices that the VM was suspended. Its clock did not count that time, so kept connections and
+/// news look fresher than they are: the connections are closed and the store is asked again.
+pub(crate) async fn watch(dispatch: Arc<Dispatch>, followed: [Arc<Followed>; 2]) {
+    let mut before = read_clocks(&dispatch);
+    loop {
+        sleep_ms(INTERVAL_MS).await;
+        let now = read_clocks(&dispatch);
+        if let Some(suspended_ms) = suspended_ms(before, now) {
+            log::warn!(target: "comfreymast", code = 1006, suspended_ms;
+                "VM stood still while its clock did too");
+            for upstream in dispatch.directory.load().all() {
+                upstream.pool.clear();
+            }
+            followed.iter().for_each(|followed| followed.hurry());
+        }
+        before = now;
+    }
+}
+
+fn read_clocks(dispatch: &Dispatch) -> ClockPair {
+    const MS_PER_S: u64 = 1_000;
+    const NS_PER_MS: u64 = 1_000_000;
+    let boot = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(boot.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(boot.tv_nsec).unwrap_or(0);
+    ClockPair {
+        steady_ms: dispatch.clock.now_ms(),
+        boot_ms: seconds * MS_PER_S + nanoseconds / NS_PER_MS,
+    }
+}
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -116,6 +116,29 @@
     });
 }
 
+#[test]
+fn upstreams_that_are_gone_cost_a_request_neither_its_answer_nor_the_budget() {
+    const GONE: u16 = 30;
+    stage(async |spawner| {
+        let (stage, gateway) = ready(&spawner).await;
+        let upstream = stage.upstream("u0", "plain").await;
+        wait_served(&spawner, &gateway).await;
+        for number in 0..GONE {
+            let mut gone = upstream.clone();
+            gone.name = format!("gone-{number}").into();
+            // Nobody listens on these ports of an address that is this machine's own.
+            gone.addr = std::net::SocketAddr::from(([127, 9, 9, 9], 1 + number));
+            stage.announce(&gone, "plain", "ready");
+        }
+        for number in 0..20 {
+            let id = format!("id-{number}");
+            let answer = gateway.call(&spawner, call("POST", "/plain/a", &id)).await;
+            assert_eq!(answer.status, StatusCode::OK, "{id}");
+        }
+        assert_eq!(upstream.runs().iter().filter(|run| run.id.starts_with("id-")).count(), 20);
+    });
+}
+
 #[test]
 fn an_address_that_now_belongs_to_another_upstream_runs_nothing() {
     stage(async |spawner| {
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -5,9 +5,11 @@
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_net::Spawner;
 use hyper::StatusCode;
-use support::{Gateway, Stage, event_ids, generation, stage, wait_for};
+use support::{Gateway, Stage, event_ids, generation, generation_of, stage, wait_for};
 
 const EVENTS: u64 = 60;
+/// Enough to outlast a stream of [`EVENTS`] by far.
+const LONG_EVENTS: u64 = 400;
 
 struct Streams {
     stage: Stage,
@@ -87,6 +89,51 @@
     });
 }
 
+#[test]
+fn a_generation_moves_although_the_answer_to_a_copy_is_lost() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        for engine in &streams.engines {
+            engine.behave(|behaviour| behaviour.lost_copy_answers = 1);
+        }
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            streams.stage.announce(&engine, "engines", "draining");
+        };
+        let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
+        let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
+        assert_eq!(event_ids(&answer.body), all_events());
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2, "it moved");
+    });
+}
+
+#[test]
+fn a_generation_waits_for_room_while_its_engine_stays() {
+    stage(async |spawner| {
+        let streams = streams(&spawner, 2).await;
+        let holding =
+            streams.gateway.call(&spawner, generation_of("/caption/x", "id-0", "7000,80"));
+        let moving = async {
+            let _runs_first = streams.engine_of("id-0").await;
+            for engine in &streams.engines {
+                engine.behave(|behaviour| behaviour.events = LONG_EVENTS);
+            }
+            let call = generation_of("/report/x", "id-1", "7000,1600");
+            streams.gateway.call(&spawner, call).await
+        };
+        let leaving = async {
+            let engine = streams.engine_of("id-1").await;
+            streams.stage.announce(&engine, "engines", "draining");
+        };
+        let calls = futures_lite::future::zip(holding, moving);
+        let ((_, answer), ()) = futures_lite::future::zip(calls, leaving).await;
+        assert_eq!(event_ids(&answer.body).len() as u64, LONG_EVENTS);
+        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
+        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2, "it moved");
+    });
+}
+
 #[test]
 fn a_generation_that_finds_no_room_stays_where_it_is() {
     stage(async |spawner| {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -213,6 +213,13 @@
     call
 }
 
+/// A caller's request for a generation with these counts of prompt and output tokens.
+pub(crate) fn generation_of(path: &str, id: &str, tokens: &str) -> Request<Body> {
+    let mut call = generation(path, id);
+    call.headers_mut().insert("x-token-counts", tokens.parse().expect("a value"));
+    call
+}
+
 /// The ids of the events in a stream.
 pub(crate) fn event_ids(body: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(body);
--- a/crates/platform/src/call_head.rs
+++ b/crates/platform/src/call_head.rs
@@ -63,6 +63,12 @@
     pub last_event: Option<u64>,
 }
 
+/// The identifier that a caller gave its request, also of one that is malformed otherwise.
+#[must_use]
+pub fn request_id(headers: &HeaderMap) -> Option<&str> {
+    headers.get(names::ATTEMPT_ID)?.to_str().ok()
+}
+
 impl CallHead {
     /// Reads the head of a caller's request.
     ///
--- a/crates/platform/src/engine_move.rs
+++ b/crates/platform/src/engine_move.rs
@@ -23,6 +23,9 @@
         /// The copy that the engine keeps, once the generation has stopped.
         handle: Option<String>,
     },
+    /// The engine was not reached, or its answer was lost.
+    #[display("the engine did not answer")]
+    Unanswered,
     /// The engine answered something else.
     #[display("the engine answered {status}")]
     Other {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use answer_head::AnswerHead;
 pub use call_head::{
-    CallHead, CallHeadError, Forward, Origin, PromptPart, PromptShape, forward_head,
+    CallHead, CallHeadError, Forward, Origin, PromptPart, PromptShape, forward_head, request_id,
 };
 pub use configuration::{ConfigurationError, decode_configuration};
 pub use engine_move::{Copied, MoveError, decode_move_reply, move_request};
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -27,6 +27,8 @@
     process: Option<Process>,
     callers_addr: Option<SocketAddr>,
     incarnation: u32,
+    /// True once the soak is over.
+    is_over: bool,
 }
 
 /// Where callers reach a daemon, and in which of its lives.
@@ -57,10 +59,10 @@
         Ok(Self { settings, log, running: Mutex::default() })
     }
 
-    /// Starts the daemon unless it runs.
+    /// Starts the daemon unless it runs or the soak is over.
     pub(crate) fn start(&self) -> Result<(), ProofError> {
         let mut running = self.running();
-        if running.process.is_some() {
+        if running.process.is_some() || running.is_over {
             return Ok(());
         }
         let mut command = Command::new(program("comfreymast"));
@@ -81,6 +83,12 @@
         running.callers_addr = None;
     }
 
+    /// Kills the daemon for good.
+    pub(crate) fn end(&self) {
+        self.running().is_over = true;
+        self.kill();
+    }
+
     /// Sends a signal, if the daemon runs.
     pub(crate) fn signal(&self, name: &str) -> Result<(), ProofError> {
         match &self.running().process {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -9,6 +9,7 @@
 use crate::call::{Call, Kind};
 use crate::caller::{asked, call_on};
 use crate::checks::{self, UpstreamRuns, Violation};
+use crate::daemon::Daemon;
 use crate::fault::plan;
 use crate::player::{heal, play};
 use crate::record::Events;
@@ -57,8 +58,19 @@
 /// [`SoakError`] when the programs do not start; what breaks later is in the report.
 pub async fn soak(spawner: &Spawner, options: &SoakOptions) -> Result<SoakReport, SoakError> {
     let site = Site::start(spawner, options).await?;
+    let report = play_and_check(spawner, options, &site).await;
+    // Faults that still last hold the site, so its processes are ended here.
+    site.daemons.iter().for_each(Daemon::end);
+    report
+}
+
+async fn play_and_check(
+    spawner: &Spawner,
+    options: &SoakOptions,
+    site: &Arc<Site>,
+) -> Result<SoakReport, SoakError> {
     for daemon in 0..options.daemons {
-        if !serves_within(&site, daemon, START_LIMIT_MS).await {
+        if !serves_within(site, daemon, START_LIMIT_MS).await {
             return Err(SoakError::NotReady { daemon });
         }
     }
@@ -73,10 +85,10 @@
     let plan = plan(options);
     let (checking, checked) = async_channel::bounded::<()>(1);
     let watch = spawner.spawn(watch(site.clone(), checked));
-    play(&site, &plan).await;
-    sleep_until_calm(&site).await;
-    heal(&site)?;
-    let mut violations = check_recovery(&site, options).await;
+    play(site, &plan).await;
+    sleep_until_calm(site).await;
+    heal(site)?;
+    let mut violations = check_recovery(site, options).await;
     // Callers and checks end with their channels.
     drop(calling);
     for caller in callers {
@@ -84,8 +96,8 @@
     }
     drop(checking);
     violations.extend(watch.await);
-    violations.extend(check_quiet(&site).await);
-    let seen = seen(&site);
+    violations.extend(check_quiet(site).await);
+    let seen = seen(site);
     let events = site.record.events().clone();
     violations.extend(checks::check(&events, &seen));
     if options.checks_times {
