--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -113,10 +113,22 @@
         store: SocketAddr,
         options: GatewayOptions,
         seeds: &[&Gateway],
+    ) -> Gateway {
+        self.gateway_in("z1", name, store, options, seeds).await
+    }
+
+    /// Starts such a gateway in a data centre.
+    pub(crate) async fn gateway_in(
+        &self,
+        data_centre: &str,
+        name: &str,
+        store: SocketAddr,
+        options: GatewayOptions,
+        seeds: &[&Gateway],
     ) -> Gateway {
         let path = self.folder.path().join(format!("{name}.json"));
         let file = json!({
-            "node": name, "ip": "127.0.0.1", "zone": "z1", "portRange": [0, 0],
+            "node": name, "ip": "127.0.0.1", "zone": data_centre, "portRange": [0, 0],
             "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
             "platform": { "address": store.to_string() },
             "bounds": { "graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 50, "budgetWindowS": 10 },
