--- a/crates/decide/src/move_steps.rs
+++ b/crates/decide/src/move_steps.rs
@@ -74,6 +74,12 @@
 }
 
 impl MoveProgress {
+    /// True when the next copy is to stop the generation.
+    #[must_use]
+    pub fn is_last(&self) -> bool {
+        self.is_stopping
+    }
+
     /// The step that follows the outcome of a copy which took `copy_ms` and ended `since_notice_ms`
     /// after the engine's notice.
     pub fn after(
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -53,13 +53,11 @@
     /// Copies the generation to another engine while it runs, then stops it and copies the rest.
     pub(super) async fn run(self) -> Moved {
         self.wait_turn().await;
-        let options = self.options();
         let mut progress = MoveProgress::default();
         let mut tried = vec![self.source.record.name.clone()];
-        let mut is_last = false;
         loop {
             let Some(target) = self.target(&tried) else {
-                if self.since_notice_ms() >= options.latest_stop_ms {
+                if self.since_notice_ms() >= self.options().latest_stop_ms {
                     return Moved::Stays("no room elsewhere");
                 }
                 // Answers end all the time, so room may come up, also where there was none.
@@ -68,25 +66,30 @@
                 continue;
             };
             tried.push(target.record.name.clone());
-            let reservation = Reservation::new(&target, self.key, self.need_tokens);
-            loop {
-                let started_ms = self.dispatch.clock.now_ms();
-                let copied = self.copy(&target, is_last).await;
-                let copy_ms = self.dispatch.clock.now_ms() - started_ms;
-                let outcome = outcome(&copied);
-                match progress.after(outcome, copy_ms, self.since_notice_ms(), &options) {
-                    MoveStep::Copy { pause_ms, is_last: next_is_last } => {
-                        is_last = next_is_last;
-                        sleep_ms(pause_ms).await;
-                    }
-                    MoveStep::OtherTarget { is_last: next_is_last } => {
-                        is_last = next_is_last;
-                        break;
-                    }
-                    MoveStep::Stay(reason) => return Moved::Stays(reason_text(reason)),
-                    MoveStep::GoOnAtTarget | MoveStep::GoOnAtSource => {
-                        return self.stopped(copied, target, reservation);
-                    }
+            if let Some(moved) = self.copy_to(target, &mut progress).await {
+                return moved;
+            }
+        }
+    }
+
+    /// Copies to one target until the move has ended; `None` when another target is needed.
+    async fn copy_to(
+        &self,
+        target: Arc<UpstreamState>,
+        progress: &mut MoveProgress,
+    ) -> Option<Moved> {
+        let options = self.options();
+        let reservation = Reservation::new(&target, self.key, self.need_tokens);
+        loop {
+            let started_ms = self.dispatch.clock.now_ms();
+            let copied = self.copy(&target, progress.is_last()).await;
+            let copy_ms = self.dispatch.clock.now_ms() - started_ms;
+            match progress.after(outcome(&copied), copy_ms, self.since_notice_ms(), &options) {
+                MoveStep::Copy { pause_ms, .. } => sleep_ms(pause_ms).await,
+                MoveStep::OtherTarget { .. } => return None,
+                MoveStep::Stay(reason) => return Some(Moved::Stays(reason_text(reason))),
+                MoveStep::GoOnAtTarget | MoveStep::GoOnAtSource => {
+                    return Some(self.stopped(copied, target, reservation));
                 }
             }
         }
