--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -18,6 +18,8 @@
     pub slowest_copy: u64,
     /// Time between the first copies of two generations, for the last copy of the earlier one.
     pub gap_ms: u64,
+    /// Until when after the notice a generation waits for room elsewhere.
+    pub room_limit_ms: u64,
     /// The time between two requests for a copy when the first decided nothing.
     pub retry_pause_ms: u64,
     /// When an engine that does not answer is taken to be gone, from its notice.
@@ -26,10 +28,11 @@
 
 impl EvacuationOptions {
     /// Where news of other daemons' moves comes late: nobody waits for word that an earlier copy
-    /// is done, but for the time that it usually takes.
+    /// is done, but for the time that it usually takes, and nobody waits for room that others may
+    /// have taken before word of it comes.
     #[must_use]
     pub fn with_late_news() -> Self {
-        Self { slowest_copy: 1, gap_ms: 10, ..Self::default() }
+        Self { slowest_copy: 1, gap_ms: 10, room_limit_ms: 0, ..Self::default() }
     }
 }
 
@@ -40,6 +43,7 @@
             latest_stop_ms: 1_150,
             slowest_copy: 2,
             gap_ms: 30,
+            room_limit_ms: 1_150,
             retry_pause_ms: 30,
             give_up_ms: 2_600,
         }
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -57,7 +57,7 @@
         let mut tried = vec![self.source.record.name.clone()];
         loop {
             let Some(target) = self.target(&tried) else {
-                if self.since_notice_ms() >= self.options().latest_stop_ms {
+                if self.since_notice_ms() >= self.options().room_limit_ms {
                     return Moved::Stays("no room elsewhere");
                 }
                 // Answers end all the time, so room may come up, also where there was none.
