An engine's stand-in never ends a stream properly that it breaks off

Cause: soak seed 8000 with 40 daemons saw a stream of nine events that looked complete. The daemon logged its end as done: the stand-in tried once to put in the word that cuts the stream and gave up when the channel was full, which ends the body properly. Ruled out: the daemon, which passed on all it was sent. Change: the stand-in waits until the word is in or the reader is gone; the seed stays as a case. Found by reading; the timing was not forced.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -228,7 +228,9 @@
         std::thread::spawn(move || {
             let sent = async_io::block_on(self.send_events(&id, after_event, &behaviour, &events));
             if sent.is_err() {
-                let _ = events.try_send(Err(BodyError::Cut));
+                // Waits for its turn, since a stream without this word looks complete. It fails only
+                // when the reader is gone.
+                let _ = events.send_blocking(Err(BodyError::Cut));
             }
             self.state().open_streams -= 1;
             self.state().generations.remove(&id);
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -20,6 +20,13 @@
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// Failed once with forty daemons: a stream that its engine broke off looked complete. The engine's
+/// stand-in gave up the word that cuts a stream when the reader was slow, and ended it properly.
+#[test]
+fn promises_hold_for_seed_8000() {
+    play(8_000);
+}
+
 #[test]
 fn promises_hold_for_seed_11() {
     play(11);
