One place for what operators, upstreams and callers of the platform write in tests

Cause: the soak spelled the platform's names itself, as the gateway's tests did; two copies of the configuration, the settings, the entries and the callers' headers. Change: fakes/platform_documents.rs has them once; the soak and the gateway's tests ask it. Two copies of a test's route and of its count of runs are one each.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,12 +8,14 @@
 //! * [`engine`] — a model engine that batches continuously in limited memory.
 //! * [`plain_service`] — a service that answers what it was asked and counts its runs.
 //! * [`platform_upstream`] — an upstream as the platform runs them, started inside a test.
+//! * [`platform_documents`] — what operators, upstreams, callers and VMs of the platform write.
 //! * [`history`] — the events that checkers read after a run.
 
 pub mod engine;
 pub mod history;
 pub mod log_service;
 pub mod plain_service;
+pub mod platform_documents;
 pub mod platform_upstream;
 mod reply;
 pub mod vm_list;
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -17,6 +17,8 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::Deserialize;
 
+use crate::platform_documents::SIGNED_BY;
+
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 const STREAM_CAPACITY: usize = 4;
 
@@ -215,7 +217,7 @@
         };
         let mut response = answer_with(behaviour.status, body);
         set(&mut response, "x-attempt-id", &id);
-        set(&mut response, "x-server-signature", &format!("signed-by-{}", self.name));
+        set(&mut response, "x-server-signature", &format!("{SIGNED_BY}{}", self.name));
         response
     }
 
--- a/crates/gateway/tests/large_fleet.rs
+++ b/crates/gateway/tests/large_fleet.rs
@@ -6,7 +6,6 @@
 use comfreymast_gateway::GatewayOptions;
 use comfreymast_net::{Spawner, sleep_ms};
 use hyper::StatusCode;
-use serde_json::json;
 use support::{Gateway, Stage, call, stage, wait_for};
 
 /// More than a full mesh has.
@@ -48,13 +47,7 @@
 
 /// Adds a route at `path` and waits until `gateways` serve it.
 async fn add_route(stage: &Stage, gateways: &[Gateway], version: u64, path: &str) {
-    stage.publish(version, |configuration| {
-        let routes = configuration["routes"].as_array_mut().expect("routes");
-        routes.push(json!({
-            "name": "r-added", "host": "h.example", "pathPrefix": path, "kind": "safe",
-            "timeoutMs": 5000, "targetLatencyMs": 500, "service": "plain", "maxAttempts": 2,
-        }));
-    });
+    stage.publish_with_route(path, version);
     for gateway in gateways {
         wait_for("added route", async || {
             let answer = gateway.call(&stage.spawner, call("GET", path, "id")).await;
--- a/crates/gateway/tests/news.rs
+++ b/crates/gateway/tests/news.rs
@@ -5,9 +5,9 @@
 use std::net::SocketAddr;
 
 use comfreymast_fakes::log_service::LogFaults;
+use comfreymast_fakes::platform_documents::UPSTREAMS;
 use comfreymast_gateway::GatewayOptions;
 use hyper::StatusCode;
-use serde_json::json;
 use support::{Gateway, Stage, call, stage, wait_for};
 
 const NEVER_MS: u64 = 600_000;
@@ -20,16 +20,6 @@
     .await;
 }
 
-fn publish_added_route(stage: &Stage, version: u64) {
-    stage.publish(version, |configuration| {
-        let routes = configuration["routes"].as_array_mut().expect("routes");
-        routes.push(json!({
-            "name": "r-added", "host": "h.example", "pathPrefix": "/added/", "kind": "safe",
-            "timeoutMs": 5000, "targetLatencyMs": 500, "service": "plain", "maxAttempts": 2,
-        }));
-    });
-}
-
 #[test]
 fn a_store_that_forgets_its_waiting_readers_delays_no_configuration() {
     stage(async |spawner| {
@@ -40,7 +30,7 @@
         let gateway = stage.gateway_at("d0", stage.store_addr, options, &[]).await;
         gateway.wait_ready(&spawner).await;
         stage.faults(LogFaults { forget_readers: true, ..LogFaults::default() });
-        publish_added_route(&stage, 2);
+        stage.publish_with_route("/added/", 2);
         wait_added_route(&stage, &gateway).await;
     });
 }
@@ -57,7 +47,7 @@
         let options = GatewayOptions::default();
         let second = stage.gateway_at("d1", nowhere, options, &[&first]).await;
         second.wait_ready(&spawner).await;
-        publish_added_route(&stage, 2);
+        stage.publish_with_route("/added/", 2);
         wait_added_route(&stage, &second).await;
     });
 }
@@ -71,9 +61,9 @@
         gateway.wait_ready(&spawner).await;
         stage.faults(LogFaults { down: true, ..LogFaults::default() });
         let _upstream = stage.upstream("u0", "plain").await;
-        publish_added_route(&stage, 2);
+        stage.publish_with_route("/added/", 2);
         stage.publish(3, |_| ());
-        publish_added_route(&stage, 4);
+        stage.publish_with_route("/added/", 4);
         stage.faults(LogFaults { retention_records: 1, ..LogFaults::default() });
         wait_added_route(&stage, &gateway).await;
     });
@@ -84,7 +74,7 @@
     stage(async |spawner| {
         let stage = Stage::new(&spawner).await;
         let _upstream = stage.upstream("u0", "plain").await;
-        publish_added_route(&stage, 9);
+        stage.publish_with_route("/added/", 9);
         let gateway = stage.gateway("d0").await;
         wait_added_route(&stage, &gateway).await;
         stage.publish(3, |_| ());
@@ -114,7 +104,7 @@
         stage.faults(LogFaults { down: true, ..LogFaults::default() });
         // Long enough for the daemon to know that nobody hears of the store.
         comfreymast_net::sleep_ms(2_500).await;
-        stage.write(support::UPSTREAMS, "u0", b"");
+        stage.write(UPSTREAMS, "u0", b"");
         stage.faults(LogFaults::default());
         for number in 0..40 {
             let id = format!("id-{number}");
--- a/crates/gateway/tests/requests.rs
+++ b/crates/gateway/tests/requests.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use comfreymast_fakes::platform_documents::{OPERATORS, UPSTREAMS};
 use comfreymast_net::{Spawner, full};
 use hyper::StatusCode;
 use support::{Gateway, Stage, call, stage, wait_for};
@@ -167,9 +168,9 @@
             ("bad-3", br#"{"service":"plain","address":"127.0.0.1:1","zone":"z1","slots":1,"state":"odd"}"#),
             ("bad-4", br#"{"service":"plain","address":"127.0.0.1:1","zone":"z1","slots":1,"state":"ready","born":"x"}"#),
         ] {
-            stage.write(support::UPSTREAMS, key, value);
+            stage.write(UPSTREAMS, key, value);
         }
-        stage.write(support::OPERATORS, "config", b"{ not a configuration");
+        stage.write(OPERATORS, "config", b"{ not a configuration");
         wait_served(&spawner, &gateway).await;
         for number in 0..10 {
             let id = format!("id-{number}");
--- a/crates/gateway/tests/streams.rs
+++ b/crates/gateway/tests/streams.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use comfreymast_fakes::platform_documents::UPSTREAMS;
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_net::Spawner;
 use hyper::StatusCode;
@@ -46,6 +47,14 @@
     }
 }
 
+impl Streams {
+    /// How often engines began to run, or went on with, the generation `id`.
+    fn runs_of(&self, id: &str) -> usize {
+        let runs = self.engines.iter().flat_map(|engine| engine.runs());
+        runs.filter(|run| run.id == id).count()
+    }
+}
+
 fn all_events() -> Vec<u64> {
     (1..=EVENTS).collect()
 }
@@ -79,13 +88,12 @@
         let streams = streams(&spawner, 2).await;
         let leaving = async {
             let engine = streams.engine_of("id-1").await;
-            streams.stage.write(support::UPSTREAMS, &engine.name, b"");
+            streams.stage.write(UPSTREAMS, &engine.name, b"");
         };
         let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
         let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
         assert_eq!(event_ids(&answer.body), all_events());
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2);
+        assert_eq!(streams.runs_of("id-1"), 2);
     });
 }
 
@@ -103,8 +111,7 @@
         let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
         let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
         assert_eq!(event_ids(&answer.body), all_events());
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2, "it moved");
+        assert_eq!(streams.runs_of("id-1"), 2, "it moved");
     });
 }
 
@@ -113,13 +120,13 @@
     stage(async |spawner| {
         let streams = streams(&spawner, 2).await;
         let holding =
-            streams.gateway.call(&spawner, generation_of("/caption/x", "id-0", "7000,80"));
+            streams.gateway.call(&spawner, generation_of("/caption/x", "id-0", (7_000, 80)));
         let moving = async {
             let _runs_first = streams.engine_of("id-0").await;
             for engine in &streams.engines {
                 engine.behave(|behaviour| behaviour.events = LONG_EVENTS);
             }
-            let call = generation_of("/report/x", "id-1", "7000,1600");
+            let call = generation_of("/report/x", "id-1", (7_000, 1_600));
             streams.gateway.call(&spawner, call).await
         };
         let leaving = async {
@@ -129,8 +136,7 @@
         let calls = futures_lite::future::zip(holding, moving);
         let ((_, answer), ()) = futures_lite::future::zip(calls, leaving).await;
         assert_eq!(event_ids(&answer.body).len() as u64, LONG_EVENTS);
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2, "it moved");
+        assert_eq!(streams.runs_of("id-1"), 2, "it moved");
     });
 }
 
@@ -148,8 +154,7 @@
         let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
         let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
         assert_eq!(event_ids(&answer.body), all_events());
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 1);
+        assert_eq!(streams.runs_of("id-1"), 1);
     });
 }
 
@@ -177,8 +182,7 @@
             streams.gateway.open(&spawner, generation("/report/x", "id-1")).await;
         let body = comfreymast_net::collect(response.into_body(), 1 << 20).await;
         assert!(body.is_err(), "the stream was cut");
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 1);
+        assert_eq!(streams.runs_of("id-1"), 1);
     });
 }
 
@@ -212,7 +216,6 @@
         let answer = streams.gateway.call(&spawner, generation("/report/x", "id-1"));
         let (answer, ()) = futures_lite::future::zip(answer, leaving).await;
         assert_eq!(event_ids(&answer.body).len(), 1_500);
-        let runs = streams.engines.iter().flat_map(|engine| engine.runs());
-        assert_eq!(runs.filter(|run| run.id == "id-1").count(), 2);
+        assert_eq!(streams.runs_of("id-1"), 2);
     });
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,22 +7,22 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use comfreymast_fakes::log_service::{LogFaults, LogService};
+use comfreymast_fakes::platform_documents::{
+    CONFIGURATION, CallerRequest, ConfigurationEntry, OPERATORS, RouteEntry, UPSTREAMS,
+    UpstreamEntry, VmEntry,
+};
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::{GatewayAddresses, GatewayOptions, run};
 use comfreymast_net::{
-    Body, OwnedConnection, ServeLimits, Spawner, collect, empty, full, request, serve, sleep_ms,
-    within,
+    Body, OwnedConnection, ServeLimits, Spawner, collect, empty, request, serve, sleep_ms, within,
 };
 use comfreymast_platform::{KeyedRecord, VmSettings};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::TempDir;
 
-/// Where upstreams write what they say of themselves.
-pub(crate) const UPSTREAMS: &str = "keyed.servers";
-/// Where operators write.
-pub(crate) const OPERATORS: &str = "keyed.op";
+const SLOTS: u32 = 8;
 const WAIT_LIMIT_MS: u64 = 20_000;
 const POLL_MS: u64 = 10;
 const CALL_LIMIT_MS: u64 = 20_000;
@@ -71,16 +71,24 @@
     pub(crate) fn publish(&self, version: u64, change: impl FnOnce(&mut Value)) {
         let mut configuration = configuration(version);
         change(&mut configuration);
-        self.write(OPERATORS, "config", configuration.to_string().as_bytes());
+        self.write(OPERATORS, CONFIGURATION, configuration.to_string().as_bytes());
+    }
+
+    /// Publishes a configuration that has one route more, at `path`.
+    pub(crate) fn publish_with_route(&self, path: &str, version: u64) {
+        let name = path.trim_matches('/');
+        let added = RouteEntry { name, kind: "safe", max_attempts: 2, ..RouteEntry::default() };
+        self.publish(version, |configuration| {
+            let routes = configuration["routes"].as_array_mut().expect("routes");
+            routes.push(added.document("h.example"));
+        });
     }
 
     /// Writes what an upstream says of itself.
     pub(crate) fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
-        let entry = json!({
-            "service": service, "address": upstream.addr.to_string(), "zone": "z1", "slots": 8,
-            "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 5,
-        });
-        self.write(UPSTREAMS, &upstream.name, entry.to_string().as_bytes());
+        let addr = upstream.addr;
+        let entry = UpstreamEntry { addr, service, data_centre: "z1", slots: SLOTS, state };
+        self.write(UPSTREAMS, &upstream.name, entry.document().to_string().as_bytes());
     }
 
     /// Appends one record of a keyed topic; an empty value drops the key.
@@ -127,13 +135,16 @@
         seeds: &[&Gateway],
     ) -> Gateway {
         let path = self.folder.path().join(format!("{name}.json"));
-        let file = json!({
-            "node": name, "ip": "127.0.0.1", "zone": data_centre, "portRange": [0, 0],
-            "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
-            "platform": { "address": store.to_string() },
-            "bounds": { "graceS": 8, "retryBudgetRatio": 0.2, "budgetSlack": 50, "budgetWindowS": 10 },
-        });
-        std::fs::write(&path, file.to_string()).expect("a settings file");
+        let file = VmEntry {
+            name,
+            data_centre,
+            store_addr: store,
+            grace_s: 8,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window_s: 10,
+        };
+        std::fs::write(&path, file.document().to_string()).expect("a settings file");
         let mut settings = VmSettings::read(&path).expect("good settings");
         settings.seed_addrs = seeds.iter().map(|seed| seed.addresses.peers).collect();
         let (stop, stopped) = async_channel::bounded(1);
@@ -206,33 +217,21 @@
 
 /// A caller's request with the key of `org`.
 pub(crate) fn call(method: &str, path: &str, id: &str) -> Request<Body> {
-    let mut call = request(SocketAddr::from(([127, 0, 0, 1], 1)), method, path, full("body"));
-    for (name, value) in [
-        ("host", "h.example"),
-        ("x-attempt-id", id),
-        ("x-deadline-ms", "15000"),
-        ("authorization", "Bearer key-1"),
-    ] {
-        call.headers_mut().insert(name, value.parse().expect("a value"));
-    }
-    call
+    CallerRequest { id, ..CallerRequest::default() }.request(method, path, "body")
 }
 
 /// A caller's request for a generation.
 pub(crate) fn generation(path: &str, id: &str) -> Request<Body> {
-    let mut call = call("POST", path, id);
-    call.headers_mut().insert("x-token-counts", "100,80".parse().expect("a value"));
-    call
+    generation_of(path, id, (100, 80))
 }
 
 /// A caller's request for a generation with these counts of prompt and output tokens.
-pub(crate) fn generation_of(path: &str, id: &str, tokens: &str) -> Request<Body> {
-    let mut call = generation(path, id);
-    call.headers_mut().insert("x-token-counts", tokens.parse().expect("a value"));
-    call
+pub(crate) fn generation_of(path: &str, id: &str, tokens: (u64, u64)) -> Request<Body> {
+    let tokens = Some(tokens);
+    CallerRequest { id, tokens, ..CallerRequest::default() }.request("POST", path, "body")
 }
 
-/// The ids of the events in a stream.
+/// The ids of the events in a stream, whole or not.
 pub(crate) fn event_ids(body: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(body);
     let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
@@ -264,30 +263,28 @@
 }
 
 fn configuration(version: u64) -> Value {
-    json!({
-        "version": version,
-        "routes": [
-            { "name": "r-plain", "host": "h.example", "pathPrefix": "/plain/", "kind": "unsafe",
-              "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 2, "service": "plain",
-              "maxAttempts": 1, "public": false },
-            { "name": "r-safe", "host": "h.example", "pathPrefix": "/safe/", "kind": "safe",
-              "timeoutMs": 10000, "targetLatencyMs": 1000, "priority": 2, "service": "plain",
-              "maxAttempts": 2, "public": false },
-            { "name": "r-report", "host": "h.example", "pathPrefix": "/report/",
-              "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 2000, "priority": 1,
-              "service": "engines", "maxAttempts": 1, "public": false, "resumable": false },
-            { "name": "r-caption", "host": "h.example", "pathPrefix": "/caption/",
-              "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 2000, "priority": 0,
-              "service": "engines", "maxAttempts": 2, "public": false, "resumable": true },
-        ],
-        "services": [
-            { "name": "plain", "maxConnections": 50 },
-            { "name": "engines", "maxConnections": 50, "engine": {
-                "slots": 8, "kvCapacityTokens": 10000, "kvTokenBytes": 1000, "linkMbps": 1000.0,
-                "moves": true, "stride": 4 } },
-        ],
-        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096, "headerTimeoutMs": 3000,
-                    "idleTimeoutMs": 15000 },
-        "tenants": [{ "name": "org", "apiKeys": ["key-1"], "priority": 1 }],
-    })
+    let stream = RouteEntry {
+        kind: "streaming",
+        service: "engines",
+        timeout_ms: 15_000,
+        target_latency_ms: 2_000,
+        priority: 1,
+        ..RouteEntry::default()
+    };
+    let routes = [
+        RouteEntry::default(),
+        RouteEntry { name: "safe", kind: "safe", max_attempts: 2, ..RouteEntry::default() },
+        RouteEntry { name: "report", ..stream },
+        RouteEntry { name: "caption", max_attempts: 2, is_resumable: true, priority: 0, ..stream },
+    ];
+    ConfigurationEntry {
+        version,
+        host: "h.example",
+        routes: &routes,
+        slots: SLOTS,
+        memory_tokens: 10_000,
+        organisation: "org",
+        key: "key-1",
+    }
+    .document()
 }
--- a/crates/soak/src/call.rs
+++ b/crates/soak/src/call.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use comfreymast_fakes::platform_documents;
 use hyper::{HeaderMap, StatusCode};
 
 /// The kinds of requests, which are also the first parts of their paths.
@@ -83,15 +84,11 @@
 impl CallAnswer {
     /// The upstream that signed it.
     pub(crate) fn signer(&self) -> Option<&str> {
-        self.headers.get("x-server-signature")?.to_str().ok()?.strip_prefix("signed-by-")
+        platform_documents::signer(&self.headers)
     }
 
     /// The ids of the events in a stream.
     pub(crate) fn event_ids(&self) -> Vec<u64> {
-        let text = String::from_utf8_lossy(&self.body);
-        // An event that broke off has no empty line after it.
-        let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
-        let ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
-        ids.filter_map(|id| id.parse().ok()).collect()
+        platform_documents::event_ids(&self.body)
     }
 }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -2,7 +2,8 @@
 
 use async_channel::Receiver;
 use bytes::Bytes;
-use comfreymast_net::{Body, OwnedConnection, full, request, sleep_ms, within};
+use comfreymast_fakes::platform_documents::CallerRequest;
+use comfreymast_net::{Body, OwnedConnection, sleep_ms, within};
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -12,7 +13,7 @@
 
 use crate::call::{Call, CallAnswer, CallEnd, CallOutcome, Kind};
 use crate::daemon::Door;
-use crate::site::{EVENTS, HOST, KEY, Site, TIMEOUT_MS};
+use crate::site::{HOST, KEY, Site, TIMEOUT_MS, TOKENS};
 
 const MOST_PAUSE_MS: u64 = 60;
 const GIVE_UP_SHARE: f64 = 0.06;
@@ -85,26 +86,15 @@
 /// The request as it is sent.
 pub(crate) fn asked(call: &Call) -> Request<Body> {
     let path = format!("/{}/x?id={}", call.kind.path(), call.id);
-    let any_addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    let mut asked = request(any_addr, "POST", &path, full(call.body.clone()));
-    let (deadline, key) = (TIMEOUT_MS.to_string(), format!("Bearer {KEY}"));
-    let tokens = format!("100,{}", EVENTS * 4);
-    let mut headers = vec![
-        ("host", HOST),
-        ("x-attempt-id", &*call.id),
-        ("x-deadline-ms", &*deadline),
-        ("authorization", &*key),
-        ("x-tenant", "not-mine"),
-    ];
-    if call.kind.is_stream() {
-        headers.push(("x-token-counts", &*tokens));
+    CallerRequest {
+        id: &call.id,
+        host: HOST,
+        key: KEY,
+        deadline_ms: TIMEOUT_MS,
+        tokens: call.kind.is_stream().then_some(TOKENS),
+        forged_organisation: Some("not-mine"),
     }
-    for (name, value) in headers {
-        if let Ok(value) = value.parse() {
-            asked.headers_mut().insert(name, value);
-        }
-    }
-    asked
+    .request("POST", &path, call.body.clone())
 }
 
 async fn exchange(connection: &mut OwnedConnection, asked: Request<Body>) -> CallEnd {
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
+use comfreymast_fakes::platform_documents::{has_key, organisation};
 use comfreymast_fakes::platform_upstream::{RefusedRun, Run};
 use derive_more::Display;
 use hyper::StatusCode;
@@ -70,7 +71,7 @@
         if run.body != call.body {
             fail("a request runs as it was sent");
         }
-        if run.headers.contains_key("authorization") {
+        if has_key(&run.headers) {
             fail("keys stay with the daemon");
         }
         if version_of(run).is_none_or(|version| !versions.contains(&version)) {
@@ -81,7 +82,7 @@
 
 /// The configuration by which a request ran, by its organisation's name.
 pub(crate) fn version_of(run: &Run) -> Option<u64> {
-    run.headers.get("x-tenant")?.to_str().ok()?.strip_prefix("org-")?.parse().ok()
+    organisation(&run.headers)?.strip_prefix("org-")?.parse().ok()
 }
 
 fn check_once(call: &Call, runs: &[(&str, &Run)], found: &mut Vec<Violation>) {
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -4,8 +4,8 @@
 use std::process::Command;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use comfreymast_fakes::platform_documents::VmEntry;
 use comfreymast_proof::{Process, ProofError, program};
-use serde_json::json;
 
 /// How long a daemon is let live after SIGTERM.
 pub(crate) const GRACE_MS: u64 = 5_000;
@@ -46,14 +46,16 @@
         store: SocketAddr,
     ) -> Result<Self, ProofError> {
         let settings = folder.join(format!("daemon-{index}.json"));
-        let file = json!({
-            "node": format!("daemon-{index}"), "ip": "127.0.0.1",
-            "zone": format!("z{}", index % 2), "portRange": [0, 0],
-            "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
-            "platform": { "address": store.to_string() },
-            "bounds": { "graceS": GRACE_MS / MS_PER_S, "retryBudgetRatio": RETRY_RATIO,
-                "budgetSlack": RETRY_SLACK, "budgetWindowS": RETRY_WINDOW_MS / MS_PER_S },
-        });
+        let file = VmEntry {
+            name: &format!("daemon-{index}"),
+            data_centre: &format!("z{}", index % 2),
+            store_addr: store,
+            grace_s: GRACE_MS / MS_PER_S,
+            retry_ratio: RETRY_RATIO,
+            retry_slack: RETRY_SLACK,
+            retry_window_s: RETRY_WINDOW_MS / MS_PER_S,
+        }
+        .document();
         fs::write(&settings, file.to_string())?;
         let log = folder.join(format!("daemon-{index}.log"));
         Ok(Self { settings, log, running: Mutex::default() })
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -5,11 +5,13 @@
 use async_channel::Sender;
 use async_net::TcpListener;
 use comfreymast_fakes::log_service::{LogFaults, LogService};
+use comfreymast_fakes::platform_documents::{
+    CONFIGURATION, ConfigurationEntry, OPERATORS, RouteEntry, UPSTREAMS, UpstreamEntry,
+};
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_net::{ServeLimits, Spawner, serve};
 use comfreymast_platform::KeyedRecord;
 use comfreymast_proof::{Link, ProofError};
-use serde_json::json;
 
 use crate::SoakOptions;
 use crate::daemon::Daemon;
@@ -24,8 +26,9 @@
 const EVENT_MS: u64 = 12;
 /// The longest that operators want a request kept waiting.
 pub(crate) const TIMEOUT_MS: u64 = 5_000;
-const UPSTREAMS: &str = "keyed.servers";
-const OPERATORS: &str = "keyed.op";
+/// The tokens of a generation's prompt, and the most of its answer.
+pub(crate) const TOKENS: (u64, u64) = (100, EVENTS * 4);
+const SLOTS: u32 = 16;
 /// Versions rise in uneven steps.
 const VERSION_STEP: u64 = 3;
 
@@ -98,7 +101,7 @@
     /// Publishes the next configuration. Its organisation's name tells upstreams the version.
     pub(crate) fn publish(&self) {
         let version = self.version.fetch_add(VERSION_STEP, Ordering::AcqRel) + VERSION_STEP;
-        self.write(OPERATORS, "config", configuration(version).to_string().as_bytes());
+        self.write(OPERATORS, CONFIGURATION, configuration(version).to_string().as_bytes());
         let at_ms = self.record.now_ms();
         self.record.events().published.push(Published { version, at_ms });
     }
@@ -133,11 +136,14 @@
 
     /// Writes what an upstream says of itself.
     pub(crate) fn announce(&self, placed: &Placed, state: &str) {
-        let entry = json!({
-            "service": placed.service, "address": placed.link.addr.to_string(), "zone": "z0",
-            "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 5,
-        });
-        self.write(UPSTREAMS, &placed.upstream.name, entry.to_string().as_bytes());
+        let entry = UpstreamEntry {
+            addr: placed.link.addr,
+            service: placed.service,
+            data_centre: "z0",
+            slots: SLOTS,
+            state,
+        };
+        self.write(UPSTREAMS, &placed.upstream.name, entry.document().to_string().as_bytes());
     }
 
     /// Drops what an upstream says of itself.
@@ -176,29 +182,22 @@
 }
 
 fn configuration(version: u64) -> serde_json::Value {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        json!({
-            "name": name, "host": HOST, "pathPrefix": format!("/{name}/"), "kind": kind,
-            "timeoutMs": TIMEOUT_MS, "targetLatencyMs": 1_000, "priority": 1, "service": service,
-            "maxAttempts": attempts, "public": false, "resumable": resumable,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("plain", "unsafe", "plain", 1, false),
-            route("safe", "safe", "plain", 2, false),
-            route("report", "streaming", "engines", 1, false),
-            route("caption", "streaming", "engines", 2, true),
-        ],
-        "services": [
-            { "name": "plain", "maxConnections": 200 },
-            { "name": "engines", "maxConnections": 200, "engine": {
-                "slots": 16, "kvCapacityTokens": 20_000, "kvTokenBytes": 1_000,
-                "linkMbps": 1_000.0, "moves": true, "stride": 4 } },
-        ],
-        "limits": { "maxHeaderBytes": 16_384, "maxBodyBytes": 65_536, "headerTimeoutMs": 3_000,
-                    "idleTimeoutMs": 15_000 },
-        "tenants": [{ "name": format!("org-{version}"), "apiKeys": [KEY], "priority": 1 }],
-    })
+    let plain = RouteEntry { timeout_ms: TIMEOUT_MS, priority: 1, ..RouteEntry::default() };
+    let stream = RouteEntry { kind: "streaming", service: "engines", ..plain };
+    let routes = [
+        plain,
+        RouteEntry { name: "safe", kind: "safe", max_attempts: 2, ..plain },
+        RouteEntry { name: "report", ..stream },
+        RouteEntry { name: "caption", max_attempts: 2, is_resumable: true, ..stream },
+    ];
+    ConfigurationEntry {
+        version,
+        host: HOST,
+        routes: &routes,
+        slots: SLOTS,
+        memory_tokens: 20_000,
+        organisation: &format!("org-{version}"),
+        key: KEY,
+    }
+    .document()
 }
