--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -2,7 +2,7 @@
 
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::RetryPolicy;
-use comfreymast_net::within;
+use comfreymast_net::{BodyFraming, within};
 use comfreymast_platform::CopyLocation;
 use http_body_util::BodyExt;
 
@@ -137,8 +137,9 @@
         if !sent.parts.status.is_success() || !sent.answer.is_signed || sent.answer.is_encoded {
             return Err(SendFailure::Lost("stream was not continued"));
         }
-        let Sent { connection, answer, body, outstanding, .. } = sent;
-        Ok(Source { body, connection, answer, _outstanding: outstanding })
+        let Sent { connection, parts, answer, body, outstanding } = sent;
+        let framing = BodyFraming::of(&parts.headers);
+        Ok(Source { body, connection, answer, framing, _outstanding: outstanding })
     }
 
     fn log_moved(&self, leaving: &UpstreamState, pause_ms: u64) {
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -6,7 +6,7 @@
 use comfreymast_base::Service;
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
-use comfreymast_net::{BodyError, OwnedConnection, sleep_ms};
+use comfreymast_net::{BodyError, BodyFraming, OwnedConnection, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
 use futures_lite::future;
 use http_body_util::BodyExt;
@@ -43,6 +43,10 @@
     pub(super) last_event_ms: u64,
     pub(super) longest_pause_ms: u64,
     pub(super) moves: u32,
+    /// How the end of the last answer was marked.
+    pub(super) framing: BodyFraming,
+    /// Bytes of an incomplete event at the end of the last answer.
+    pub(super) unfinished_bytes: usize,
 }
 
 /// An open stream of an upstream.
@@ -50,6 +54,7 @@
     pub(super) body: Incoming,
     pub(super) connection: OwnedConnection,
     pub(super) answer: ResponseHead,
+    pub(super) framing: BodyFraming,
     pub(super) _outstanding: Outstanding,
 }
 
@@ -96,6 +101,8 @@
             last_event_ms: dispatch.clock.now_ms(),
             longest_pause_ms: 0,
             moves: 0,
+            framing: BodyFraming::Chunked,
+            unfinished_bytes: 0,
         }
     }
 
@@ -104,14 +111,16 @@
         mut self,
         connection: OwnedConnection,
         answer: ResponseHead,
+        framing: BodyFraming,
         body: Incoming,
         outstanding: Outstanding,
     ) {
-        let mut source = Source { body, connection, answer, _outstanding: outstanding };
+        let mut source = Source { body, connection, answer, framing, _outstanding: outstanding };
         loop {
             match self.relay(&mut source).await {
                 Ok(()) => {
-                    let Source { connection, answer, .. } = source;
+                    let Source { connection, answer, framing, .. } = source;
+                    self.framing = framing;
                     Sent::return_to_pool(connection, &answer, &self.dispatch, &self.upstream);
                     record_success(&self.dispatch, &self.call);
                     return self.log_end("done");
@@ -121,6 +130,8 @@
                     None => return self.abort("move failed").await,
                 },
                 Err(Interruption::Broken) => {
+                    self.framing = source.framing;
+                    self.unfinished_bytes = self.splitter.rest().len();
                     drop(source);
                     self.upstream.record_lost_answer();
                     self.report_if_ended(&self.upstream, self.last_event_ms).await;
@@ -195,6 +206,7 @@
                         return Err(Interruption::Broken);
                     }
                     let rest = self.splitter.rest();
+                    self.unfinished_bytes = rest.len();
                     if !rest.is_empty() {
                         self.send(rest).await?;
                     }
@@ -288,7 +300,8 @@
     fn log_end(&self, outcome: &str) {
         log::info!(target: "comfreymast", code = 1103, request = &*self.call.head.id,
             upstream = self.upstream.record.name.as_str(), outcome, events = self.events,
-            moves = self.moves, longest_pause_ms = self.longest_pause_ms,
+            moves = self.moves, framing:% = self.framing,
+            unfinished_bytes = self.unfinished_bytes, longest_pause_ms = self.longest_pause_ms,
             age_ms = self.call.age_ms(&self.dispatch.clock); "stream ended");
     }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -5,7 +5,7 @@
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
-use comfreymast_net::{Body, sleep_ms};
+use comfreymast_net::{Body, BodyFraming, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
@@ -60,6 +60,7 @@
         upstream.mark_untrusted(dispatch.clock.now_ms());
         return Err(CallError::OutcomeUnknown);
     }
+    let framing = BodyFraming::of(&parts.headers);
     ResponseHead::strip_connection(&mut parts.headers);
     let is_stream = parts.status.is_success();
     if is_stream {
@@ -67,7 +68,7 @@
     }
     let (chunks, unread) = bounded(UNREAD_CHUNKS);
     let relay = Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
-    let task = dispatch.spawner.spawn(relay.run(connection, answer, body, outstanding));
+    let task = dispatch.spawner.spawn(relay.run(connection, answer, framing, body, outstanding));
     Ok(Response::from_parts(parts, RelayBody::body(unread, task)))
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`Spawner`] — a cheaply cloned handle that spawns tasks on the process's executor threads.
 //! * [`within`] — a timeout for one future; [`IdleTimeout`] — one for each of many short waits.
 //! * [`Body`] — the body type of all requests and responses, buffered or streamed.
+//! * [`BodyFraming`] — how the end of a response body is marked.
 //! * [`serve`] — an HTTP/1.1 and HTTP/2 server with graceful shutdown.
 //! * [`dial`] — opens a client connection; [`call`] — sends one request on a new one.
 //! * [`OwnedConnection`] — a client connection that closes when it is dropped.
@@ -13,6 +14,7 @@
 mod body;
 mod client;
 mod first_bytes;
+mod framing;
 mod idle;
 mod owned;
 mod query;
@@ -22,6 +24,7 @@
 
 pub use body::{Body, BodyError, channel, collect, empty, full, json};
 pub use client::{Connection, DialError, call, dial, request};
+pub use framing::BodyFraming;
 pub use idle::IdleTimeout;
 pub use owned::{OpenError, OwnedConnection, SendError, enable_keepalive};
 pub use query::Query;
