--- /dev/null
+++ b/crates/fakes/src/framed_upstream.rs
@@ -0,0 +1,252 @@
+//! An upstream that writes its answers byte by byte, framed and ended as a test asks.
+//!
+//! ```no_run
+//! use comfreymast_fakes::framed_upstream::{AnswerEnd, FramedUpstream, WrittenAnswer};
+//! use comfreymast_net::{BodyFraming, Spawner};
+//!
+//! # async fn start(spawner: &Spawner) -> std::io::Result<()> {
+//! let upstream = FramedUpstream::start(spawner, "e0", |_| WrittenAnswer {
+//!     body: "id: 1\ndata: x\n\n".into(),
+//!     framing: BodyFraming::ConnectionClose,
+//!     cut_at_bytes: Some(9),
+//!     end: AnswerEnd::Close,
+//!     ..WrittenAnswer::default()
+//! });
+//! # upstream.await?; Ok(())
+//! # }
+//! ```
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_executor::Task;
+use async_net::{TcpListener, TcpStream};
+use bytes::{BufMut, Bytes, BytesMut};
+use comfreymast_net::{BodyFraming, Spawner};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use hyper::StatusCode;
+
+use crate::platform_documents::SIGNATURE_PREFIX;
+
+/// Small, so that a body has several chunks.
+const CHUNK_BYTES: usize = 7;
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// How an answer ends after the bytes that are written of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// With the mark of its framing, as if what was written were all of it.
+    Complete,
+    /// The connection is closed in good order, without a further mark.
+    Close,
+    /// The connection is reset.
+    Reset,
+    /// The port is closed first, then the connection in good order, as when a process ends.
+    Crash,
+}
+
+/// One answer.
+#[derive(Clone, Debug)]
+pub struct WrittenAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its content type, if it names one.
+    pub content_type: Option<&'static str>,
+    /// How the end of its body is marked.
+    pub framing: BodyFraming,
+    /// Its body.
+    pub body: Bytes,
+    /// How much of the body is written; all if `None`.
+    pub cut_at_bytes: Option<usize>,
+    /// What follows.
+    pub end: AnswerEnd,
+}
+
+impl Default for WrittenAnswer {
+    fn default() -> Self {
+        Self {
+            status: StatusCode::OK,
+            content_type: None,
+            framing: BodyFraming::Chunked,
+            body: Bytes::new(),
+            cut_at_bytes: None,
+            end: AnswerEnd::Complete,
+        }
+    }
+}
+
+/// One request that the upstream has received.
+#[derive(Clone, Debug)]
+pub struct ReceivedRequest {
+    /// Its method and path.
+    pub line: String,
+    headers: HashMap<String, String>,
+}
+
+impl ReceivedRequest {
+    /// The value of a header, named in lower case.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).map(String::as_str)
+    }
+
+    /// The identifier that the caller chose.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        self.header("x-attempt-id").unwrap_or_default()
+    }
+}
+
+type Respond = Arc<dyn Fn(&ReceivedRequest) -> WrittenAnswer + Send + Sync>;
+
+/// An upstream of the platform. Clones share its state.
+#[derive(Clone)]
+pub struct FramedUpstream {
+    /// Its name.
+    pub name: Arc<str>,
+    /// The address it listens on.
+    pub addr: SocketAddr,
+    respond: Respond,
+    requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    accepting: Arc<Mutex<Option<Task<()>>>>,
+}
+
+impl FramedUpstream {
+    /// Starts an upstream on a loopback port that the system chooses.
+    ///
+    /// # Errors
+    ///
+    /// When the listening socket cannot be opened.
+    pub async fn start(
+        spawner: &Spawner,
+        name: &str,
+        respond: impl Fn(&ReceivedRequest) -> WrittenAnswer + Send + Sync + 'static,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let upstream = Self {
+            name: name.into(),
+            addr: listener.local_addr()?,
+            respond: Arc::new(respond),
+            requests: Arc::default(),
+            accepting: Arc::default(),
+        };
+        let accepting = spawner.spawn(upstream.clone().accept(spawner.clone(), listener));
+        *lock(&upstream.accepting) = Some(accepting);
+        Ok(upstream)
+    }
+
+    /// The requests that it received, in order.
+    #[must_use]
+    pub fn requests(&self) -> Vec<ReceivedRequest> {
+        lock(&self.requests).clone()
+    }
+
+    async fn accept(self, spawner: Spawner, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let upstream = self.clone();
+            spawner.detach(async move {
+                // Fails when the gateway has closed the connection.
+                let _ = upstream.serve(stream).await;
+            });
+        }
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        while let Some(request) = read_request(&mut stream).await? {
+            let answer = (self.respond)(&request);
+            let bytes = self.encode(&request, &answer);
+            lock(&self.requests).push(request);
+            stream.write_all(&bytes).await?;
+            match answer.end {
+                AnswerEnd::Complete if answer.framing != BodyFraming::ConnectionClose => {}
+                AnswerEnd::Complete | AnswerEnd::Close => return Ok(()),
+                AnswerEnd::Reset => return reset(&stream),
+                AnswerEnd::Crash => {
+                    self.close_port().await;
+                    return Ok(());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn close_port(&self) {
+        let accepting = lock(&self.accepting).take();
+        if let Some(accepting) = accepting {
+            accepting.cancel().await;
+        }
+    }
+
+    fn encode(&self, request: &ReceivedRequest, answer: &WrittenAnswer) -> Bytes {
+        let cut_at_bytes = answer.cut_at_bytes.unwrap_or(answer.body.len());
+        let body = &answer.body[..cut_at_bytes];
+        let is_complete = answer.end == AnswerEnd::Complete;
+        let mut head = format!("HTTP/1.1 {}\r\n", answer.status);
+        let mut add = |name: &str, value: &str| head.push_str(&format!("{name}: {value}\r\n"));
+        add("x-attempt-id", request.id());
+        add("x-server-signature", &format!("{SIGNATURE_PREFIX}{}", self.name));
+        if let Some(content_type) = answer.content_type {
+            add("content-type", content_type);
+        }
+        match answer.framing {
+            BodyFraming::Length if is_complete => add("content-length", &body.len().to_string()),
+            BodyFraming::Length => add("content-length", &answer.body.len().to_string()),
+            BodyFraming::Chunked => add("transfer-encoding", "chunked"),
+            BodyFraming::ConnectionClose => {}
+        }
+        let mut bytes = BytesMut::from(head.as_bytes());
+        bytes.put_slice(b"\r\n");
+        if answer.framing == BodyFraming::Chunked {
+            put_chunks(&mut bytes, body, is_complete);
+        } else {
+            bytes.put_slice(body);
+        }
+        bytes.freeze()
+    }
+}
+
+fn put_chunks(bytes: &mut BytesMut, body: &[u8], has_last: bool) {
+    for chunk in body.chunks(CHUNK_BYTES) {
+        bytes.put_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        bytes.put_slice(chunk);
+        bytes.put_slice(b"\r\n");
+    }
+    if has_last {
+        bytes.put_slice(b"0\r\n\r\n");
+    }
+}
+
+/// Reads one request with its body; `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<ReceivedRequest>> {
+    let mut head = Vec::new();
+    while !head.ends_with(HEAD_END) {
+        let mut byte = [0];
+        if stream.read(&mut byte).await? == 0 {
+            return Ok(None);
+        }
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&head);
+    let mut lines = head.lines();
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: HashMap<_, _> = lines
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers.get("content-length").and_then(|length| length.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await?;
+    Ok(Some(ReceivedRequest { line, headers }))
+}
+
+/// Closes a connection with a reset.
+fn reset(stream: &TcpStream) -> std::io::Result<()> {
+    rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO))?;
+    Ok(())
+}
+
+fn lock<T>(value: &Mutex<T>) -> MutexGuard<'_, T> {
+    value.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -9,9 +9,11 @@
 //! * [`plain_service`] — a service that echoes each call and numbers its runs.
 //! * [`platform_upstream`] — an upstream with the platform's interface, started inside a test.
 //! * [`platform_documents`] — the JSON documents and headers of the platform's interfaces.
+//! * [`framed_upstream`] — an upstream of the platform that frames and cuts its answers as asked.
 //! * [`history`] — the events of a run, for checkers to read afterwards.
 
 pub mod engine;
+pub mod framed_upstream;
 pub mod history;
 pub mod log_service;
 pub mod plain_service;
--- /dev/null
+++ b/crates/gateway/tests/answer_ends.rs
@@ -0,0 +1,315 @@
+//! Tests that an answer that broke off never looks complete to its caller, however it was framed and
+//! wherever it was cut, and that a whole answer always does.
+
+mod support;
+
+use std::collections::HashSet;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use comfreymast_fakes::framed_upstream::{
+    AnswerEnd, FramedUpstream, ReceivedRequest, WrittenAnswer,
+};
+use comfreymast_net::{Body, BodyFraming, Spawner};
+use http_body_util::BodyExt;
+use hyper::{Request, StatusCode};
+use support::{Gateway, TestEnv, call, generation, run_test, wait_for};
+
+const FRAMINGS: [BodyFraming; 3] =
+    [BodyFraming::Length, BodyFraming::Chunked, BodyFraming::ConnectionClose];
+const EVENTS: [&str; 3] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+const PLAIN_BODY: &str = "a plain answer\n\nof several lines\n";
+const EVENT_STREAM: Option<&str> = Some("text/event-stream");
+/// Larger than the number of cases, as each may need one retry.
+const RETRY_SLACK: f64 = 5_000.0;
+
+/// One way in which an answer is framed, cut and ended.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    framing: BodyFraming,
+    cut_at_bytes: usize,
+    end: AnswerEnd,
+}
+
+impl Case {
+    /// Every framing and end at each byte of `body`.
+    fn all(body: &[u8]) -> Vec<Self> {
+        let mut cases = Vec::new();
+        for framing in FRAMINGS {
+            for end in [AnswerEnd::Complete, AnswerEnd::Close, AnswerEnd::Reset] {
+                for cut_at_bytes in 0..=body.len() {
+                    // Whether a reset overtakes the last bytes of a whole answer is open.
+                    if end != AnswerEnd::Reset || cut_at_bytes < body.len() {
+                        cases.push(Self { framing, cut_at_bytes, end });
+                    }
+                }
+            }
+        }
+        cases
+    }
+
+    /// True if the framing shows that the answer is whole.
+    fn is_framed_whole(&self, body: &[u8]) -> bool {
+        match (self.end, self.framing) {
+            (AnswerEnd::Reset | AnswerEnd::Crash, _) => false,
+            (AnswerEnd::Complete, _) | (_, BodyFraming::ConnectionClose) => true,
+            (AnswerEnd::Close, BodyFraming::Length) => self.cut_at_bytes == body.len(),
+            (AnswerEnd::Close, BodyFraming::Chunked) => false,
+        }
+    }
+
+    fn answer(&self, body: &'static str) -> WrittenAnswer {
+        WrittenAnswer {
+            framing: self.framing,
+            body: body.into(),
+            cut_at_bytes: Some(self.cut_at_bytes),
+            end: self.end,
+            ..WrittenAnswer::default()
+        }
+    }
+}
+
+/// What a caller got.
+#[derive(Debug, PartialEq, Eq)]
+struct Received {
+    status: StatusCode,
+    body: Bytes,
+    looks_complete: bool,
+}
+
+impl Received {
+    fn whole(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self { status, body: body.into(), looks_complete: true }
+    }
+}
+
+fn stream_body() -> Bytes {
+    EVENTS.concat().into()
+}
+
+/// The events that a cut at this byte leaves whole.
+fn complete_events(cut_at_bytes: usize) -> Bytes {
+    let count = cut_at_bytes / EVENTS[0].len();
+    EVENTS[..count].concat().into()
+}
+
+fn is_between_events(cut_at_bytes: usize) -> bool {
+    complete_events(cut_at_bytes).len() == cut_at_bytes
+}
+
+/// The case that an identifier names, as the tests choose them.
+fn case_of(request: &ReceivedRequest, cases: &[Case]) -> Option<Case> {
+    cases.get(request.id().parse::<usize>().ok()?).copied()
+}
+
+/// A gateway and upstreams of `service` that answer the case that a request's identifier names.
+async fn start(
+    spawner: &Spawner,
+    service: &str,
+    upstreams: usize,
+    respond: Arc<dyn Fn(&ReceivedRequest) -> WrittenAnswer + Send + Sync>,
+) -> (TestEnv, Gateway, Vec<FramedUpstream>) {
+    let mut env = TestEnv::new(spawner).await;
+    env.retry_slack = RETRY_SLACK;
+    env.publish(1, |_| ());
+    let gateway = env.gateway("d0").await;
+    gateway.wait_ready(spawner).await;
+    let mut started = Vec::new();
+    for number in 0..upstreams {
+        let name = format!("u{number}");
+        let respond = respond.clone();
+        let answer = move |request: &ReceivedRequest| respond(request);
+        let upstream = FramedUpstream::start(spawner, &name, answer).await.expect("a port");
+        env.announce_at(&name, upstream.addr, service, "ready");
+        started.push(upstream);
+    }
+    let (method, path) =
+        if service == "plain" { ("GET", "/safe/x") } else { ("POST", "/caption/x") };
+    for upstream in &started {
+        wait_for("upstream", async || {
+            receive(spawner, &gateway, call(method, path, "probe")).await;
+            !upstream.requests().is_empty()
+        })
+        .await;
+    }
+    (env, gateway, started)
+}
+
+/// Sends a request and reads its answer as far as it comes.
+async fn receive(spawner: &Spawner, gateway: &Gateway, call: Request<Body>) -> Received {
+    let (_connection, response) = gateway.open(spawner, call).await;
+    let status = response.status();
+    let mut incoming = response.into_body();
+    let mut body = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => body.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => return Received { status, body: body.into(), looks_complete: false },
+        }
+    }
+    Received { status, body: body.into(), looks_complete: true }
+}
+
+fn arrivals(upstreams: &[FramedUpstream], id: &str) -> usize {
+    let requests = upstreams.iter().flat_map(FramedUpstream::requests);
+    requests.filter(|request| request.id() == id).count()
+}
+
+#[test]
+fn a_stream_that_ends_inside_an_event_never_looks_complete() {
+    run_test(async |spawner| {
+        let cases = Case::all(&stream_body());
+        let known = cases.clone();
+        let respond = move |request: &ReceivedRequest| match case_of(request, &known) {
+            Some(case) => {
+                let body = EVENTS.concat().leak();
+                WrittenAnswer { content_type: EVENT_STREAM, ..case.answer(body) }
+            }
+            None => WrittenAnswer::default(),
+        };
+        let (_env, gateway, upstreams) = start(&spawner, "engines", 1, Arc::new(respond)).await;
+        let mut wrong = Vec::new();
+        for (id, case) in cases.iter().enumerate() {
+            let id = id.to_string();
+            let received = receive(&spawner, &gateway, generation("/report/x", &id)).await;
+            let is_whole =
+                case.is_framed_whole(&stream_body()) && is_between_events(case.cut_at_bytes);
+            let is_right = if is_whole {
+                received == Received::whole(StatusCode::OK, complete_events(case.cut_at_bytes))
+            } else {
+                !received.looks_complete
+                    && complete_events(case.cut_at_bytes).starts_with(&received.body)
+            };
+            if !is_right || arrivals(&upstreams, &id) != 1 {
+                wrong.push((case, received));
+            }
+        }
+        assert!(wrong.is_empty(), "{} of {} cases: {wrong:#?}", wrong.len(), cases.len());
+    });
+}
+
+#[test]
+fn a_resumable_stream_that_ends_inside_an_event_is_resumed() {
+    run_test(async |spawner| {
+        let cases = Case::all(&stream_body());
+        let known = cases.clone();
+        let respond = move |request: &ReceivedRequest| {
+            let last_event = request.header("last-event-id").and_then(|last| last.parse().ok());
+            let rest = EVENTS[last_event.unwrap_or(0)..].concat();
+            let whole = WrittenAnswer {
+                content_type: EVENT_STREAM,
+                body: rest.into(),
+                ..WrittenAnswer::default()
+            };
+            match case_of(request, &known) {
+                Some(case) if last_event.is_none() && request.header("x-cut").is_some() => {
+                    WrittenAnswer {
+                        content_type: EVENT_STREAM,
+                        ..case.answer(EVENTS.concat().leak())
+                    }
+                }
+                _ => whole,
+            }
+        };
+        let (_env, gateway, _upstreams) = start(&spawner, "engines", 2, Arc::new(respond)).await;
+        let mut wrong = Vec::new();
+        for (id, case) in cases.iter().enumerate() {
+            // A cut before the first event is resumed like a new request, so that would be cut too.
+            if case.cut_at_bytes < EVENTS[0].len() {
+                continue;
+            }
+            let mut call = generation("/caption/x", &id.to_string());
+            call.headers_mut().insert("x-cut", "1".parse().expect("a value"));
+            let received = receive(&spawner, &gateway, call).await;
+            let is_whole =
+                case.is_framed_whole(&stream_body()) && is_between_events(case.cut_at_bytes);
+            let expected =
+                if is_whole { complete_events(case.cut_at_bytes) } else { stream_body() };
+            if received != Received::whole(StatusCode::OK, expected) {
+                wrong.push((case, received));
+            }
+        }
+        assert!(wrong.is_empty(), "{} cases: {wrong:#?}", wrong.len());
+    });
+}
+
+#[test]
+fn a_plain_answer_that_broke_off_never_looks_complete() {
+    run_test(async |spawner| {
+        let cases = Case::all(PLAIN_BODY.as_bytes());
+        let known = cases.clone();
+        let respond = move |request: &ReceivedRequest| match case_of(request, &known) {
+            Some(case) => case.answer(PLAIN_BODY),
+            None => WrittenAnswer::default(),
+        };
+        let (_env, gateway, upstreams) = start(&spawner, "plain", 1, Arc::new(respond)).await;
+        for (id, case) in cases.iter().enumerate() {
+            let id = id.to_string();
+            let received = receive(&spawner, &gateway, call("POST", "/plain/x", &id)).await;
+            let sent = &PLAIN_BODY[..case.cut_at_bytes];
+            let expected = if case.is_framed_whole(PLAIN_BODY.as_bytes()) {
+                Received::whole(StatusCode::OK, sent)
+            } else {
+                Received::whole(StatusCode::BAD_GATEWAY, "")
+            };
+            assert_eq!(received, expected, "{case:?}");
+            assert_eq!(arrivals(&upstreams, &id), 1);
+        }
+    });
+}
+
+#[test]
+fn an_error_answer_of_a_streaming_route_is_never_joined_with_a_stream() {
+    run_test(async |spawner| {
+        let cases = Case::all(PLAIN_BODY.as_bytes());
+        let known = cases.clone();
+        let failed = Mutex::new(HashSet::new());
+        let respond = move |request: &ReceivedRequest| match case_of(request, &known) {
+            Some(case) if failed.lock().expect("a lock").insert(request.id().to_owned()) => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                WrittenAnswer { status, ..case.answer(PLAIN_BODY) }
+            }
+            _ => WrittenAnswer { body: stream_body(), ..WrittenAnswer::default() },
+        };
+        let (_env, gateway, _upstreams) = start(&spawner, "engines", 2, Arc::new(respond)).await;
+        let mut wrong = Vec::new();
+        for (id, case) in cases.iter().enumerate() {
+            let sent = &PLAIN_BODY[..case.cut_at_bytes];
+            let call = generation("/caption/x", &id.to_string());
+            let received = receive(&spawner, &gateway, call).await;
+            let is_right = if case.is_framed_whole(PLAIN_BODY.as_bytes()) {
+                received == Received::whole(StatusCode::INTERNAL_SERVER_ERROR, sent)
+            } else {
+                received.status != StatusCode::INTERNAL_SERVER_ERROR || !received.looks_complete
+            };
+            if !is_right {
+                wrong.push((case, received));
+            }
+        }
+        assert!(wrong.is_empty(), "{} cases: {wrong:#?}", wrong.len());
+    });
+}
+
+#[test]
+fn an_unframed_answer_of_an_upstream_that_ended_never_looks_complete() {
+    run_test(async |spawner| {
+        for (service, path, body) in
+            [("engines", "/report/x", EVENTS[0]), ("plain", "/plain/x", PLAIN_BODY)]
+        {
+            let respond = move |request: &ReceivedRequest| {
+                let end =
+                    if request.id() == "probe" { AnswerEnd::Complete } else { AnswerEnd::Crash };
+                let framing = BodyFraming::ConnectionClose;
+                WrittenAnswer { framing, body: body.into(), end, ..WrittenAnswer::default() }
+            };
+            let (_env, gateway, _upstreams) = start(&spawner, service, 1, Arc::new(respond)).await;
+            let received = if service == "plain" {
+                receive(&spawner, &gateway, call("POST", path, "id-1")).await
+            } else {
+                receive(&spawner, &gateway, generation(path, "id-1")).await
+            };
+            let is_refused = received == Received::whole(StatusCode::BAD_GATEWAY, "");
+            assert!(!received.looks_complete || is_refused, "{received:?}");
+        }
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -42,6 +42,8 @@
     pub(crate) store_addr: SocketAddr,
     _store_running: Sender<()>,
     folder: TempDir,
+    /// Retries that are allowed beyond the ratio, for the gateways that are started afterwards.
+    pub(crate) retry_slack: f64,
 }
 
 /// A running gateway.
@@ -66,7 +68,14 @@
         let store = LogService::new();
         let (store_addr, running) = listen(spawner, store.clone()).await;
         let folder = TempDir::new().expect("a folder");
-        Self { spawner: spawner.clone(), store, store_addr, _store_running: running, folder }
+        Self {
+            spawner: spawner.clone(),
+            store,
+            store_addr,
+            _store_running: running,
+            folder,
+            retry_slack: 50.0,
+        }
     }
 
     /// Publishes the configuration of the tests with `change` applied to it.
@@ -88,7 +97,11 @@
 
     /// Writes the entry of an upstream to the store.
     pub(crate) fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
-        let addr = upstream.addr;
+        self.announce_at(&upstream.name, upstream.addr, service, state);
+    }
+
+    /// Writes the entry of an upstream at `addr` to the store.
+    pub(crate) fn announce_at(&self, name: &str, addr: SocketAddr, service: &str, state: &str) {
         let entry = UpstreamEntry {
             addr,
             service,
@@ -97,7 +110,7 @@
             state,
             started_unix_ms: STARTED_UNIX_MS,
         };
-        self.write(UPSTREAMS_TOPIC, &upstream.name, entry.document().to_string().as_bytes());
+        self.write(UPSTREAMS_TOPIC, name, entry.document().to_string().as_bytes());
     }
 
     /// Appends one record to a keyed topic; an empty value removes the key.
@@ -150,7 +163,7 @@
             store_addr: store,
             grace_s: 8,
             retry_ratio: 0.2,
-            retry_slack: 50.0,
+            retry_slack: self.retry_slack,
             retry_window_s: 10,
         };
         std::fs::write(&path, file.document().to_string()).expect("a settings file");
