A stream that ends inside an event has broken off, whatever its framing

Cause: the relay took the absence of further data for the end of the stream and sent what was left of an event. An HTTP library can only say that a body ended by its framing; an unframed one ends with its connection, and a process that dies closes that in good order. The same reading of an end stood in three places: streams, error answers on streaming routes (a cut one was joined with the events of another engine) and plain answers.

Ruled out: a framed answer whose error is lost on the way through the daemon (every framed case that lacks its mark was right before), and the move (no line of one in the record).

Change: net/response_body.rs tells a marked end from a closed connection, decide/answer_end.rs judges the end once for all readers, gateway/answer is the only way to read an answer: complete events and a judged end, or a whole answer. An unframed answer that ends between events is whole unless its upstream refuses connections right after, or may have been stopped by a move that it did not confirm. Answers of streaming routes that are no event streams are read whole. Line 1409 and a metric say what broke off and why; 1103 no longer says 'done' for it.

--- /dev/null
+++ b/crates/decide/src/answer_end.rs
@@ -0,0 +1,76 @@
+//! Whether an answer that has ended is whole.
+//!
+//! Load pattern: upstreams that crash, or fail single runs, in the middle of an answer. What the end
+//! looks like depends on how the answer was framed: an unframed answer ends with its connection, and
+//! a process that dies closes its connections in good order too.
+//!
+//! ```
+//! use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, EndMark, Verdict, judge};
+//!
+//! let end = AnswerEnd { mark: EndMark::Framed, is_inside_event: true, may_be_stopped: false };
+//! assert_eq!(judge(end), Verdict::Broken(BreakReason::InsideEvent));
+//! ```
+
+use derive_more::{Display, Error};
+
+/// What marked the end of an answer's body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndMark {
+    /// The stated length, or the last chunk.
+    Framed,
+    /// Nothing but the end of the connection, which was closed in good order.
+    ConnectionClosed,
+    /// The connection failed before the end.
+    Failed,
+}
+
+/// What is known of an answer when no more of it arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// What marked the end.
+    pub mark: EndMark,
+    /// True when a stream of events ended inside an event.
+    pub is_inside_event: bool,
+    /// True when the upstream was asked to stop the generation and did not say that it has not.
+    pub may_be_stopped: bool,
+}
+
+/// Why an answer is not whole.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum BreakReason {
+    /// The connection failed before the end.
+    #[display("connection failed")]
+    ConnectionFailed,
+    /// The stream ended inside an event.
+    #[display("ended inside an event")]
+    InsideEvent,
+    /// The generation may have been stopped, and only the connection marked the end.
+    #[display("generation may have been stopped")]
+    Stopped,
+    /// The upstream has ended, and only the connection marked the end of the answer.
+    #[display("upstream ended")]
+    UpstreamEnded,
+}
+
+/// What an answer's end says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The answer is whole.
+    Whole,
+    /// The answer broke off.
+    Broken(BreakReason),
+    /// The answer is whole unless its upstream has ended.
+    WholeIfUpstreamLives,
+}
+
+/// Judges an answer by its end.
+#[must_use]
+pub fn judge(end: AnswerEnd) -> Verdict {
+    match end.mark {
+        EndMark::Failed => Verdict::Broken(BreakReason::ConnectionFailed),
+        _ if end.is_inside_event => Verdict::Broken(BreakReason::InsideEvent),
+        EndMark::Framed => Verdict::Whole,
+        EndMark::ConnectionClosed if end.may_be_stopped => Verdict::Broken(BreakReason::Stopped),
+        EndMark::ConnectionClosed => Verdict::WholeIfUpstreamLives,
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`lengths`] — how long an answer will be.
 //! * [`admission`] — which engine runs a generation, when it starts, and what is refused.
 //! * [`admission_profile`] — the expected memory use of generations on an engine.
+//! * [`answer_end`] — whether an answer that has ended is whole.
 //! * [`fairness`] — which organisation is served next.
 //! * [`prefix`] — which engine may still have a prompt's prefix in its cache.
 //! * [`quarantine`] — which requests crash the engines that run them.
@@ -27,6 +28,7 @@
 pub mod admission_profile;
 mod admission_throughput;
 mod admission_work;
+pub mod answer_end;
 pub mod currency;
 pub mod entry_expiry;
 pub mod evacuation;
--- /dev/null
+++ b/crates/gateway/src/answer/event_stream.rs
@@ -0,0 +1,67 @@
+use bytes::Bytes;
+use comfreymast_decide::answer_end::{AnswerEnd, EndMark};
+use comfreymast_net::{BodyFraming, BodyStep, ResponseBody};
+
+use super::event_splitter::{Event, EventSplitter};
+
+/// The next part of a stream.
+#[derive(Debug)]
+pub(crate) enum StreamStep {
+    /// A complete event.
+    Event(Event),
+    /// Blank lines after the last event.
+    BlankLines(Bytes),
+    /// No more arrives.
+    End(AnswerEnd),
+}
+
+/// A stream of events of one upstream, in complete events only.
+#[derive(Debug)]
+pub(crate) struct EventStream {
+    body: ResponseBody,
+    splitter: EventSplitter,
+    end: Option<EndMark>,
+}
+
+impl EventStream {
+    /// The events in `body`.
+    pub(crate) fn new(body: ResponseBody) -> Self {
+        Self { body, splitter: EventSplitter::default(), end: None }
+    }
+
+    /// How its end is marked.
+    pub(crate) fn framing(&self) -> BodyFraming {
+        self.body.framing()
+    }
+
+    /// Bytes of an incomplete event that have arrived.
+    pub(crate) fn unfinished_bytes(&self) -> usize {
+        self.splitter.unfinished_bytes()
+    }
+
+    /// Waits for the next part. Dropping the future loses nothing.
+    pub(crate) async fn next(&mut self) -> StreamStep {
+        loop {
+            if let Some(event) = self.splitter.next_event() {
+                return StreamStep::Event(event);
+            }
+            if let Some(mark) = self.end {
+                return self.last_step(mark);
+            }
+            match self.body.next().await {
+                BodyStep::Data(bytes) => self.splitter.push(&bytes),
+                BodyStep::FramedEnd => self.end = Some(EndMark::Framed),
+                BodyStep::ConnectionClosed => self.end = Some(EndMark::ConnectionClosed),
+                BodyStep::Failed(_) => self.end = Some(EndMark::Failed),
+            }
+        }
+    }
+
+    fn last_step(&mut self, mark: EndMark) -> StreamStep {
+        if let Some(blank_lines) = self.splitter.blank_rest() {
+            return StreamStep::BlankLines(blank_lines);
+        }
+        let is_inside_event = self.unfinished_bytes() > 0;
+        StreamStep::End(AnswerEnd { mark, is_inside_event, may_be_stopped: false })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/answer/mod.rs
@@ -0,0 +1,15 @@
+//! Answers of upstreams, read so that one that broke off is never taken for a whole one.
+//!
+//! * [`EventStream`] — the events of a stream, and its end.
+//! * [`read_whole`] — an answer that is passed on whole.
+//! * [`check_end`] — decides whether an answer that ended is whole.
+
+mod end_check;
+mod event_splitter;
+mod event_stream;
+mod whole_answer;
+
+pub(crate) use end_check::{check_end, refuses_connections};
+pub(crate) use event_splitter::Event;
+pub(crate) use event_stream::{EventStream, StreamStep};
+pub(crate) use whole_answer::read_whole;
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -2,14 +2,14 @@
 
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::RetryPolicy;
-use comfreymast_net::{BodyFraming, within};
+use comfreymast_net::within;
 use comfreymast_platform::CopyLocation;
-use http_body_util::BodyExt;
 
 use super::mover::MoveOutcome;
 use super::placement::place;
 use super::relay::{Relay, Source};
 use super::reservation::Reservation;
+use crate::answer::{EventStream, StreamStep};
 use crate::metrics::MoveLabels;
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::upstream_state::UpstreamState;
@@ -39,7 +39,7 @@
             MoveOutcome::Kept { copy } => {
                 (vec![leaving.clone()], copy, self.last_event.unwrap_or(0))
             }
-            MoveOutcome::Stays(_) => return None,
+            MoveOutcome::Stays { .. } => return None,
         };
         self.relay_remaining(&mut source, events).await?;
         drop(source);
@@ -66,22 +66,17 @@
         while self.last_event.unwrap_or(0) < events {
             let waited_ms = self.dispatch.clock.now_ms() - started_ms;
             let left_ms = STOPPED_READ_MS.saturating_sub(waited_ms);
-            match within(left_ms, source.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    let bytes = frame.into_data().unwrap_or_default();
-                    self.deliver(&bytes).await.ok()?;
-                }
-                _ => break,
+            match within(left_ms, source.events.next()).await {
+                Ok(StreamStep::Event(event)) => self.deliver(event).await.ok()?,
+                // An incomplete event is dropped; the continued stream sends it again whole.
+                Ok(StreamStep::BlankLines(_) | StreamStep::End(_)) | Err(_) => break,
             }
         }
-        // The rest is an incomplete event; the continued stream sends it again whole.
-        let _ = self.splitter.rest();
         Some(())
     }
 
     /// Continues an interrupted stream at another upstream, if its route is resumable.
     pub(super) async fn resume(&mut self) -> Option<Source> {
-        let _ = self.splitter.rest();
         let mut tried = vec![self.upstream.record.name.clone()];
         let is_resumable = self.call.route.retry_policy == RetryPolicy::Resumable;
         while is_resumable && self.runs < self.call.route.max_attempts {
@@ -134,12 +129,12 @@
             resume_from,
         };
         let sent = send(&self.dispatch, &self.call, target, &options).await?;
-        if !sent.parts.status.is_success() || !sent.answer.is_signed || sent.answer.is_encoded {
+        if !sent.is_event_stream() || !sent.answer.is_signed || sent.answer.is_encoded {
             return Err(SendFailure::Lost("stream was not continued"));
         }
-        let Sent { connection, parts, answer, body, outstanding } = sent;
-        let framing = BodyFraming::of(&parts.headers);
-        Ok(Source { body, connection, answer, framing, _outstanding: outstanding })
+        let Sent { connection, answer, body, outstanding, .. } = sent;
+        let events = EventStream::new(body);
+        Ok(Source { events, connection, answer, _outstanding: outstanding })
     }
 
     fn log_moved(&self, leaving: &UpstreamState, pause_ms: u64) {
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -2,7 +2,6 @@
 //! on another engine when its own is leaving.
 
 mod continuation;
-mod events;
 mod mover;
 mod placement;
 mod relay;
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -55,7 +55,11 @@
     /// The generation was stopped; the engine that ran it keeps the copy.
     Kept { copy: CopyLocation },
     /// The generation continues where it is, or has ended.
-    Stays(&'static str),
+    Stays {
+        reason: &'static str,
+        /// True when the engine was asked to stop it and has not said that it did not.
+        may_be_stopped: bool,
+    },
 }
 
 impl Mover {
@@ -67,7 +71,8 @@
         loop {
             let Some(target) = self.choose_target(&tried) else {
                 if self.since_notice_ms() >= self.options().room_limit_ms {
-                    return MoveOutcome::Stays("no room elsewhere");
+                    let may_be_stopped = progress.is_last();
+                    return MoveOutcome::Stays { reason: "no room elsewhere", may_be_stopped };
                 }
                 // Other generations end and free memory, so engines that were full are tried again.
                 tried.truncate(1);
@@ -96,7 +101,10 @@
             match progress.after(copy_outcome(&copied), copy_ms, self.since_notice_ms(), &options) {
                 MoveStep::Copy { pause_ms, .. } => sleep_ms(pause_ms).await,
                 MoveStep::OtherTarget { .. } => return None,
-                MoveStep::Stay(reason) => return Some(MoveOutcome::Stays(reason_text(reason))),
+                MoveStep::Stay(reason) => {
+                    let (reason, may_be_stopped) = (reason_text(reason), progress.is_last());
+                    return Some(MoveOutcome::Stays { reason, may_be_stopped });
+                }
                 MoveStep::ContinueAtTarget | MoveStep::ContinueAtSource => {
                     return Some(self.stopped_outcome(copied, target, reservation));
                 }
@@ -121,7 +129,7 @@
             Err(MoveError::NoRoom { handle: Some(handle) }) => {
                 MoveOutcome::Kept { copy: self.copy_location(handle) }
             }
-            Err(_) => MoveOutcome::Stays("engine did not copy"),
+            Err(_) => MoveOutcome::Stays { reason: "engine did not copy", may_be_stopped: true },
         }
     }
 
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -4,18 +4,17 @@
 use async_executor::Task;
 use bytes::Bytes;
 use comfreymast_base::Service;
+use comfreymast_decide::answer_end::{AnswerEnd, BreakReason};
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
 use comfreymast_net::{BodyError, BodyFraming, OwnedConnection, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
 use futures_lite::future;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
-use super::events::EventSplitter;
 use super::mover::{MoveOutcome, Mover};
 use super::relay_body::Chunk;
 use super::reservation::{Reservation, expected_tokens, generation_key};
+use crate::answer::{Event, EventStream, StreamStep, check_end};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::metrics::MoveLabels;
@@ -35,7 +34,6 @@
     pub(super) key: u32,
     pub(super) started_unix_ms: u64,
     pub(super) chunks: Sender<Chunk>,
-    pub(super) splitter: EventSplitter,
     pub(super) last_event: Option<u64>,
     pub(super) events: u64,
     pub(super) may_move: bool,
@@ -43,26 +41,23 @@
     pub(super) last_event_ms: u64,
     pub(super) longest_pause_ms: u64,
     pub(super) moves: u32,
-    /// How the end of the last answer was marked.
+    /// How the end of the current answer is marked.
     pub(super) framing: BodyFraming,
-    /// Bytes of an incomplete event at the end of the last answer.
-    pub(super) unfinished_bytes: usize,
+    /// True once the engine may have stopped the generation for a move that was not confirmed.
+    pub(super) may_be_stopped: bool,
 }
 
 /// An open stream of an upstream.
 pub(super) struct Source {
-    pub(super) body: Incoming,
+    pub(super) events: EventStream,
     pub(super) connection: OwnedConnection,
     pub(super) answer: ResponseHead,
-    pub(super) framing: BodyFraming,
     pub(super) _outstanding: Outstanding,
 }
 
 /// What a relay handles next.
 enum Step {
-    Data(Bytes),
-    End,
-    Broken,
+    Stream(StreamStep),
     Leaving,
     Moved(MoveOutcome),
     TimedOut,
@@ -92,7 +87,6 @@
             key: generation_key(&call.head.id),
             started_unix_ms: dispatch.clock.unix_ms(),
             chunks,
-            splitter: EventSplitter::default(),
             last_event: call.head.last_event,
             events: 0,
             // A resumable stream needs no move: it is short, or is resumed after its last event.
@@ -102,25 +96,17 @@
             longest_pause_ms: 0,
             moves: 0,
             framing: BodyFraming::Chunked,
-            unfinished_bytes: 0,
+            may_be_stopped: false,
         }
     }
 
     /// Relays the stream to its end, across moves and resumptions of its generation.
-    pub(super) async fn run(
-        mut self,
-        connection: OwnedConnection,
-        answer: ResponseHead,
-        framing: BodyFraming,
-        body: Incoming,
-        outstanding: Outstanding,
-    ) {
-        let mut source = Source { body, connection, answer, framing, _outstanding: outstanding };
+    pub(super) async fn run(mut self, mut source: Source) {
         loop {
+            self.framing = source.events.framing();
             match self.relay(&mut source).await {
                 Ok(()) => {
-                    let Source { connection, answer, framing, .. } = source;
-                    self.framing = framing;
+                    let Source { connection, answer, .. } = source;
                     Sent::return_to_pool(connection, &answer, &self.dispatch, &self.upstream);
                     record_success(&self.dispatch, &self.call);
                     return self.log_end("done");
@@ -129,9 +115,8 @@
                     Some(next) => source = next,
                     None => return self.abort("move failed").await,
                 },
-                Err(Interruption::Broken) => {
-                    self.framing = source.framing;
-                    self.unfinished_bytes = self.splitter.rest().len();
+                Err(Interruption::Broken(reason)) => {
+                    self.log_broken(reason, source.events.unfinished_bytes());
                     drop(source);
                     self.upstream.record_lost_answer();
                     self.report_if_ended(&self.upstream, self.last_event_ms).await;
@@ -155,13 +140,7 @@
         loop {
             let wants_move = self.may_move && mover.is_none() && self.events > 0;
             let step = {
-                let frame = async {
-                    match source.body.frame().await {
-                        None => Step::End,
-                        Some(Err(_)) => Step::Broken,
-                        Some(Ok(frame)) => Step::Data(frame.into_data().unwrap_or_default()),
-                    }
-                };
+                let part = async { Step::Stream(source.events.next().await) };
                 let leaving = async {
                     if wants_move {
                         upstream.wait_leaving().await;
@@ -180,38 +159,36 @@
                     timeout.as_mut().await;
                     Step::TimedOut
                 };
-                future::or(frame, future::or(moved, future::or(leaving, timeout))).await
+                future::or(part, future::or(moved, future::or(leaving, timeout))).await
             };
             match step {
-                Step::Data(bytes) => self.deliver(&bytes).await?,
+                Step::Stream(StreamStep::Event(event)) => self.deliver(event).await?,
+                Step::Stream(StreamStep::BlankLines(bytes)) => self.send(bytes).await?,
+                Step::Stream(StreamStep::End(end)) => {
+                    if let Some(task) = mover.take() {
+                        // The stream may have ended because the move stopped its generation.
+                        match task.await {
+                            MoveOutcome::Stays { may_be_stopped, .. } => {
+                                self.may_be_stopped |= may_be_stopped;
+                            }
+                            moved => return Err(Interruption::Moved(moved)),
+                        }
+                    }
+                    let end = AnswerEnd { may_be_stopped: self.may_be_stopped, ..end };
+                    let framing = source.events.framing();
+                    let checked = check_end(&self.dispatch, &self.upstream, framing, end).await;
+                    return checked.map_err(Interruption::Broken);
+                }
                 Step::Leaving => mover = Some(self.start_move()),
-                Step::Moved(MoveOutcome::Stays(reason)) => {
+                Step::Moved(MoveOutcome::Stays { reason, may_be_stopped }) => {
                     self.log_not_moved("stays", reason);
                     mover = None;
                     self.may_move = false;
+                    self.may_be_stopped |= may_be_stopped;
                     self.reservation.unlist_generation();
                     self.dispatch.notify_peers();
                 }
                 Step::Moved(moved) => return Err(Interruption::Moved(moved)),
-                Step::End | Step::Broken => {
-                    let is_end = matches!(step, Step::End);
-                    if let Some(task) = mover.take() {
-                        // The stream may have ended because the move stopped its generation.
-                        match task.await {
-                            MoveOutcome::Stays(_) => {}
-                            moved => return Err(Interruption::Moved(moved)),
-                        }
-                    }
-                    if !is_end {
-                        return Err(Interruption::Broken);
-                    }
-                    let rest = self.splitter.rest();
-                    self.unfinished_bytes = rest.len();
-                    if !rest.is_empty() {
-                        self.send(rest).await?;
-                    }
-                    return Ok(());
-                }
                 Step::TimedOut => return Err(Interruption::TimedOut),
             }
         }
@@ -260,27 +237,24 @@
         expected_tokens(&self.shape, self.generated_tokens())
     }
 
-    /// Relays the events that `bytes` complete, except those already delivered.
-    pub(super) async fn deliver(&mut self, bytes: &[u8]) -> Result<(), Interruption> {
-        self.splitter.push(bytes);
-        while let Some(event) = self.splitter.next_event() {
-            let is_repeated = match (event.id, self.last_event) {
-                (Some(id), Some(last)) => id <= last,
-                _ => false,
-            };
-            if is_repeated {
-                continue;
-            }
-            self.last_event = event.id.or(self.last_event);
-            self.events += 1;
-            let now_ms = self.dispatch.clock.now_ms();
-            if self.events > 1 {
-                let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-                self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
-            }
-            self.last_event_ms = now_ms;
-            self.send(event.bytes).await?;
+    /// Relays an event unless it was already delivered.
+    pub(super) async fn deliver(&mut self, event: Event) -> Result<(), Interruption> {
+        let is_repeated = match (event.id, self.last_event) {
+            (Some(id), Some(last)) => id <= last,
+            _ => false,
+        };
+        if is_repeated {
+            return Ok(());
         }
+        self.last_event = event.id.or(self.last_event);
+        self.events += 1;
+        let now_ms = self.dispatch.clock.now_ms();
+        if self.events > 1 {
+            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
+        self.last_event_ms = now_ms;
+        self.send(event.bytes).await?;
         self.reservation.resize(self.need_tokens());
         self.list_generation();
         Ok(())
@@ -297,11 +271,16 @@
         self.log_end(reason);
     }
 
+    fn log_broken(&self, reason: BreakReason, unfinished_bytes: usize) {
+        log::info!(target: "comfreymast", code = 1409, request = &*self.call.head.id,
+            upstream = self.upstream.record.name.as_str(), reason:%, framing:% = self.framing,
+            unfinished_bytes, events = self.events; "stream broke off");
+    }
+
     fn log_end(&self, outcome: &str) {
         log::info!(target: "comfreymast", code = 1103, request = &*self.call.head.id,
             upstream = self.upstream.record.name.as_str(), outcome, events = self.events,
-            moves = self.moves, framing:% = self.framing,
-            unfinished_bytes = self.unfinished_bytes, longest_pause_ms = self.longest_pause_ms,
+            moves = self.moves, framing:% = self.framing, longest_pause_ms = self.longest_pause_ms,
             age_ms = self.call.age_ms(&self.dispatch.clock); "stream ended");
     }
 
@@ -317,7 +296,7 @@
 /// Why relaying from one upstream ended before the stream did.
 pub(super) enum Interruption {
     Moved(MoveOutcome),
-    Broken,
+    Broken(BreakReason),
     TimedOut,
     CallerDisconnected,
 }
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -5,15 +5,16 @@
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
-use comfreymast_net::{Body, BodyFraming, sleep_ms};
+use comfreymast_net::{Body, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 
 use super::placement::{Placement, place};
-use super::relay::Relay;
+use super::relay::{Relay, Source};
 use super::relay_body::RelayBody;
 use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
+use crate::answer::{EventStream, read_whole};
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
@@ -54,24 +55,40 @@
         runs: 0,
         room_ms: 0,
     };
-    let (sent, upstream, reservation) = start.first_answer().await?;
+    let Started { sent, upstream, reservation } = match start.first_answer().await? {
+        FirstAnswer::Stream(started) => started,
+        FirstAnswer::Whole(response) => return Ok(response),
+    };
     let Sent { connection, mut parts, answer, body, outstanding } = sent;
-    if answer.is_encoded || (parts.status.is_success() && !answer.is_signed) {
+    if answer.is_encoded || !answer.is_signed {
         upstream.mark_untrusted(dispatch.clock.now_ms());
         return Err(CallError::OutcomeUnknown);
     }
-    let framing = BodyFraming::of(&parts.headers);
     ResponseHead::strip_connection(&mut parts.headers);
-    let is_stream = parts.status.is_success();
-    if is_stream {
-        parts.headers.remove(CONTENT_LENGTH);
-    }
+    parts.headers.remove(CONTENT_LENGTH);
     let (chunks, unread) = bounded(UNREAD_CHUNKS);
     let relay = Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
-    let task = dispatch.spawner.spawn(relay.run(connection, answer, framing, body, outstanding));
+    let events = EventStream::new(body);
+    let source = Source { events, connection, answer, _outstanding: outstanding };
+    let task = dispatch.spawner.spawn(relay.run(source));
     Ok(Response::from_parts(parts, RelayBody::body(unread, task)))
 }
 
+/// The first answer of an upstream.
+enum FirstAnswer {
+    /// A stream of events.
+    Stream(Started),
+    /// Anything else, such as an error; it is passed on whole.
+    Whole(Response<Body>),
+}
+
+/// A stream that an upstream has started.
+struct Started {
+    sent: Sent,
+    upstream: Arc<UpstreamState>,
+    reservation: Reservation,
+}
+
 fn engine_spec(dispatch: &Dispatch, service: &Service) -> EngineSpec {
     let configuration = dispatch.configuration.load();
     let spec = configuration.as_ref().and_then(|configuration| configuration.service(service));
@@ -113,7 +130,7 @@
         Ok(())
     }
 
-    async fn first_answer(&mut self) -> Result<(Sent, Arc<UpstreamState>, Reservation), CallError> {
+    async fn first_answer(&mut self) -> Result<FirstAnswer, CallError> {
         self.check_stopping()?;
         // A request that will not be sent does not wait for an engine.
         quarantine::check(self.dispatch, self.call).map_err(|reason| self.withheld(reason))?;
@@ -131,21 +148,27 @@
             let options = SendOptions { limit_ms, priority, ..SendOptions::default() };
             let sent = send(self.dispatch, self.call, &upstream, &options).await;
             drop(prefill);
-            match sent {
+            let failure = match sent {
                 Ok(sent) => {
                     let is_good = !sent.parts.status.is_server_error();
                     upstream.record_answer(is_good, self.dispatch.clock.now_ms() - started_ms);
                     self.log_started(&placed, sent.parts.status.as_u16(), need_tokens);
-                    return Ok((sent, upstream, reservation));
-                }
-                Err(failure) => {
-                    if matches!(failure, SendFailure::Lost(_)) {
-                        let progress = LastProgress { tokens: 0, alive_ms: started_ms };
-                        report_if_ended(self.dispatch, self.call, &upstream, progress).await;
+                    if sent.is_event_stream() {
+                        return Ok(FirstAnswer::Stream(Started { sent, upstream, reservation }));
+                    }
+                    let left_ms = self.call.remaining_ms(&self.dispatch.clock);
+                    match read_whole(self.dispatch, &upstream, sent, left_ms).await {
+                        Ok(response) => return Ok(FirstAnswer::Whole(response)),
+                        Err(failure) => failure,
                     }
-                    self.check_resend(&upstream, failure)?;
                 }
+                Err(failure) => failure,
+            };
+            if matches!(failure, SendFailure::Lost(_)) {
+                let progress = LastProgress { tokens: 0, alive_ms: started_ms };
+                report_if_ended(self.dispatch, self.call, &upstream, progress).await;
             }
+            self.check_resend(&upstream, failure)?;
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! A caller's request enters at `request_handler`, a change of the configuration at `follow`.
 
+mod answer;
 mod call;
 mod call_error;
 mod directory;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,6 +29,15 @@
     pub(crate) outcome: &'static str,
 }
 
+/// How an answer broke off.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct BreakLabels {
+    /// How its end was to be marked.
+    pub(crate) framing: String,
+    /// What showed that it is not whole.
+    pub(crate) reason: String,
+}
+
 /// The metrics of a gateway.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -45,6 +54,8 @@
     pub(crate) move_pause_s: Histogram,
     /// The time that generations waited for an engine.
     pub(crate) wait_s: Histogram,
+    /// Answers of upstreams that broke off, by framing and reason.
+    pub(crate) broken_answers: Family<BreakLabels, Counter>,
     /// Requests during which their upstream ended.
     pub(crate) upstream_ends: Counter,
     /// Sends that were withheld, as their request may crash upstreams.
@@ -78,6 +89,12 @@
             "Pause of a stream during a move",
         );
         let wait_s = histogram(&mut registry, "gateway_wait_seconds", "Wait for an engine");
+        let broken_answers = Family::default();
+        registry.register(
+            "gateway_broken_answers",
+            "Answers of upstreams that broke off, by framing and reason",
+            broken_answers.clone(),
+        );
         let upstream_ends = Counter::default();
         registry.register(
             "gateway_upstream_ends",
@@ -100,6 +117,7 @@
             latency_s,
             move_pause_s,
             wait_s,
+            broken_answers,
             upstream_ends,
             quarantine_refusals,
             dropped_lines,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,18 +3,17 @@
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::upstream_choice::{UpstreamView, choose_upstream};
 use comfreymast_fleet::RetryPolicy;
-use comfreymast_net::{Body, collect, full, within};
-use comfreymast_platform::ResponseHead;
-use hyper::{Response, StatusCode};
+use comfreymast_net::Body;
+use hyper::Response;
 
+use crate::answer::read_whole;
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
-use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::send::{SendFailure, SendOptions, send};
 use crate::upstream_state::UpstreamState;
 
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// How often a request is sent at most; sends that reached no upstream are not counted.
 const MAX_SENDS: u32 = 4;
 const REFUSED_RETRY_MS: u64 = 150;
@@ -123,35 +122,11 @@
     let limit_ms = attempt_limit_ms(dispatch, call, runs);
     let options = SendOptions { limit_ms, ..SendOptions::default() };
     let sent = send(dispatch, call, upstream, &options).await?;
-    let Sent { connection, mut parts, answer, body, outstanding: _outstanding } = sent;
     let left_ms = limit_ms.saturating_sub(dispatch.clock.now_ms() - started_ms);
-    let Ok(Ok(bytes)) = within(left_ms, collect(body, MAX_ANSWER_BYTES)).await else {
-        upstream.record_lost_answer();
-        return Err(SendFailure::Lost("answer broke off"));
-    };
-    if answer.is_encoded || (parts.status.is_success() && !answer.is_signed) {
-        upstream.mark_untrusted(dispatch.clock.now_ms());
-        return Err(SendFailure::Lost("not an answer of the upstream"));
-    }
-    Sent::return_to_pool(connection, &answer, dispatch, upstream);
-    upstream.record_answer(!parts.status.is_server_error(), dispatch.clock.now_ms() - started_ms);
-    ResponseHead::strip_connection(&mut parts.headers);
-    if implies_not_run(parts.status) {
-        // The upstream ran the request, and this status would tell the caller that it did not.
-        return Err(SendFailure::Lost("status means not run"));
-    }
-    Ok(Response::from_parts(parts, full(bytes)))
-}
-
-/// True for a status that tells a caller that its request has not run.
-fn implies_not_run(status: StatusCode) -> bool {
-    [
-        StatusCode::TOO_MANY_REQUESTS,
-        StatusCode::SERVICE_UNAVAILABLE,
-        StatusCode::REQUEST_TIMEOUT,
-        StatusCode::MISDIRECTED_REQUEST,
-    ]
-    .contains(&status)
+    let response = read_whole(dispatch, upstream, sent, left_ms).await?;
+    let is_good = !response.status().is_server_error();
+    upstream.record_answer(is_good, dispatch.clock.now_ms() - started_ms);
+    Ok(response)
 }
 
 /// The time limit of an attempt: half of what is left if another attempt may follow, else all.
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -1,18 +1,15 @@
-use std::io::ErrorKind;
 use std::sync::Arc;
 
 use comfreymast_base::{Upstream, hex};
 use comfreymast_decide::quarantine::DeathReport;
-use comfreymast_net::{OpenError, OwnedConnection};
 
 use super::fingerprint;
 use super::suspicion::report_death;
+use crate::answer::refuses_connections;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::upstream_state::UpstreamState;
 
-const DIAL_LIMIT_MS: u64 = 150;
-
 /// How far an upstream was with a request when the connection to it broke, or when it did not
 /// answer in time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -53,24 +50,10 @@
     report_death(dispatch, &report);
 }
 
-/// True if the upstream refuses connections and has not announced that it would.
-///
-/// Only a refused connection shows that the upstream ended: a silent or broken connection may be
-/// the network's fault. An upstream that is leaving ends for another reason.
+/// True if the upstream refuses connections and has not announced that it would: an upstream that
+/// is leaving ends for another reason.
 async fn has_ended(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
-    if upstream.is_leaving() {
-        return false;
-    }
-    let addr = upstream.record.addr;
-    match OwnedConnection::open(&dispatch.spawner, addr, DIAL_LIMIT_MS).await {
-        Ok(connection) => {
-            let idle_ms = dispatch.options.idle_connection_ms;
-            upstream.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
-            false
-        }
-        Err(OpenError::Connect { source, .. }) => {
-            source.kind() == ErrorKind::ConnectionRefused && !upstream.is_leaving()
-        }
-        Err(_) => false,
-    }
+    !upstream.is_leaving()
+        && refuses_connections(dispatch, upstream).await
+        && !upstream.is_leaving()
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use comfreymast_net::{Body, OwnedConnection, full, within};
+use comfreymast_net::{Body, OwnedConnection, ResponseBody, full, within};
 use comfreymast_platform::{CopyLocation, ForwardOptions, ResponseHead, upstream_headers};
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::http::response::Parts;
 
 use crate::call::Call;
@@ -17,6 +17,7 @@
 const ANSWER_MARGIN_MS: u64 = 10;
 /// Subtracted from the keep-alive time that an upstream states, which it gives in whole seconds.
 const KEEP_ALIVE_MARGIN_MS: u64 = 500;
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 
 /// The options of one send of a call.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,12 +42,20 @@
     /// The decoded head.
     pub(crate) answer: ResponseHead,
     /// The body.
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     /// Counts the request as running on its upstream.
     pub(crate) outstanding: Outstanding,
 }
 
 impl Sent {
+    /// True if the body is a stream of events. An answer without a type is one, as its route says.
+    pub(crate) fn is_event_stream(&self) -> bool {
+        let content_type = self.parts.headers.get(CONTENT_TYPE);
+        let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
+        self.parts.status.is_success()
+            && content_type.is_none_or(|value| value.starts_with(EVENT_STREAM_TYPE))
+    }
+
     /// Returns the connection to the pool. To be called once the body was read to its end.
     pub(crate) fn return_to_pool(
         connection: OwnedConnection,
@@ -129,6 +138,7 @@
         }
     };
     let (parts, body) = head.into_parts();
+    let body = ResponseBody::new(&parts, body);
     let answer = ResponseHead::decode(&parts, &call.head.id);
     if !answer.matches_request {
         upstream.mark_untrusted(dispatch.clock.now_ms());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,7 +5,8 @@
 //! * [`Spawner`] — a cheaply cloned handle that spawns tasks on the process's executor threads.
 //! * [`within`] — a timeout for one future; [`IdleTimeout`] — one for each of many short waits.
 //! * [`Body`] — the body type of all requests and responses, buffered or streamed.
-//! * [`BodyFraming`] — how the end of a response body is marked.
+//! * [`ResponseBody`] — a response body that tells its marked end from a closed connection;
+//!   [`BodyFraming`] — how that end is marked.
 //! * [`serve`] — an HTTP/1.1 and HTTP/2 server with graceful shutdown.
 //! * [`dial`] — opens a client connection; [`call`] — sends one request on a new one.
 //! * [`OwnedConnection`] — a client connection that closes when it is dropped.
@@ -18,6 +19,7 @@
 mod idle;
 mod owned;
 mod query;
+mod response_body;
 mod server;
 mod spawner;
 mod timeout;
@@ -28,6 +30,7 @@
 pub use idle::IdleTimeout;
 pub use owned::{OpenError, OwnedConnection, SendError, enable_keepalive};
 pub use query::Query;
+pub use response_body::{BodyStep, ResponseBody};
 pub use server::{Handler, ServeLimits, handler, serve};
 pub use spawner::{Spawner, sleep_ms};
 pub use timeout::{Elapsed, within};
