An unframed answer of a server that has ended is not whole, on the daemon's own interface too

A plain call through `comfreymast daemon` whose server ended in the middle of an answer without length or chunks was answered 200 and done, and a claimed one would have kept the short answer for its key. Cause: the end of the body was read as whole. Engines are not concerned: each generation ends with a token that says so.

Change: the end is judged by decide/answer_end.rs as on the gateway; EndMark moves to base, ResponseBody reads whole bodies, the check for a refused connection stands once.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,13 +3,16 @@
 //! * [`Clock`] — the only source of time, in milliseconds.
 //! * [`Organisation`], [`Upstream`] and others — immutable names that are cheap to clone.
 //! * [`GenerationId`] and [`OperationId`] — random 16-byte identifiers.
+//! * [`EndMark`] — what marked the end of the body of an answer.
 //! * [`hex`] — bytes as lower-case hexadecimal text.
 
 mod clock;
+mod end_mark;
 pub mod hex;
 mod ids;
 mod names;
 
 pub use clock::Clock;
+pub use end_mark::EndMark;
 pub use ids::{GenerationId, OperationId, ParseIdError};
 pub use names::{DaemonName, DataCentre, Kind, Model, Organisation, Service, Upstream};
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -2,12 +2,14 @@
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
-use comfreymast_base::Upstream;
+use comfreymast_base::{EndMark, Upstream};
 use comfreymast_contract::Route;
+use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
 use comfreymast_decide::retry::{
     RetryBudget, SlowStartOptions, WeightedUpstream, least_weighted_load,
 };
-use comfreymast_net::{Body, Connection, DialError, collect, dial, full, within};
+use comfreymast_net::{Body, BodyError, Connection, DialError, ResponseBody, dial, full, within};
+use derive_more::{Display, Error, From};
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
@@ -68,6 +70,17 @@
     is_retry: bool,
 }
 
+/// Why an exchange gave no whole answer.
+#[derive(Debug, Display, Error, From)]
+enum ExchangeError {
+    /// Sending the request or waiting for the head of the answer failed.
+    Dial(DialError),
+    /// The answer is too long.
+    Body(BodyError),
+    /// The answer broke off.
+    BrokeOff(BreakReason),
+}
+
 /// How one attempt ended.
 enum Attempt {
     /// The server answered.
@@ -127,7 +140,7 @@
             }
         };
         permit.mark_dispatched();
-        let exchange = exchange(&mut connection, forwarded);
+        let exchange = self.exchange(server, &mut connection, forwarded);
         let answer = match within(self.daemon.settings.call_limit_ms, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
@@ -135,13 +148,41 @@
                 return Ok(Attempt::Lost);
             }
             Err(elapsed) => {
-                self.record_failed_attempt(server, &elapsed.into());
+                self.record_failed_attempt(server, &elapsed);
                 return Ok(Attempt::Lost);
             }
         };
         Ok(classify(answer))
     }
 
+    async fn exchange(
+        &self,
+        server: &UpstreamState,
+        connection: &mut Connection,
+        request: Request<Body>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let (mut head, body) = connection.send(request).await?.into_parts();
+        let mut body = ResponseBody::new(&head, body);
+        let (bytes, mark) = body.read(MAX_ANSWER_BYTES).await?;
+        self.check_end(server, mark).await?;
+        head.headers.remove(CONNECTION);
+        head.headers.remove(TRANSFER_ENCODING);
+        Ok(Response::from_parts(head, bytes))
+    }
+
+    /// Checks that an answer that ended is whole.
+    async fn check_end(&self, server: &UpstreamState, mark: EndMark) -> Result<(), BreakReason> {
+        match judge(AnswerEnd { mark, is_inside_event: false, may_be_stopped: false }) {
+            Verdict::Whole => Ok(()),
+            Verdict::Broken(reason) => Err(reason),
+            Verdict::WholeIfUpstreamLives => {
+                let dialled = dial(&self.daemon.spawner, server.addr, DIAL_LIMIT_MS).await;
+                let has_ended = dialled.is_err_and(|error| error.is_refused());
+                if has_ended { Err(BreakReason::UpstreamEnded) } else { Ok(()) }
+            }
+        }
+    }
+
     /// The request as it is forwarded: without the caller's key and connection headers.
     fn forwarded_request(&self, server: &UpstreamState) -> Result<Request<Body>, CallError> {
         let mut request = Request::new(full(self.body.clone()));
@@ -160,23 +201,12 @@
         Ok(request)
     }
 
-    fn record_failed_attempt(&self, server: &UpstreamState, error: &DialError) {
+    fn record_failed_attempt(&self, server: &UpstreamState, error: &dyn std::fmt::Display) {
         self.daemon.metrics.failed_attempts.inc();
         events::ATTEMPT_FAILED.log(format_args!("{}: {error}", server.name));
     }
 }
 
-async fn exchange(
-    connection: &mut Connection,
-    request: Request<Body>,
-) -> Result<Response<Bytes>, DialError> {
-    let (mut head, body) = connection.send(request).await?.into_parts();
-    let body = collect(body, MAX_ANSWER_BYTES).await?;
-    head.headers.remove(CONNECTION);
-    head.headers.remove(TRANSFER_ENCODING);
-    Ok(Response::from_parts(head, body))
-}
-
 /// Classifies an attempt by the status of the answer.
 fn classify(answer: Response<Bytes>) -> Attempt {
     match answer.status() {
--- a/crates/daemon/src/quarantine/suspicion.rs
+++ b/crates/daemon/src/quarantine/suspicion.rs
@@ -1,10 +1,9 @@
-use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use comfreymast_base::{DaemonName, Upstream};
 use comfreymast_decide::quarantine::{DeathReport, QuarantineOptions};
-use comfreymast_net::{DialError, dial, sleep_ms};
+use comfreymast_net::{dial, sleep_ms};
 use comfreymast_wire::engine::StartGeneration;
 use comfreymast_wire::peer::{Suspicion, peer_message};
 
@@ -28,10 +27,8 @@
     engine: &UpstreamState,
     start: &StartGeneration,
 ) -> bool {
-    let dial_result = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await;
-    let is_refused = matches!(dial_result,
-        Err(DialError::Connect { source, .. }) if source.kind() == ErrorKind::ConnectionRefused);
-    if !is_refused {
+    let dialled = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await;
+    if !dialled.is_err_and(|error| error.is_refused()) {
         return false;
     }
     let directory = daemon.directory.load_full();
--- a/crates/decide/src/answer_end.rs
+++ b/crates/decide/src/answer_end.rs
@@ -5,25 +5,16 @@
 //! a process that dies closes its connections in good order too.
 //!
 //! ```
-//! use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, EndMark, Verdict, judge};
+//! use comfreymast_base::EndMark;
+//! use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
 //!
 //! let end = AnswerEnd { mark: EndMark::Framed, is_inside_event: true, may_be_stopped: false };
 //! assert_eq!(judge(end), Verdict::Broken(BreakReason::InsideEvent));
 //! ```
 
+use comfreymast_base::EndMark;
 use derive_more::{Display, Error};
 
-/// What marked the end of an answer's body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndMark {
-    /// The stated length, or the last chunk.
-    Framed,
-    /// Nothing but the end of the connection, which was closed in good order.
-    ConnectionClosed,
-    /// The connection failed before the end.
-    Failed,
-}
-
 /// What is known of an answer when no more of it arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerEnd {
--- a/crates/decide/tests/answer_end.rs
+++ b/crates/decide/tests/answer_end.rs
@@ -1,6 +1,7 @@
 //! Whether an answer that has ended is whole.
 
-use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, EndMark, Verdict, judge};
+use comfreymast_base::EndMark;
+use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
 use proptest::prelude::*;
 
 const CLOSED: AnswerEnd =
--- a/crates/gateway/src/answer/end_check.rs
+++ b/crates/gateway/src/answer/end_check.rs
@@ -1,7 +1,5 @@
-use std::io::ErrorKind;
-
 use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
-use comfreymast_net::{BodyFraming, OpenError, OwnedConnection};
+use comfreymast_net::{BodyFraming, OwnedConnection};
 
 use crate::dispatch::Dispatch;
 use crate::metrics::BreakLabels;
@@ -45,7 +43,6 @@
             upstream.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
             false
         }
-        Err(OpenError::Connect { source, .. }) => source.kind() == ErrorKind::ConnectionRefused,
-        Err(_) => false,
+        Err(error) => error.is_refused(),
     }
 }
--- a/crates/gateway/src/answer/event_stream.rs
+++ b/crates/gateway/src/answer/event_stream.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
-use comfreymast_decide::answer_end::{AnswerEnd, EndMark};
+use comfreymast_base::EndMark;
+use comfreymast_decide::answer_end::AnswerEnd;
 use comfreymast_net::{BodyFraming, BodyStep, ResponseBody};
 
 use super::event_splitter::{Event, EventSplitter};
@@ -50,9 +51,7 @@
             }
             match self.body.next().await {
                 BodyStep::Data(bytes) => self.splitter.push(&bytes),
-                BodyStep::FramedEnd => self.end = Some(EndMark::Framed),
-                BodyStep::ConnectionClosed => self.end = Some(EndMark::ConnectionClosed),
-                BodyStep::Failed(_) => self.end = Some(EndMark::Failed),
+                BodyStep::End(mark) => self.end = Some(mark),
             }
         }
     }
--- a/crates/gateway/src/answer/whole_answer.rs
+++ b/crates/gateway/src/answer/whole_answer.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use comfreymast_decide::answer_end::{AnswerEnd, EndMark};
-use comfreymast_net::{Body, BodyStep, ResponseBody, full, within};
+use bytes::Bytes;
+use comfreymast_decide::answer_end::AnswerEnd;
+use comfreymast_net::{Body, ResponseBody, full, within};
 use comfreymast_platform::ResponseHead;
 use hyper::{Response, StatusCode};
 
@@ -26,7 +26,7 @@
     limit_ms: u64,
 ) -> Result<Response<Body>, SendFailure> {
     let Sent { connection, mut parts, answer, body, outstanding: _outstanding } = sent;
-    let Ok(Ok(bytes)) = within(limit_ms, read_body(dispatch, upstream, body)).await else {
+    let Ok(Some(bytes)) = within(limit_ms, read_body(dispatch, upstream, body)).await else {
         upstream.record_lost_answer();
         return Err(SendFailure::Lost("answer broke off"));
     };
@@ -44,33 +44,16 @@
     Ok(Response::from_parts(parts, full(bytes)))
 }
 
-/// Why the body of an answer cannot be passed on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadError {
-    BrokeOff,
-    TooLong,
-}
-
+/// The body, or `None` if it is not whole or too long.
 async fn read_body(
     dispatch: &Dispatch,
     upstream: &UpstreamState,
     mut body: ResponseBody,
-) -> Result<Bytes, ReadError> {
-    let mut bytes = BytesMut::new();
-    let mark = loop {
-        match body.next().await {
-            BodyStep::Data(data) if bytes.len() + data.len() > MAX_ANSWER_BYTES => {
-                return Err(ReadError::TooLong);
-            }
-            BodyStep::Data(data) => bytes.extend_from_slice(&data),
-            BodyStep::FramedEnd => break EndMark::Framed,
-            BodyStep::ConnectionClosed => break EndMark::ConnectionClosed,
-            BodyStep::Failed(_) => break EndMark::Failed,
-        }
-    };
+) -> Option<Bytes> {
+    let (bytes, mark) = body.read(MAX_ANSWER_BYTES).await.ok()?;
     let end = AnswerEnd { mark, is_inside_event: false, may_be_stopped: false };
-    let checked = check_end(dispatch, upstream, body.framing(), end).await;
-    checked.map(|()| bytes.freeze()).map_err(|_| ReadError::BrokeOff)
+    check_end(dispatch, upstream, body.framing(), end).await.ok()?;
+    Some(bytes)
 }
 
 /// True for a status that tells a caller that its request has not run.
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,3 +1,4 @@
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 use async_net::TcpStream;
@@ -47,6 +48,13 @@
     pub fn is_unsent(&self) -> bool {
         matches!(self, Self::Connect { .. } | Self::ConnectTimeout { .. })
     }
+
+    /// True when the remote host refused the connection, so nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self,
+            Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
 }
 
 /// An HTTP/1.1 client connection for one request at a time.
--- a/crates/net/src/owned.rs
+++ b/crates/net/src/owned.rs
@@ -1,3 +1,4 @@
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -47,6 +48,15 @@
     },
 }
 
+impl OpenError {
+    /// True when the remote host refused the connection, so nothing listens at the address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self,
+            Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused)
+    }
+}
+
 /// An error while sending a request or waiting for the response head.
 #[derive(Debug, Display, Error)]
 #[display("the exchange failed: {source}")]
--- a/crates/net/src/response_body.rs
+++ b/crates/net/src/response_body.rs
@@ -1,22 +1,18 @@
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use comfreymast_base::EndMark;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
-use crate::BodyFraming;
+use crate::{BodyError, BodyFraming};
 
 /// The next part of a response body.
 #[derive(Debug)]
 pub enum BodyStep {
     /// Bytes of the body.
     Data(Bytes),
-    /// The end that the framing marked: the stated length was reached, or the last chunk arrived.
-    FramedEnd,
-    /// The connection was closed in good order, and the body has no other mark of its end. It may
-    /// have been cut off.
-    ConnectionClosed,
-    /// The connection failed before the end of the body.
-    Failed(hyper::Error),
+    /// No more arrives.
+    End(EndMark),
 }
 
 /// The body of a response, which tells the marked end of a body from a closed connection.
@@ -43,9 +39,32 @@
     pub async fn next(&mut self) -> BodyStep {
         match self.incoming.frame().await {
             Some(Ok(frame)) => BodyStep::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => BodyStep::Failed(error),
-            None if self.framing == BodyFraming::ConnectionClose => BodyStep::ConnectionClosed,
-            None => BodyStep::FramedEnd,
+            Some(Err(error)) => {
+                log::debug!("a response broke off: {error}");
+                BodyStep::End(EndMark::Failed)
+            }
+            None if self.framing == BodyFraming::ConnectionClose => {
+                BodyStep::End(EndMark::ConnectionClosed)
+            }
+            None => BodyStep::End(EndMark::Framed),
+        }
+    }
+
+    /// Reads a body of at most `limit_bytes` up to its end, however that is marked.
+    ///
+    /// # Errors
+    ///
+    /// [`BodyError::TooLong`] past the limit.
+    pub async fn read(&mut self, limit_bytes: usize) -> Result<(Bytes, EndMark), BodyError> {
+        let mut bytes = BytesMut::new();
+        loop {
+            match self.next().await {
+                BodyStep::Data(data) if bytes.len() + data.len() > limit_bytes => {
+                    return Err(BodyError::TooLong { limit_bytes });
+                }
+                BodyStep::Data(data) => bytes.extend_from_slice(&data),
+                BodyStep::End(mark) => return Ok((bytes.freeze(), mark)),
+            }
         }
     }
 }
