An upstream that answers in HTTP/1.0 no longer leaves our own answer without framing

Cause: the head of the upstream's answer was passed on with its version of HTTP, so the HTTP library answered the caller without chunks too, and an abort closes such an answer in good order.

Ruled out: the judgement of the end (the lines were right). Change: the version goes with what applies to one connection only; also for plain calls of the daemon.

--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 
 use super::answer::{Outcome, set_outcome};
 use super::call_error::CallError;
@@ -165,6 +165,8 @@
         let mut body = ResponseBody::new(&head, body);
         let (bytes, mark) = body.read(MAX_ANSWER_BYTES).await?;
         self.check_end(server, mark).await?;
+        // An older version would frame our answer like the server's.
+        head.version = Version::HTTP_11;
         head.headers.remove(CONNECTION);
         head.headers.remove(TRANSFER_ENCODING);
         Ok(Response::from_parts(head, bytes))
--- a/crates/gateway/src/answer/whole_answer.rs
+++ b/crates/gateway/src/answer/whole_answer.rs
@@ -40,7 +40,7 @@
         upstream.record_lost_answer();
         return Err(SendFailure::Lost("status means not run"));
     }
-    ResponseHead::strip_connection(&mut parts.headers);
+    ResponseHead::strip_connection(&mut parts);
     Ok(Response::from_parts(parts, full(bytes)))
 }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -64,7 +64,7 @@
         upstream.mark_untrusted(dispatch.clock.now_ms());
         return Err(CallError::OutcomeUnknown);
     }
-    ResponseHead::strip_connection(&mut parts.headers);
+    ResponseHead::strip_connection(&mut parts);
     parts.headers.remove(CONTENT_LENGTH);
     let (chunks, unread) = bounded(UNREAD_CHUNKS);
     let relay = Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -1,6 +1,6 @@
-use hyper::StatusCode;
 use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
+use hyper::{StatusCode, Version};
 
 use crate::names;
 
@@ -41,10 +41,13 @@
         }
     }
 
-    /// Removes the headers that apply only to the connection to the upstream.
-    pub fn strip_connection(headers: &mut HeaderMap) {
+    /// Removes what applies only to the connection to the upstream: headers, and the version of
+    /// HTTP. An older version would frame our answer like the upstream's, so that a stream that we
+    /// abort would look complete.
+    pub fn strip_connection(head: &mut Parts) {
+        head.version = Version::HTTP_11;
         for name in [CONNECTION, TRANSFER_ENCODING, HeaderName::from_static("keep-alive")] {
-            headers.remove(name);
+            head.headers.remove(name);
         }
     }
 }
