--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -15,7 +15,7 @@
     sleep_ms,
 };
 use hyper::body::{Bytes, Incoming};
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use serde::Deserialize;
 
 use crate::platform_documents::SIGNATURE_PREFIX;
@@ -40,6 +40,10 @@
     pub event_ms: u64,
     /// Aborts each stream in the middle of the event after this one.
     pub breaks_after: Option<u64>,
+    /// Ends each stream in the middle of the event after this one, as if it were complete.
+    pub ends_inside_event_after: Option<u64>,
+    /// Sends answers without length or chunks, so that only the end of the connection ends them.
+    pub is_unframed: bool,
     /// Refuses to copy generations with 503, for lack of room.
     pub is_full: bool,
     /// Reports that it is about to shut down.
@@ -60,6 +64,8 @@
             events: 20,
             event_ms: 5,
             breaks_after: None,
+            ends_inside_event_after: None,
+            is_unframed: false,
             is_full: false,
             is_leaving: false,
             crashes_on: Vec::new(),
@@ -236,6 +242,9 @@
             full(format!("answer of {}", self.name))
         };
         let mut response = answer_with(behaviour.status, body);
+        if behaviour.is_unframed {
+            *response.version_mut() = Version::HTTP_10;
+        }
         set(&mut response, "x-attempt-id", &id);
         set(&mut response, "x-server-signature", &format!("{SIGNATURE_PREFIX}{}", self.name));
         response
@@ -282,7 +291,12 @@
             }
             if behaviour.breaks_after.is_some_and(|last| event > last) {
                 let _ = events.send(Ok(Bytes::from("id: 9"))).await;
-                return Err(BodyError::Aborted);
+                // Without framing, the part of an event shows the break, and an abort could drop it.
+                return if behaviour.is_unframed { Ok(()) } else { Err(BodyError::Aborted) };
+            }
+            if behaviour.ends_inside_event_after.is_some_and(|last| event > last) {
+                let _ = events.send(Ok(Bytes::from("id: 9"))).await;
+                return Ok(());
             }
             if events.send(Ok(Bytes::from(text))).await.is_err() {
                 return Err(BodyError::Aborted);
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 
 use async_net::{TcpListener, TcpStream};
 use comfreymast_net::{Spawner, sleep_ms};
 use event_listener::Event;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use rustix::net::sockopt::set_socket_linger;
 
 use crate::process::ProofError;
 
@@ -130,7 +132,7 @@
         self.silence_open(Direction::FromTarget);
     }
 
-    /// Closes the connections that are open now; new ones work.
+    /// Resets the connections that are open now; new ones work.
     pub fn cut_open(&self) {
         self.state.cut.store(self.accepted(), Ordering::Release);
         self.state.cut_changed.notify(usize::MAX);
@@ -160,24 +162,43 @@
         }
     }
 
-    async fn wait_until_cut(&self, number: u64) {
+    async fn wait_until_cut(&self, number: u64) -> ConnectionEnd {
         loop {
             let cut_changed = self.cut_changed.listen();
             if number < self.cut.load(Ordering::Acquire) {
-                return;
+                // A process that ends closes its connections in good order.
+                let has_ended = self.is_closed.load(Ordering::Acquire);
+                return if has_ended { ConnectionEnd::Closed } else { ConnectionEnd::Reset };
             }
             cut_changed.await;
         }
     }
 }
 
+/// How a connection through the link ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// In good order, as one end closed it.
+    Closed,
+    /// With a reset.
+    Reset,
+}
+
 async fn relay(state: Arc<State>, number: u64, client: TcpStream, target: SocketAddr) {
     let Ok(server) = TcpStream::connect(target).await else { return };
     let to_target = copy(&state, number, Direction::ToTarget, client.clone(), server.clone());
     let from_target = copy(&state, number, Direction::FromTarget, server.clone(), client.clone());
-    future::or(state.wait_until_cut(number), future::or(to_target, from_target)).await;
-    let _ = client.shutdown(std::net::Shutdown::Both);
-    let _ = server.shutdown(std::net::Shutdown::Both);
+    let end = future::or(state.wait_until_cut(number), future::or(to_target, from_target)).await;
+    for stream in [&client, &server] {
+        // Fails when the other end is gone already.
+        let _ = match end {
+            ConnectionEnd::Closed => stream.shutdown(std::net::Shutdown::Both),
+            // Dropping the last handle of the socket then resets the connection.
+            ConnectionEnd::Reset => {
+                set_socket_linger(stream, Some(Duration::ZERO)).map_err(Into::into)
+            }
+        };
+    }
 }
 
 /// Copies one direction until it ends. A silent direction drops the data, like a lost route.
@@ -187,9 +208,14 @@
     direction: Direction,
     mut from: TcpStream,
     mut to: TcpStream,
-) {
+) -> ConnectionEnd {
     let mut chunk = [0; CHUNK_BYTES];
-    while let Ok(bytes @ 1..) = from.read(&mut chunk).await {
+    let end = loop {
+        let bytes = match from.read(&mut chunk).await {
+            Ok(0) => break ConnectionEnd::Closed,
+            Ok(bytes) => bytes,
+            Err(_) => break ConnectionEnd::Reset,
+        };
         if number < state.silent_below(direction).load(Ordering::Acquire) {
             continue;
         }
@@ -198,12 +224,13 @@
             delay_ms => sleep_ms(delay_ms).await,
         }
         if to.write_all(&chunk[..bytes]).await.is_err() {
-            break;
+            break ConnectionEnd::Reset;
         }
-    }
+    };
     // A silent direction does not pass on its end either.
     while number < state.silent_below(direction).load(Ordering::Acquire) {
         const POLL_MS: u64 = 20;
         sleep_ms(POLL_MS).await;
     }
+    end
 }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -60,6 +60,9 @@
     Fails,
     BreaksStreams,
     HasNoRoom,
+    EndsInsideEvents,
+    IsUnframed,
+    BreaksUnframedStreams,
 }
 
 /// A fault and its time since the start of the soak.
@@ -69,8 +72,38 @@
     pub(crate) fault: Fault,
 }
 
-/// Draws the fault schedule of a seed. Some faults repeat in quick succession, and many overlap.
+/// Draws the fault schedule of a seed: faults of all kinds, and of how answers end.
 pub(crate) fn plan_faults(options: &SoakOptions) -> Vec<PlannedFault> {
+    let mut planned = plan_faults_of_all_kinds(options);
+    planned.extend(plan_answer_faults(options));
+    planned.sort_by_key(|fault| fault.at_ms);
+    planned
+}
+
+/// Drawn apart, so that the other faults of a seed stay the same.
+fn plan_answer_faults(options: &SoakOptions) -> Vec<PlannedFault> {
+    const SEED_OFFSET: u64 = 0x616e_7377;
+    const GAP_MS: std::ops::Range<u64> = 200..1_500;
+    let troubles = [
+        UpstreamTrouble::EndsInsideEvents,
+        UpstreamTrouble::IsUnframed,
+        UpstreamTrouble::BreaksUnframedStreams,
+    ];
+    let mut random = StdRng::seed_from_u64(options.seed ^ SEED_OFFSET);
+    let mut planned = Vec::new();
+    let mut at_ms = random.random_range(GAP_MS);
+    while at_ms < options.duration_ms {
+        let upstream = random.random_range(0..options.engines + options.plain_upstreams);
+        let trouble = troubles.choose(&mut random).copied().unwrap_or(UpstreamTrouble::IsUnframed);
+        let for_ms = random.random_range(200..2_000);
+        planned.push(PlannedFault { at_ms, fault: Fault::Upstream { upstream, trouble, for_ms } });
+        at_ms += random.random_range(GAP_MS);
+    }
+    planned
+}
+
+/// Some faults repeat in quick succession, and many overlap.
+fn plan_faults_of_all_kinds(options: &SoakOptions) -> Vec<PlannedFault> {
     const MAX_GAP_MS: u64 = 700;
     const SERIES_GAP_MS: u64 = 120;
     const SERIES_PROBABILITY: f64 = 0.2;
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -211,6 +211,14 @@
         UpstreamTrouble::Fails => behaviour.status = StatusCode::INTERNAL_SERVER_ERROR,
         UpstreamTrouble::BreaksStreams => behaviour.breaks_after = Some(BREAKS_AFTER),
         UpstreamTrouble::HasNoRoom => behaviour.is_full = true,
+        UpstreamTrouble::EndsInsideEvents => {
+            behaviour.ends_inside_event_after = Some(BREAKS_AFTER);
+        }
+        UpstreamTrouble::IsUnframed => behaviour.is_unframed = true,
+        UpstreamTrouble::BreaksUnframedStreams => {
+            behaviour.is_unframed = true;
+            behaviour.breaks_after = Some(BREAKS_AFTER);
+        }
     }
 }
 
