Reject a stream for a caller in HTTP/1.0, as its end could not be told from a break

An answer to HTTP/1.0 has no chunks, so a stream that the daemon aborts ends in good order for its caller. Rejected with 505 before anything is sent on.

--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -19,6 +19,10 @@
     /// The body was cut short or did not arrive in time; nothing was forwarded.
     #[display("the body did not arrive")]
     BodyIncomplete,
+    /// A stream is requested in a version of HTTP without chunks, so its end could not be told from a
+    /// broken connection.
+    #[display("streams need HTTP/1.1 or later")]
+    VersionTooOld,
     /// No route covers the request.
     #[display("no route covers the request")]
     NoRoute,
@@ -84,6 +88,7 @@
             Self::Malformed(_) => StatusCode::BAD_REQUEST,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::VersionTooOld => StatusCode::HTTP_VERSION_NOT_SUPPORTED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -4,7 +4,7 @@
 use comfreymast_platform::{RequestHead, request_id};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 
 use crate::call::Call;
 use crate::call_error::CallError;
@@ -83,6 +83,9 @@
         let holder = head.key.as_deref().and_then(|key| configuration.keyring.holder(key));
         Some(holder.ok_or(CallError::UnknownKey)?.clone())
     };
+    if route.is_stream && parts.version < Version::HTTP_11 {
+        return Err(CallError::VersionTooOld);
+    }
     let timeout_ms = head.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     let body = within(timeout_ms, collect(body, configuration.limits.max_body_bytes)).await;
     let body = match body {
--- a/crates/gateway/tests/answer_ends.rs
+++ b/crates/gateway/tests/answer_ends.rs
@@ -385,3 +385,16 @@
         }
     });
 }
+
+#[test]
+fn a_stream_for_a_caller_without_chunks_is_rejected_at_once() {
+    run_test(async |spawner| {
+        let respond = |_: &ReceivedRequest| WrittenAnswer::default();
+        let (_env, gateway, upstreams) = start(&spawner, "engines", 1, Arc::new(respond)).await;
+        let mut old_call = generation("/report/x", "id-1");
+        *old_call.version_mut() = Version::HTTP_10;
+        let received = receive(&spawner, &gateway, old_call).await;
+        assert_eq!(received, Received::whole(StatusCode::HTTP_VERSION_NOT_SUPPORTED, ""));
+        assert_eq!(arrivals(&upstreams, "id-1"), 0);
+    });
+}
