--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`Organisation`], [`Upstream`] and others — immutable names that are cheap to clone.
 //! * [`GenerationId`] and [`OperationId`] — random 16-byte identifiers.
 //! * [`EndMark`] — what marked the end of the body of an answer.
+//! * [`StorePosition`] — a place in a topic of the platform's store.
 //! * [`hex`] — bytes as lower-case hexadecimal text.
 
 mod clock;
@@ -11,8 +12,10 @@
 pub mod hex;
 mod ids;
 mod names;
+mod store_position;
 
 pub use clock::Clock;
 pub use end_mark::EndMark;
 pub use ids::{GenerationId, OperationId, ParseIdError};
 pub use names::{DaemonName, DataCentre, Kind, Model, Organisation, Service, Upstream};
+pub use store_position::StorePosition;
--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -58,9 +58,18 @@
     pub reads: u64,
 }
 
+/// A copy of all topics, from which the store can come back.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    topics: BTreeMap<String, TopicState>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     topics: BTreeMap<String, TopicState>,
+    /// Rises by one each time the store comes back from a copy; named in all answers once it is
+    /// above 0.
+    era: u64,
     faults: LogFaults,
     stats: LogStats,
 }
@@ -111,7 +120,7 @@
     #[must_use]
     pub fn handler(&self) -> Handler {
         let service = self.clone();
-        handler(move |request| service.clone().answer(request))
+        handler(move |request| service.clone().answer_with_era(request))
     }
 
     /// Appends records to a topic at once, without the injected delay or lost replies.
@@ -119,6 +128,19 @@
         self.state().append(topic, records);
     }
 
+    /// A copy of all topics as they are now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { topics: self.state().topics.clone() }
+    }
+
+    /// Comes back from a copy: what was appended since is gone, and offsets are assigned again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state();
+        state.topics = copy.topics.clone();
+        state.era += 1;
+    }
+
     /// Replaces the injected faults and applies the new retention.
     pub fn set_faults(&self, faults: LogFaults) {
         let mut state = self.state();
@@ -139,6 +161,21 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    async fn answer_with_era(self, request: Request<Incoming>) -> Response<Body> {
+        // A call that was waiting when the store went away gets no answer.
+        let era = self.state().era;
+        let mut response = self.clone().answer(request).await;
+        if self.state().era != era {
+            return reply::aborted();
+        }
+        if let Ok(era) = era.to_string().parse()
+            && self.state().era > 0
+        {
+            response.headers_mut().insert("store-era", era);
+        }
+        response
+    }
+
     async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         if path == "/faults" {
@@ -200,6 +237,9 @@
         let (Some(topic), Some(from)) = (query.get("topic"), query_number(query, "from")) else {
             return reply::status(StatusCode::BAD_REQUEST);
         };
+        if let Some(answer) = self.lost_reply(topic, from) {
+            return answer;
+        }
         self.wait_for_record(topic, from, query_number(query, "waitMs").unwrap_or(0)).await;
         let (answer, delay_ms) = {
             let mut state = self.state();
@@ -212,6 +252,14 @@
         answer
     }
 
+    /// The answer to a read from an offset that the store no longer has, since it came back from a
+    /// copy.
+    fn lost_reply(&self, topic: &str, from: u64) -> Option<Response<Body>> {
+        let mut state = self.state();
+        let is_lost = state.era > 0 && from > state.topic(topic).end();
+        is_lost.then(|| deleted_reply(state.topic(topic).start()))
+    }
+
     async fn wait_for_record(&self, topic: &str, from: u64, wait_ms: u64) {
         let clock = Clock::system();
         let mut is_notified = true;
@@ -231,9 +279,7 @@
 
 fn read_reply(topic: &TopicState, from: u64) -> Response<Body> {
     if from < topic.start() {
-        let mut response = Response::new(json(&DeletedReply { first: topic.start() }));
-        *response.status_mut() = StatusCode::GONE;
-        return response;
+        return deleted_reply(topic.start());
     }
     let mut bytes = BytesMut::new();
     bytes.put_u64(topic.end());
@@ -248,6 +294,12 @@
     reply::bytes(bytes.to_vec())
 }
 
+fn deleted_reply(first: u64) -> Response<Body> {
+    let mut response = Response::new(json(&DeletedReply { first }));
+    *response.status_mut() = StatusCode::GONE;
+    response
+}
+
 fn query_number(query: &Query, name: &str) -> Option<u64> {
     query.get(name)?.parse().ok()
 }
--- a/crates/fakes/src/log_service/topic.rs
+++ b/crates/fakes/src/log_service/topic.rs
@@ -8,7 +8,7 @@
 const PAGE_ITEMS: usize = 500;
 
 /// The retained records of one topic.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct TopicState {
     /// The offset of the oldest retained record.
     start: u64,
--- a/crates/fakes/src/platform_documents.rs
+++ b/crates/fakes/src/platform_documents.rs
@@ -40,6 +40,8 @@
     pub state: &'a str,
     /// When it started, in Unix milliseconds.
     pub started_unix_ms: u64,
+    /// The number of the entry since then.
+    pub sequence: u64,
 }
 
 impl UpstreamEntry<'_> {
@@ -48,7 +50,7 @@
     pub fn document(&self) -> Value {
         json!({
             "service": self.service, "address": self.addr.to_string(), "zone": self.data_centre,
-            "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "sequence": 1,
+            "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "sequence": self.sequence,
             "born": self.started_unix_ms,
         })
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -46,6 +46,8 @@
     pub(crate) outbox: Outbox,
     /// The requests that are suspected of crashing upstreams.
     pub(crate) quarantine: QuarantineState,
+    /// Notified when the store has come back from an older copy.
+    store_return: Event,
     /// Notified when the next heartbeat to peers is to be sent early.
     peer_notice: Event,
     /// True in a large fleet, where updates from other data centres are delayed.
@@ -77,6 +79,7 @@
             settings: arc_swap::ArcSwap::from_pointee(settings),
             configuration: ArcSwapOption::empty(),
             metrics: Metrics::new(),
+            store_return: Event::new(),
             peer_notice: Event::new(),
             is_large_fleet: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -122,6 +125,18 @@
         self.budget.set_others(services.collect());
     }
 
+    /// Records that the store has come back from an older copy, in `era`.
+    pub(crate) fn record_store_return(&self, era: u64) {
+        self.metrics.store_returns.inc();
+        self.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+        self.store_return.notify(usize::MAX);
+    }
+
+    /// Completes when the store next comes back from an older copy.
+    pub(crate) fn next_store_return(&self) -> EventListener {
+        self.store_return.listen()
+    }
+
     /// Records that no daemon can read from the store.
     pub(crate) fn record_store_silence(&self) {
         self.store_silent_ms.store(self.clock.now_ms().max(1), Ordering::Release);
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -36,7 +36,7 @@
         }
         if !std::mem::replace(&mut is_store_silent, true) {
             log::warn!(target: "comfreymast", code = 1206, age_ms, own_age_ms,
-                offset = upstreams.next_offset(); "store answers no daemon");
+                position:% = upstreams.position(); "store answers no daemon");
         }
         dispatch.record_store_silence();
         for engine in dispatch.directory.load().all() {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,6 +17,7 @@
 use crate::outbox::Origin;
 use crate::quarantine;
 use crate::roster::Links;
+use crate::topic_positions::TopicPositions;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 /// Longer batches of records are not pushed; peers fetch them instead.
@@ -128,9 +129,9 @@
             self.dispatch.apply_peer_updates();
             self.close_expired();
             self.update_store_wait(&links);
-            operators_lag.check(|daemon| daemon.operators_offset, |dc| dc.operators_offset);
-            upstreams_lag.check(|daemon| daemon.upstreams_offset, |dc| dc.upstreams_offset);
-            quarantines_lag.check(|daemon| daemon.quarantines_offset, |dc| dc.quarantines_offset);
+            operators_lag.check(|known| known.operators);
+            upstreams_lag.check(|known| known.upstreams);
+            quarantines_lag.check(|known| known.quarantines);
             let spacing_ms = SPACING_MS_PER_PEER * links.heartbeat_addrs.len() as u64;
             sleep_ms(spacing_ms).await;
             let remaining_ms = options.heartbeat_interval_ms.saturating_sub(spacing_ms);
@@ -175,8 +176,8 @@
 
     fn heartbeat(&self, started_unix_ms: u64, sequence: u64, is_summary_due: bool) -> Heartbeat {
         let now_ms = self.dispatch.clock.now_ms();
-        let upstreams = self.dispatch.directory.load();
-        let engines = upstreams.all().filter_map(|upstream| {
+        let directory = self.dispatch.directory.load();
+        let engines = directory.all().filter_map(|upstream| {
             let reserved_tokens = upstream.reserved_tokens.load(Ordering::Acquire);
             (reserved_tokens > 0).then(|| EngineUse {
                 upstream: upstream.record.name.as_str().to_owned(),
@@ -193,14 +194,16 @@
                 repeats: u32::try_from(traffic.retries).unwrap_or(u32::MAX),
             });
         let own = self.dispatch.peers.own_member();
-        Heartbeat {
+        let positions = TopicPositions {
+            operators: self.operators.position_if_loaded(),
+            upstreams: self.upstreams.position_if_loaded(),
+            quarantines: self.quarantines.position_if_loaded(),
+        };
+        let mut heartbeat = Heartbeat {
             daemon: own.daemon,
             data_centre: own.data_centre,
             started_unix_ms,
             sequence,
-            operators_offset: self.operators.offset_if_loaded(),
-            upstreams_offset: self.upstreams.offset_if_loaded(),
-            quarantines_offset: self.quarantines.offset_if_loaded(),
             engines: engines.collect(),
             services: services.collect(),
             members: self.dispatch.peers.sample_members(sequence, MEMBERS_PER_HEARTBEAT),
@@ -212,7 +215,10 @@
             } else {
                 Vec::new()
             },
-        }
+            ..Heartbeat::default()
+        };
+        positions.write_to_heartbeat(&mut heartbeat);
+        heartbeat
     }
 
     /// Makes the first few daemons by name query the store often, so that no change is missed for
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,15 +1,32 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use comfreymast_base::StorePosition;
 use comfreymast_platform::KeyedRecord;
 use comfreymast_wire::news::{TopicRecord, TopicSnapshot};
 
-/// The newest known record of each key of one topic. It never goes back to an older state.
-#[derive(Debug, Default)]
+use crate::removed_keys::RemovedKeys;
+
+/// Which of two values of one key is newer, whatever their positions: the one with the higher
+/// revision.
+pub(crate) type Revision = (u64, u64);
+
+/// The newest known record of each key of one topic. It never goes back to an older state: when the
+/// store comes back from an older copy, records that the copy lacks are kept until they are written
+/// again or [`Feed::drop_unconfirmed`] removes them.
+#[derive(Debug)]
 pub(crate) struct Feed {
-    next_offset: u64,
+    position: StorePosition,
     is_loaded: bool,
-    records: BTreeMap<String, (u64, Bytes)>,
+    records: BTreeMap<String, StoredRecord>,
+    removed: RemovedKeys,
+    revision_of: fn(&[u8]) -> Option<Revision>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct StoredRecord {
+    position: StorePosition,
+    value: Bytes,
 }
 
 /// A changed key of a feed.
@@ -21,10 +38,62 @@
     pub(crate) value: Option<Bytes>,
 }
 
+/// The store's return from an older copy, as one feed saw it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct EraChange {
+    /// The position before.
+    pub(crate) before: StorePosition,
+    /// The position after.
+    pub(crate) after: StorePosition,
+    /// Keys whose records the copy lacks, or has in an older revision.
+    pub(crate) lost: Vec<String>,
+    /// Keys that were removed in an earlier era and are in the copy again.
+    pub(crate) resurrected: Vec<String>,
+}
+
+/// What a replacement of a feed changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Replacement {
+    /// The changed keys.
+    pub(crate) changes: Vec<FeedChange>,
+    /// The change of era, if there was one.
+    pub(crate) era_change: Option<EraChange>,
+}
+
+/// A record as it is known to the store or to a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct KnownRecord {
+    /// Its key.
+    pub(crate) key: String,
+    /// Where it was written.
+    pub(crate) position: StorePosition,
+    /// Its value.
+    pub(crate) value: Bytes,
+}
+
+impl KnownRecord {
+    /// A record that the store has in `era`; `None` if it removes its key.
+    pub(crate) fn of_store(record: KeyedRecord, era: u64) -> Option<Self> {
+        let position = StorePosition { era, offset: record.offset };
+        Some(Self { key: record.key, position, value: record.value? })
+    }
+}
+
 impl Feed {
-    /// The offset of the next expected record.
-    pub(crate) fn next_offset(&self) -> u64 {
-        self.next_offset
+    /// An empty feed whose values are compared by `revision_of`.
+    pub(crate) fn new(revision_of: fn(&[u8]) -> Option<Revision>) -> Self {
+        Self {
+            position: StorePosition::default(),
+            is_loaded: false,
+            records: BTreeMap::new(),
+            removed: RemovedKeys::default(),
+            revision_of,
+        }
+    }
+
+    /// The position of the next expected record.
+    pub(crate) fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// True once all keys have been read at least once.
@@ -32,64 +101,150 @@
         self.is_loaded
     }
 
-    /// Applies the records read up to `next_offset`, and returns what changed.
-    pub(crate) fn apply(&mut self, records: Vec<KeyedRecord>, next_offset: u64) -> Vec<FeedChange> {
+    /// Applies the records read up to `next`, and returns what changed. Records of another era are
+    /// ignored.
+    pub(crate) fn apply(
+        &mut self,
+        records: Vec<KeyedRecord>,
+        next: StorePosition,
+    ) -> Vec<FeedChange> {
+        if next.era != self.position.era {
+            return Vec::new();
+        }
         let mut changes = Vec::new();
         for record in records {
-            if record.offset >= self.next_offset {
-                changes.extend(self.set(record.key, record.offset, record.value));
+            let position = StorePosition { era: next.era, offset: record.offset };
+            if position >= self.position {
+                changes.extend(self.accept(record.key, position, record.value));
             }
         }
-        self.next_offset = self.next_offset.max(next_offset);
+        self.position = self.position.max(next);
         changes
     }
 
-    /// Replaces the feed with the newest record of each key as of `end_offset`, and removes keys
-    /// without one. Once loaded, the feed ignores a state that is older than its own.
-    pub(crate) fn replace(
-        &mut self,
-        records: Vec<KeyedRecord>,
-        end_offset: u64,
-    ) -> Vec<FeedChange> {
-        if self.is_loaded && end_offset < self.next_offset {
-            return Vec::new();
+    /// Replaces the feed with the newest record of each key as of `end`, and removes keys without
+    /// one, unless their records are of an earlier era. Once loaded, the feed ignores a state that
+    /// is older than its own.
+    pub(crate) fn replace(&mut self, records: Vec<KnownRecord>, end: StorePosition) -> Replacement {
+        if self.is_loaded && end < self.position {
+            return Replacement::default();
         }
+        let before = self.position;
+        let is_new_era = self.is_loaded && end.era > before.era;
+        self.position = self.position.max(end);
+        let listed: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
         let removed: Vec<_> = self
             .records
-            .keys()
-            .filter(|key| !records.iter().any(|record| record.key == **key))
-            .cloned()
+            .iter()
+            .filter(|(key, stored)| stored.position.era == end.era && !listed.contains(key))
+            .map(|(key, _)| key.clone())
             .collect();
         let mut changes: Vec<_> =
-            removed.into_iter().filter_map(|key| self.set(key, end_offset, None)).collect();
+            removed.into_iter().filter_map(|key| self.accept(key, end, None)).collect();
         for record in records {
-            changes.extend(self.set(record.key, record.offset, record.value));
+            changes.extend(self.accept(record.key, record.position, Some(record.value)));
         }
-        self.next_offset = self.next_offset.max(end_offset);
         self.is_loaded = true;
-        changes
+        let era_change = is_new_era.then(|| EraChange {
+            before,
+            after: self.position,
+            lost: self.unconfirmed(),
+            resurrected: listed.into_iter().filter(|key| !self.records.contains_key(key)).collect(),
+        });
+        Replacement { changes, era_change }
+    }
+
+    /// Removes the records of earlier eras, which nobody has written again.
+    pub(crate) fn drop_unconfirmed(&mut self) -> Vec<FeedChange> {
+        let position = self.position;
+        let keys = self.unconfirmed().into_iter();
+        keys.filter_map(|key| self.set(key, position, None)).collect()
+    }
+
+    /// The value of a key whose record is of an earlier era.
+    pub(crate) fn unconfirmed_value(&self, key: &str) -> Option<Bytes> {
+        let stored = self.records.get(key)?;
+        (stored.position.era < self.position.era).then(|| stored.value.clone())
+    }
+
+    /// True if `key` was removed in an earlier era, and nothing of it was written since.
+    pub(crate) fn was_removed_before(&self, key: &str) -> bool {
+        self.removed.get(key).is_some_and(|removed| removed.era < self.position.era)
+    }
+
+    /// True when the feed has a record of `key`.
+    pub(crate) fn contains_key(&self, key: &str) -> bool {
+        self.records.contains_key(key)
     }
 
     /// The whole feed, for a peer that cannot read it from the store.
     pub(crate) fn snapshot(&self) -> TopicSnapshot {
-        let records = self.records.iter().map(|(key, (offset, value))| TopicRecord {
+        let records = self.records.iter().map(|(key, stored)| TopicRecord {
             key: key.clone(),
-            offset: *offset,
-            value: value.clone(),
+            offset: stored.position.offset,
+            value: stored.value.clone(),
+            era: stored.position.era,
         });
-        TopicSnapshot { next_offset: self.next_offset, records: records.collect() }
+        TopicSnapshot {
+            next_offset: self.position.offset,
+            records: records.collect(),
+            era: self.position.era,
+        }
     }
 
-    fn set(&mut self, key: String, offset: u64, value: Option<Bytes>) -> Option<FeedChange> {
-        let is_unchanged = match (&value, self.records.get(&key)) {
-            (Some(value), Some((_, current))) => value == current,
-            (None, None) => true,
-            _ => false,
-        };
-        match &value {
-            Some(value) => self.records.insert(key.clone(), (offset, value.clone())),
+    fn unconfirmed(&self) -> Vec<String> {
+        let era = self.position.era;
+        let unconfirmed = self.records.iter().filter(|(_, stored)| stored.position.era < era);
+        unconfirmed.map(|(key, _)| key.clone()).collect()
+    }
+
+    /// Sets a key unless what is known of it from an earlier era is newer.
+    fn accept(
+        &mut self,
+        key: String,
+        position: StorePosition,
+        value: Option<Bytes>,
+    ) -> Option<FeedChange> {
+        if value.as_ref().is_some_and(|value| self.is_outdated(&key, position, value)) {
+            return None;
+        }
+        self.set(key, position, value)
+    }
+
+    /// True if a record is older than what is known of its key, although the store gave it later:
+    /// the store came back from a copy in between.
+    fn is_outdated(&self, key: &str, position: StorePosition, value: &[u8]) -> bool {
+        let Some(revision) = (self.revision_of)(value) else { return false };
+        if let Some(known) = self.records.get(key) {
+            let known_revision = (self.revision_of)(&known.value);
+            return known.position.era != position.era
+                && known_revision.is_some_and(|known| revision < known);
+        }
+        let removed = self.removed.get(key).filter(|removed| removed.era < self.position.era);
+        let removed_revision = removed.and_then(|removed| removed.revision);
+        removed_revision.is_some_and(|removed| revision <= removed)
+    }
+
+    fn set(
+        &mut self,
+        key: String,
+        position: StorePosition,
+        value: Option<Bytes>,
+    ) -> Option<FeedChange> {
+        let known = match &value {
+            Some(value) => {
+                let stored = StoredRecord { position, value: value.clone() };
+                self.records.insert(key.clone(), stored)
+            }
             None => self.records.remove(&key),
         };
-        (!is_unchanged).then_some(FeedChange { key, value })
+        let known = known.map(|known| known.value);
+        match (&known, &value) {
+            (Some(removed), None) => {
+                self.removed.insert(key.clone(), position.era, (self.revision_of)(removed));
+            }
+            _ => self.removed.remove(&key),
+        }
+        (known != value).then_some(FeedChange { key, value })
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,29 +1,41 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use arc_swap::ArcSwap;
 use async_channel::Sender;
-use comfreymast_base::Clock;
+use bytes::Bytes;
+use comfreymast_base::{Clock, StorePosition};
 use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_platform::{KeyedRecord, NewestRecords, StoreClient, StoreError, StorePage, Topic};
 use comfreymast_wire::news::{self, TopicDelta, TopicRecord, TopicSnapshot};
 use event_listener::Event;
 use futures_lite::future;
 
-use crate::feed::{Feed, FeedChange};
+use crate::feed::{EraChange, Feed, FeedChange, KnownRecord, Replacement, Revision};
 
 const MIN_BACKOFF_MS: u64 = 100;
 const MAX_BACKOFF_MS: u64 = 800;
 
-/// Called with each batch of changes, in the order of their offsets.
 type OnChange = Box<dyn Fn(&[FeedChange]) + Send + Sync>;
+type OnEraChange = Box<dyn Fn(&EraChange) + Send + Sync>;
+
+/// What a daemon does with a topic of the store.
+pub(crate) struct TopicHandlers {
+    /// Called with each batch of changes, in the order of their offsets.
+    pub(crate) on_change: OnChange,
+    /// Called when the store has come back from an older copy, after the changes of that.
+    pub(crate) on_era_change: OnEraChange,
+    /// The revision of a value, to tell an older value from a newer one across eras.
+    pub(crate) revision_of: fn(&[u8]) -> Option<Revision>,
+}
 
 /// A topic of the store that this daemon follows, through the store itself or through its peers.
 pub(crate) struct FollowedTopic {
     topic: Topic,
     clock: Clock,
     feed: Mutex<Feed>,
-    on_change: OnChange,
-    next_offset: AtomicU64,
+    handlers: TopicHandlers,
+    position: ArcSwap<StorePosition>,
     is_loaded: AtomicBool,
     store_answers: AtomicBool,
     last_answer_ms: AtomicU64,
@@ -36,22 +48,22 @@
     /// The `wait_ms` of a daemon that leaves reading the store to other daemons.
     pub(crate) const NOT_READING_MS: u64 = u64::MAX;
 
-    /// Follows `topic` from its beginning. `on_change` applies changes; records read from the store
+    /// Follows `topic` from its beginning. `handlers` apply changes; records read from the store
     /// are also sent to `deltas`, for peers. With `wait_ms` [`Self::NOT_READING_MS`], it is read once
     /// at the start, and followed only after [`Self::set_wait_ms`] has set another time.
     pub(crate) fn new(
         topic: Topic,
         clock: Clock,
         wait_ms: u64,
-        on_change: OnChange,
+        handlers: TopicHandlers,
         deltas: Sender<TopicDelta>,
     ) -> Self {
         Self {
             topic,
             clock,
-            feed: Mutex::default(),
-            on_change,
-            next_offset: AtomicU64::new(0),
+            feed: Mutex::new(Feed::new(handlers.revision_of)),
+            handlers,
+            position: ArcSwap::default(),
             is_loaded: AtomicBool::new(false),
             store_answers: AtomicBool::new(false),
             last_answer_ms: AtomicU64::new(0),
@@ -61,14 +73,14 @@
         }
     }
 
-    /// The offset of the next expected record.
-    pub(crate) fn next_offset(&self) -> u64 {
-        self.next_offset.load(Ordering::Acquire)
+    /// The position of the next expected record.
+    pub(crate) fn position(&self) -> StorePosition {
+        **self.position.load()
     }
 
-    /// The same, 0 until all keys have been read at least once.
-    pub(crate) fn offset_if_loaded(&self) -> u64 {
-        if self.is_loaded() { self.next_offset() } else { 0 }
+    /// The same, the lowest position until all keys have been read at least once.
+    pub(crate) fn position_if_loaded(&self) -> StorePosition {
+        if self.is_loaded() { self.position() } else { StorePosition::default() }
     }
 
     /// True once all keys have been read at least once.
@@ -95,7 +107,7 @@
 
     /// True when the feed has a record of `key`.
     pub(crate) fn contains_key(&self, key: &str) -> bool {
-        self.feed().snapshot().records.iter().any(|record| record.key == key)
+        self.feed().contains_key(key)
     }
 
     /// The whole topic, for a peer that cannot read the store.
@@ -105,20 +117,22 @@
 
     /// Applies a peer's snapshot, unless this daemon is ahead of it.
     pub(crate) fn apply_snapshot(&self, snapshot: TopicSnapshot) {
-        let records = snapshot.records.into_iter().map(|record| KeyedRecord {
-            offset: record.offset,
+        let records = snapshot.records.into_iter().map(|record| KnownRecord {
             key: record.key,
-            value: Some(record.value),
+            position: StorePosition { era: record.era, offset: record.offset },
+            value: record.value,
         });
+        let end = StorePosition { era: snapshot.era, offset: snapshot.next_offset };
         let mut feed = self.feed();
-        let changes = feed.replace(records.collect(), snapshot.next_offset);
-        self.publish(&feed, &changes);
+        let replaced = feed.replace(records.collect(), end);
+        self.publish_replacement(&feed, &replaced, "peer");
     }
 
     /// Applies records that a peer has just read, if no earlier record is missing.
     pub(crate) fn apply_delta(&self, delta: TopicDelta) {
         let mut feed = self.feed();
-        if !feed.is_loaded() || delta.from_offset > feed.next_offset() {
+        let from = StorePosition { era: delta.era, offset: delta.from_offset };
+        if !feed.is_loaded() || from > feed.position() {
             return;
         }
         let records = delta.records.into_iter().map(|record| KeyedRecord {
@@ -126,10 +140,28 @@
             key: record.key,
             value: (!record.value.is_empty()).then_some(record.value),
         });
-        let changes = feed.apply(records.collect(), delta.next_offset);
+        let next = StorePosition { era: delta.era, offset: delta.next_offset };
+        let changes = feed.apply(records.collect(), next);
+        self.publish(&feed, &changes);
+    }
+
+    /// Removes what the store lost and nobody has written again.
+    pub(crate) fn drop_unconfirmed(&self) {
+        let mut feed = self.feed();
+        let changes = feed.drop_unconfirmed();
         self.publish(&feed, &changes);
     }
 
+    /// The value of a key that the store lost and nobody has written again.
+    pub(crate) fn unconfirmed_value(&self, key: &str) -> Option<Bytes> {
+        self.feed().unconfirmed_value(key)
+    }
+
+    /// True if `key` was removed before the store came back, and nothing of it was written since.
+    pub(crate) fn was_removed_before(&self, key: &str) -> bool {
+        self.feed().was_removed_before(key)
+    }
+
     /// Makes the follower query the store again at once, on a new connection.
     pub(crate) fn refresh(&self) {
         self.refresh.notify(usize::MAX);
@@ -137,18 +169,22 @@
 
     fn apply_newest(&self, newest: NewestRecords) {
         let mut feed = self.feed();
-        let (was_loaded, from_offset) = (feed.is_loaded(), feed.next_offset());
-        let changes = feed.replace(newest.records, newest.end_offset);
-        if was_loaded {
-            let records = changes.iter().map(|change| TopicRecord {
+        let (was_loaded, from) = (feed.is_loaded(), feed.position());
+        let records = newest.records.into_iter();
+        let records = records.filter_map(|record| KnownRecord::of_store(record, newest.end.era));
+        let replaced = feed.replace(records.collect(), newest.end);
+        // Peers in another era need the whole topic, and learn from heartbeats that they do.
+        if was_loaded && replaced.era_change.is_none() {
+            let records = replaced.changes.iter().map(|change| TopicRecord {
                 key: change.key.clone(),
                 // The records in between were deleted; peers get their net effect as one change.
-                offset: newest.end_offset.saturating_sub(1),
+                offset: newest.end.offset.saturating_sub(1),
                 value: change.value.clone().unwrap_or_default(),
+                era: newest.end.era,
             });
-            self.forward_to_peers(from_offset, newest.end_offset, records.collect());
+            self.forward_to_peers(from, newest.end, records.collect());
         }
-        self.publish(&feed, &changes);
+        self.publish_replacement(&feed, &replaced, "store");
     }
 
     fn apply_page(&self, page: StorePage) {
@@ -156,34 +192,55 @@
             key: record.key.clone(),
             offset: record.offset,
             value: record.value.clone().unwrap_or_default(),
+            era: page.next.era,
         });
-        self.forward_to_peers(self.next_offset(), page.next_offset, records.collect());
+        self.forward_to_peers(self.position(), page.next, records.collect());
         let mut feed = self.feed();
-        let changes = feed.apply(page.records, page.next_offset);
+        let changes = feed.apply(page.records, page.next);
         self.publish(&feed, &changes);
     }
 
     /// Queues records read from the store for peers. A peer that misses them learns from
     /// heartbeats that it is behind.
-    fn forward_to_peers(&self, from_offset: u64, next_offset: u64, records: Vec<TopicRecord>) {
+    fn forward_to_peers(
+        &self,
+        from: StorePosition,
+        next: StorePosition,
+        records: Vec<TopicRecord>,
+    ) {
         let topic = match self.topic {
             Topic::Operators => news::Topic::Operators,
             Topic::Upstreams => news::Topic::Upstreams,
             Topic::Quarantines => news::Topic::Quarantines,
             Topic::Daemons => return,
         };
-        if next_offset > from_offset {
-            let delta = TopicDelta { topic: topic.into(), from_offset, next_offset, records };
+        if next.era == from.era && next > from {
+            let delta = TopicDelta {
+                topic: topic.into(),
+                from_offset: from.offset,
+                next_offset: next.offset,
+                records,
+                era: next.era,
+            };
             let _ = self.deltas.try_send(delta);
         }
     }
 
+    fn publish_replacement(&self, feed: &Feed, replaced: &Replacement, source: &str) {
+        self.publish(feed, &replaced.changes);
+        let Some(change) = &replaced.era_change else { return };
+        log::warn!(target: "comfreymast", code = 1208, topic:? = self.topic, source,
+            before:% = change.before, after:% = change.after, lost = change.lost.len(),
+            resurrected = change.resurrected.len(); "store came back from an older copy");
+        (self.handlers.on_era_change)(change);
+    }
+
     /// Applies changes. Called with the feed locked, so that they are applied in order.
     fn publish(&self, feed: &Feed, changes: &[FeedChange]) {
         if !changes.is_empty() {
-            (self.on_change)(changes);
+            (self.handlers.on_change)(changes);
         }
-        self.next_offset.store(feed.next_offset(), Ordering::Release);
+        self.position.store(Arc::new(feed.position()));
         self.is_loaded.store(feed.is_loaded(), Ordering::Release);
     }
 
@@ -220,15 +277,15 @@
                 backoff_ms = MIN_BACKOFF_MS;
                 if std::mem::take(&mut is_store_lost) {
                     log::info!(target: "comfreymast", code = 1202, topic:? = followed.topic,
-                        offset = followed.next_offset(); "store answers again");
+                        position:% = followed.position(); "store answers again");
                 }
             }
-            Some(Err(StoreError::Deleted)) => must_reload = true,
+            Some(Err(StoreError::Deleted | StoreError::OtherEra { .. })) => must_reload = true,
             Some(Err(error)) => {
                 followed.store_answers.store(false, Ordering::Release);
                 if !std::mem::replace(&mut is_store_lost, true) {
                     log::warn!(target: "comfreymast", code = 1201, topic:? = followed.topic,
-                        offset = followed.next_offset(), error:%; "store does not answer");
+                        position:% = followed.position(), error:%; "store does not answer");
                 }
                 client.reconnect();
                 sleep_ms(comfreymast_decide::retry::jittered_ms(backoff_ms / 2, rand::random()))
@@ -252,7 +309,7 @@
         followed.apply_newest(client.newest(followed.topic).await?);
     } else {
         let wait_ms = followed.wait_ms.load(Ordering::Acquire);
-        let page = client.read(followed.topic, followed.next_offset(), wait_ms).await?;
+        let page = client.read(followed.topic, followed.position(), wait_ms).await?;
         followed.apply_page(page);
     }
     Ok(())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,6 +50,9 @@
 /// process.
 const STOP_MARGIN_MS: u64 = 150;
 
+/// How old the copy is at most from which the store comes back.
+const MAX_COPY_AGE_MS: u64 = 60_000;
+
 /// Runs one daemon on the platform until `stop` closes, then drains. A message on `reload` makes
 /// it reload its settings. `started` is called once with the addresses.
 ///
@@ -146,9 +149,24 @@
     drop(accepting);
 }
 
+/// Writes this daemon's address to the store and reads those of the others, and writes it again when
+/// the store may have lost it.
+async fn announce(dispatch: Arc<Dispatch>) {
+    loop {
+        let store_returns = dispatch.next_store_return();
+        announce_once(&dispatch).await;
+        let announced_ms = dispatch.clock.now_ms();
+        store_returns.await;
+        if dispatch.clock.now_ms() - announced_ms > MAX_COPY_AGE_MS {
+            // The copy from which the store came back has it, and so has each later one.
+            return;
+        }
+    }
+}
+
 /// Writes this daemon's address to the store and reads those of the others; retries until both
 /// succeed.
-async fn announce(dispatch: Arc<Dispatch>) {
+async fn announce_once(dispatch: &Dispatch) {
     const PAUSE_MS: u64 = 500;
     let settings = dispatch.settings.load_full();
     let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -1,12 +1,14 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use comfreymast_base::StorePosition;
 use comfreymast_net::{OwnedConnection, Spawner, collect, empty, request, within};
-use comfreymast_wire::news::{Heartbeat, Summary, TopicSnapshot};
+use comfreymast_wire::news::TopicSnapshot;
 use prost::Message;
 
 use crate::dispatch::Dispatch;
 use crate::follow::FollowedTopic;
+use crate::topic_positions::TopicPositions;
 
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// How long a peer may be ahead on a topic before this daemon fetches the topic from it.
@@ -40,24 +42,21 @@
         }
     }
 
-    /// Checks this daemon against the offset that heartbeats and summaries have of the topic.
-    pub(crate) fn check(
-        &mut self,
-        of_daemon: impl Fn(&Heartbeat) -> u64,
-        of_data_centre: impl Fn(&Summary) -> u64,
-    ) {
+    /// Checks this daemon against the position that heartbeats and summaries have of the topic. A peer
+    /// in a later era is followed at once, since this daemon's offsets mean nothing there.
+    pub(crate) fn check(&mut self, of_topic: impl Fn(TopicPositions) -> StorePosition) {
         let Self { dispatch, followed, path, .. } = self;
         let path = *path;
-        let ahead = dispatch.peers.furthest_ahead(of_daemon, of_data_centre);
+        let ahead = dispatch.peers.furthest_ahead(of_topic);
         let now_ms = dispatch.clock.now_ms();
-        let Some((addr, offset)) =
-            ahead.filter(|(_, offset)| *offset > followed.offset_if_loaded())
-        else {
+        let known = followed.position_if_loaded();
+        let Some((addr, position)) = ahead.filter(|(_, position)| *position > known) else {
             self.behind_since_ms = None;
             return;
         };
         let behind_since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        if now_ms - behind_since_ms < LAG_TOLERANCE_MS
+        let tolerance_ms = if position.era > known.era { 0 } else { LAG_TOLERANCE_MS };
+        if now_ms - behind_since_ms < tolerance_ms
             || now_ms - self.last_fetch_ms < MIN_FETCH_INTERVAL_MS
         {
             return;
@@ -69,8 +68,8 @@
         dispatch.spawner.detach(async move {
             let outcome = fetch(&spawner, addr, path).await;
             let is_fetched = outcome.is_some();
-            log::info!(target: "comfreymast", code = 1505, peer:% = addr, path, offset,
-                known = followed.next_offset(), fetched = is_fetched;
+            log::info!(target: "comfreymast", code = 1505, peer:% = addr, path, position:%,
+                known:% = followed.position(), fetched = is_fetched;
                 "requested a topic from a peer that is ahead");
             if let Some(snapshot) = outcome {
                 followed.apply_snapshot(snapshot);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,11 +30,13 @@
 mod pool;
 mod quarantine;
 mod records;
+mod removed_keys;
 mod request_handler;
 mod roster;
 mod send;
 mod server;
 mod suspension_watch;
+mod topic_positions;
 mod upstream_state;
 
 pub use gateway::{GatewayAddresses, GatewayError, run};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
@@ -60,6 +61,10 @@
     pub(crate) upstream_ends: Counter,
     /// Sends that were withheld, as their request may crash upstreams.
     pub(crate) quarantine_refusals: Counter,
+    /// Returns of the store from an older copy.
+    pub(crate) store_returns: Counter,
+    /// The era of the store since its last return, 0 before the first.
+    pub(crate) store_era: Gauge,
     /// Log lines that were dropped because the log queue was full.
     dropped_lines: Counter,
 }
@@ -107,6 +112,18 @@
             "Sends withheld, as their request may crash upstreams",
             quarantine_refusals.clone(),
         );
+        let store_returns = Counter::default();
+        registry.register(
+            "gateway_store_returns",
+            "Returns of the store from an older copy",
+            store_returns.clone(),
+        );
+        let store_era = Gauge::default();
+        registry.register(
+            "gateway_store_era",
+            "Era of the store since its last return from an older copy",
+            store_era.clone(),
+        );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
         Self {
@@ -120,6 +137,8 @@
             broken_answers,
             upstream_ends,
             quarantine_refusals,
+            store_returns,
+            store_era,
             dropped_lines,
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,12 +3,13 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-use comfreymast_base::Clock;
+use comfreymast_base::{Clock, StorePosition};
 use comfreymast_decide::links::Member;
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
 use crate::fleet_sum::FleetSum;
 use crate::roster::{Links, Roster};
+use crate::topic_positions::TopicPositions;
 
 /// The age at which the summary of a data centre is dropped.
 const MAX_SUMMARY_AGE_MS: u64 = 3_000;
@@ -184,23 +185,18 @@
         let mut summary = Summary {
             data_centre: own.data_centre.clone(),
             made_unix_ms: self.clock.unix_ms(),
-            operators_offset: own.operators_offset,
-            upstreams_offset: own.upstreams_offset,
-            quarantines_offset: own.quarantines_offset,
             store_heard_age_ms: own.store_heard_age_ms,
             members: vec![self.own_member()],
             ..Summary::default()
         };
+        let mut positions = TopicPositions::of(own);
         for peer in table.by_name.values() {
             let heartbeat = &peer.heartbeat;
             if heartbeat.data_centre != own.data_centre {
                 continue;
             }
             sum.add(&heartbeat.engines, &heartbeat.services);
-            summary.operators_offset = summary.operators_offset.max(heartbeat.operators_offset);
-            summary.upstreams_offset = summary.upstreams_offset.max(heartbeat.upstreams_offset);
-            summary.quarantines_offset =
-                summary.quarantines_offset.max(heartbeat.quarantines_offset);
+            positions = positions.max_each(&TopicPositions::of(heartbeat));
             summary.store_heard_age_ms =
                 summary.store_heard_age_ms.min(heartbeat.store_heard_age_ms);
             summary.members.push(news::Member {
@@ -209,6 +205,7 @@
                 addr: peer.addr.to_string(),
             });
         }
+        positions.write_to(&mut summary);
         summary.engines = sum.engine_uses();
         summary.services = sum.service_traffic();
         summary
@@ -221,20 +218,23 @@
         received.map(|received| received.summary.clone()).collect()
     }
 
-    /// The peer or data centre with the highest offset of a topic, and that offset. Ties are broken
+    /// The peer or data centre with the highest position in a topic, and that position. Ties are broken
     /// at random, so that daemons that are behind do not all ask the same peer.
     pub(crate) fn furthest_ahead(
         &self,
-        of_daemon: impl Fn(&Heartbeat) -> u64,
-        of_data_centre: impl Fn(&Summary) -> u64,
-    ) -> Option<(SocketAddr, u64)> {
+        of_topic: impl Fn(TopicPositions) -> StorePosition,
+    ) -> Option<(SocketAddr, StorePosition)> {
         let table = self.table();
-        let daemons = table.by_name.values().map(|peer| (peer.addr, of_daemon(&peer.heartbeat)));
+        let daemons =
+            table.by_name.values().map(|peer| (peer.addr, TopicPositions::of(&peer.heartbeat)));
         let data_centres = table
             .summaries
             .values()
-            .map(|received| (received.addr, of_data_centre(&received.summary)));
-        daemons.chain(data_centres).max_by_key(|(_, offset)| (*offset, rand::random::<u32>()))
+            .map(|received| (received.addr, TopicPositions::of_data_centre(&received.summary)));
+        daemons
+            .chain(data_centres)
+            .map(|(addr, positions)| (addr, of_topic(positions)))
+            .max_by_key(|(_, position)| (*position, rand::random::<u32>()))
     }
 
     /// The time since the store last answered any live peer; `None` without peers.
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -13,6 +13,7 @@
 mod end;
 mod exoneration;
 mod fingerprint;
+mod restore;
 mod state;
 mod store_writer;
 mod stored;
--- a/crates/gateway/src/quarantine/store_writer.rs
+++ b/crates/gateway/src/quarantine/store_writer.rs
@@ -108,11 +108,15 @@
 
 /// Writes a record; an empty value deletes it. Returns true if the store took it.
 async fn put(store: &mut StoreClient, fingerprint: &Fingerprint, value: &[u8]) -> bool {
-    let key = hex::encode(fingerprint);
-    match store.put(Topic::Quarantines, &key, value).await {
+    put_key(store, &hex::encode(fingerprint), value).await
+}
+
+/// Like [`put`], for the key of a request.
+pub(super) async fn put_key(store: &mut StoreClient, key: &str, value: &[u8]) -> bool {
+    match store.put(Topic::Quarantines, key, value).await {
         Ok(()) => true,
         Err(error) => {
-            log_not_stored(&key, &error);
+            log_not_stored(key, &error);
             store.reconnect();
             false
         }
@@ -124,6 +128,7 @@
         "suspected request not stored yet");
 }
 
-fn store_client(dispatch: &Dispatch) -> StoreClient {
+/// A client of the store.
+pub(super) fn store_client(dispatch: &Dispatch) -> StoreClient {
     StoreClient::new(dispatch.spawner.clone(), dispatch.settings.load().store_addr)
 }
--- a/crates/gateway/src/quarantine/stored.rs
+++ b/crates/gateway/src/quarantine/stored.rs
@@ -1,4 +1,4 @@
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 
 use async_channel::Sender;
 use bytes::Bytes;
@@ -8,29 +8,43 @@
 use comfreymast_wire::news::{Suspect, TopicDelta};
 use prost::Message;
 
+use super::restore::restore_lost;
 use super::state::StoredSuspect;
 use super::suspicion::record_death;
 use crate::dispatch::Dispatch;
-use crate::feed::FeedChange;
-use crate::follow::FollowedTopic;
+use crate::feed::{EraChange, FeedChange, Revision};
+use crate::follow::{FollowedTopic, TopicHandlers};
 
 /// Follows the suspected and quarantined requests in the store, and applies them.
 pub(crate) fn follow_suspects(
     dispatch: &Arc<Dispatch>,
     deltas: Sender<TopicDelta>,
 ) -> Arc<FollowedTopic> {
-    let target = dispatch.clone();
-    let on_change = move |changes: &[FeedChange]| {
-        changes.iter().for_each(|change| apply(&target, change));
-    };
-    Arc::new(FollowedTopic::new(
-        Topic::Quarantines,
-        dispatch.clock.clone(),
+    Arc::new_cyclic(|followed: &Weak<FollowedTopic>| {
+        let target = dispatch.clone();
+        let on_change = move |changes: &[FeedChange]| {
+            changes.iter().for_each(|change| apply(&target, change));
+        };
+        let (era_target, followed) = (dispatch.clone(), followed.clone());
+        let on_era_change = move |change: &EraChange| {
+            let restored = restore_lost(era_target.clone(), followed.clone(), change.clone());
+            era_target.spawner.detach(restored);
+        };
+        let handlers = TopicHandlers {
+            on_change: Box::new(on_change),
+            on_era_change: Box::new(on_era_change),
+            revision_of: suspect_revision,
+        };
         // Most daemons of a large fleet leave reading to a few, once they know their peers.
-        FollowedTopic::NOT_READING_MS,
-        Box::new(on_change),
-        deltas,
-    ))
+        let wait_ms = FollowedTopic::NOT_READING_MS;
+        FollowedTopic::new(Topic::Quarantines, dispatch.clock.clone(), wait_ms, handlers, deltas)
+    })
+}
+
+/// When a record was written, by the clock of its daemon.
+fn suspect_revision(value: &[u8]) -> Option<Revision> {
+    let suspect = Suspect::decode(value).ok()?;
+    Some((suspect.written_unix_ms, 0))
 }
 
 fn apply(dispatch: &Arc<Dispatch>, change: &FeedChange) {
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -1,14 +1,18 @@
 use std::sync::{Arc, Weak};
 
 use async_channel::Sender;
+use comfreymast_base::StorePosition;
 use comfreymast_decide::entry_expiry::{EntryExpiryOptions, keep_ms};
 use comfreymast_net::sleep_ms;
-use comfreymast_platform::{CONFIGURATION_KEY, Topic, decode_configuration, decode_upstream};
+use comfreymast_platform::{
+    CONFIGURATION_KEY, Topic, configuration_revision, decode_configuration, decode_upstream,
+    upstream_revision,
+};
 use comfreymast_wire::news::TopicDelta;
 
 use crate::dispatch::Dispatch;
-use crate::feed::FeedChange;
-use crate::follow::FollowedTopic;
+use crate::feed::{EraChange, FeedChange};
+use crate::follow::{FollowedTopic, TopicHandlers};
 
 /// Subtracted from the time within which a leaving upstream must stop getting new requests, for
 /// those under way to it.
@@ -32,14 +36,16 @@
             }
         }
     };
+    let target = dispatch.clone();
+    let on_era_change = move |change: &EraChange| target.record_store_return(change.after.era);
     let wait_ms = dispatch.options.store_wait_ms;
-    Arc::new(FollowedTopic::new(
-        Topic::Operators,
-        dispatch.clock.clone(),
-        wait_ms,
-        Box::new(on_change),
-        deltas,
-    ))
+    let handlers = TopicHandlers {
+        on_change: Box::new(on_change),
+        on_era_change: Box::new(on_era_change),
+        revision_of: configuration_revision,
+    };
+    let clock = dispatch.clock.clone();
+    Arc::new(FollowedTopic::new(Topic::Operators, clock, wait_ms, handlers, deltas))
 }
 
 /// Follows the entries that upstreams write, and updates the directory.
@@ -50,6 +56,12 @@
     Arc::new_cyclic(|followed: &Weak<FollowedTopic>| {
         let target = dispatch.clone();
         let followed = followed.clone();
+        let (era_target, era_followed) = (dispatch.clone(), followed.clone());
+        let on_era_change = move |change: &EraChange| {
+            let drop_lost =
+                drop_lost_upstreams(era_target.clone(), era_followed.clone(), change.after);
+            era_target.spawner.detach(drop_lost);
+        };
         let on_change = move |changes: &[FeedChange]| {
             for change in changes {
                 match &change.value {
@@ -59,16 +71,30 @@
             }
         };
         let wait_ms = dispatch.options.store_wait_ms;
-        FollowedTopic::new(
-            Topic::Upstreams,
-            dispatch.clock.clone(),
-            wait_ms,
-            Box::new(on_change),
-            deltas,
-        )
+        let handlers = TopicHandlers {
+            on_change: Box::new(on_change),
+            on_era_change: Box::new(on_era_change),
+            revision_of: upstream_revision,
+        };
+        FollowedTopic::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, handlers, deltas)
     })
 }
 
+/// Removes the upstreams that the store lost when it came back from an older copy, once live ones
+/// have had time to register again.
+async fn drop_lost_upstreams(
+    dispatch: Arc<Dispatch>,
+    followed: Weak<FollowedTopic>,
+    returned_at: StorePosition,
+) {
+    sleep_ms(dispatch.options.expired_entry_grace_ms).await;
+    let Some(followed) = followed.upgrade() else { return };
+    // After a later return, upstreams have more time.
+    if followed.position().era == returned_at.era {
+        followed.drop_unconfirmed();
+    }
+}
+
 fn apply_upstream(dispatch: &Dispatch, key: &str, value: &[u8]) {
     match decode_upstream(key, value) {
         Ok(record) => dispatch.directory.insert(record),
--- a/crates/gateway/tests/large_fleet.rs
+++ b/crates/gateway/tests/large_fleet.rs
@@ -81,3 +81,21 @@
         add_route(&env, &gateways, 5, "/taken-over/").await;
     });
 }
+
+#[test]
+fn what_is_written_after_a_return_of_the_store_reaches_daemons_that_do_not_read_it() {
+    run_test(async |spawner| {
+        let env = TestEnv::new(&spawner).await;
+        env.publish(1, |_| ());
+        let _upstream = env.upstream("u0", "plain").await;
+        let gateways = start_fleet(&spawner, &env).await;
+        wait_for_few_readers(&env).await;
+        let copy = env.store.copy();
+        add_route(&env, &gateways, 2, "/lost/").await;
+        add_route(&env, &gateways, 3, "/lost/").await;
+        for (version, path) in [(10, "/first/"), (20, "/second/")] {
+            env.store.restore(&copy);
+            add_route(&env, &gateways, version, path).await;
+        }
+    });
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use async_channel::Sender;
 use bytes::Bytes;
@@ -42,6 +43,8 @@
     pub(crate) store_addr: SocketAddr,
     _store_running: Sender<()>,
     folder: TempDir,
+    /// The number of the next entry of an upstream.
+    sequence: AtomicU64,
     /// Retries that are allowed beyond the ratio, for the gateways that are started afterwards.
     pub(crate) retry_slack: f64,
 }
@@ -74,6 +77,7 @@
             store_addr,
             _store_running: running,
             folder,
+            sequence: AtomicU64::new(1),
             retry_slack: 50.0,
         }
     }
@@ -109,6 +113,7 @@
             slots: SLOTS,
             state,
             started_unix_ms: STARTED_UNIX_MS,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
         self.write(UPSTREAMS_TOPIC, name, entry.document().to_string().as_bytes());
     }
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -17,6 +17,18 @@
     Decode(serde_json::Error),
 }
 
+/// The version of an encoded configuration, as a revision; `None` if it has none.
+#[must_use]
+pub fn configuration_revision(bytes: &[u8]) -> Option<(u64, u64)> {
+    let fields: VersionField = serde_json::from_slice(bytes).ok()?;
+    Some((fields.version, 0))
+}
+
+#[derive(Deserialize)]
+struct VersionField {
+    version: u64,
+}
+
 /// Decodes a version of the configuration that operators wrote to the store.
 ///
 /// # Errors
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -29,7 +29,7 @@
 mod vm;
 mod vm_list;
 
-pub use configuration::{ConfigurationError, decode_configuration};
+pub use configuration::{ConfigurationError, configuration_revision, decode_configuration};
 pub use engine_move::{GenerationCopy, MoveError, decode_move_reply, move_request};
 pub use engine_report::{EngineReport, decode_report, report_request};
 pub use log_client::{LogClient, LogEntry, LogError, LogPage};
@@ -41,7 +41,7 @@
 pub use settings::{SettingsError, VmSettings, settings_path};
 pub use store::{NewestRecords, StoreClient, StoreError, StorePage, Topic};
 pub use store_record::{KeyedRecord, RecordError};
-pub use upstream::{UpstreamError, decode_upstream};
+pub use upstream::{UpstreamError, decode_upstream, upstream_revision};
 pub use vm::{Vm, VmRole, VmState};
 pub use vm_list::{VmListClient, VmListError};
 
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -51,3 +51,5 @@
 pub(crate) const REPORT_PATH: &str = "/-/report";
 /// The `state` of an upstream that is about to shut down.
 pub(crate) const DRAINING_STATE: &str = "draining";
+/// The era of the store, which rises when it comes back from an older copy.
+pub(crate) const STORE_ERA: &str = "store-era";
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -2,6 +2,7 @@
 
 use base64::Engine as _;
 use bytes::{Buf, Bytes};
+use comfreymast_base::StorePosition;
 use comfreymast_net::{
     Body, BodyError, Elapsed, OpenError, OwnedConnection, SendError, Spawner, collect, empty, full,
     request, within,
@@ -66,6 +67,14 @@
     #[display("the records were deleted")]
     #[from(ignore)]
     Deleted,
+    /// The store is in another era, so offsets known before mean nothing; [`StoreClient::newest`]
+    /// replaces the read.
+    #[display("the store is in era {era}")]
+    #[from(ignore)]
+    OtherEra {
+        /// The era of the store.
+        era: u64,
+    },
     /// The response is not valid JSON, or a field is missing or has the wrong type.
     #[display("the store's answer does not decode: {_0}")]
     Json(serde_json::Error),
@@ -79,8 +88,8 @@
 pub struct NewestRecords {
     /// One record per key.
     pub records: Vec<KeyedRecord>,
-    /// The offset from which [`StoreClient::read`] continues.
-    pub end_offset: u64,
+    /// Where [`StoreClient::read`] continues.
+    pub end: StorePosition,
 }
 
 /// Consecutive records of a topic.
@@ -88,8 +97,8 @@
 pub struct StorePage {
     /// The records, in order. Records that cannot be decoded are logged and left out.
     pub records: Vec<KeyedRecord>,
-    /// The offset from which the next read continues.
-    pub next_offset: u64,
+    /// Where the next read continues.
+    pub next: StorePosition,
 }
 
 /// A client of the platform's store that reuses one connection.
@@ -121,11 +130,14 @@
         let mut newest = NewestRecords::default();
         let mut after: Option<String> = None;
         loop {
-            let page = self.newest_page(topic, after.as_deref()).await?;
+            let (page, era) = self.newest_page(topic, after.as_deref()).await?;
             // Records appended while the pages are read may be missing from them, so the next read
             // continues from the end offset of the first page.
             if after.is_none() {
-                newest.end_offset = page.end;
+                newest.end = StorePosition { era, offset: page.end };
+            }
+            if era != newest.end.era {
+                return Err(StoreError::OtherEra { era });
             }
             after = page.items.last().map(|item| item.key.clone());
             newest.records.extend(page.items.into_iter().filter_map(NewestItem::into_record));
@@ -139,47 +151,54 @@
         &mut self,
         topic: Topic,
         after: Option<&str>,
-    ) -> Result<NewestReply, StoreError> {
+    ) -> Result<(NewestReply, u64), StoreError> {
         let mut query =
             comfreymast_net::Query::default().with("topic", topic.name()).with("part", "0");
         if let Some(after) = after {
             query = query.with("after", after);
         }
         let path = format!("{}?{query}", names::NEWEST_PATH);
-        let bytes = self.call(request(self.addr, "GET", &path, empty()), REPLY_TIMEOUT_MS).await?;
-        Ok(serde_json::from_slice(&bytes)?)
+        let request = request(self.addr, "GET", &path, empty());
+        let reply = self.call(request, REPLY_TIMEOUT_MS).await?;
+        Ok((serde_json::from_slice(&reply.bytes)?, reply.era))
     }
 
-    /// Reads records from offset `from`, waiting up to `wait_ms` for the first.
+    /// Reads records from `from` on, waiting up to `wait_ms` for the first.
     ///
     /// # Errors
     ///
-    /// [`StoreError::Deleted`] when records were deleted, or any other [`StoreError`].
+    /// [`StoreError::Deleted`] when records were deleted, [`StoreError::OtherEra`] when the store is
+    /// in another era than `from`, or any other [`StoreError`].
     pub async fn read(
         &mut self,
         topic: Topic,
-        from: u64,
+        from: StorePosition,
         wait_ms: u64,
     ) -> Result<StorePage, StoreError> {
         let path = format!(
-            "{}?topic={}&part=0&from={from}&maxKb={MAX_READ_KB}&waitMs={wait_ms}",
+            "{}?topic={}&part=0&from={}&maxKb={MAX_READ_KB}&waitMs={wait_ms}",
             names::READ_PATH,
-            topic.name()
+            topic.name(),
+            from.offset
         );
         let request = request(self.addr, "GET", &path, empty());
-        let mut bytes = self.call(request, wait_ms + REPLY_TIMEOUT_MS).await?;
+        let Reply { mut bytes, era } = self.call(request, wait_ms + REPLY_TIMEOUT_MS).await?;
+        if era != from.era {
+            return Err(StoreError::OtherEra { era });
+        }
         if bytes.len() < 2 * size_of::<u64>() {
             return Err(RecordError::Truncated.into());
         }
         let _end = bytes.get_u64();
         let _first = bytes.get_u64();
         let mut read_count = 0;
-        let records = split_records(bytes, from, |offset, error| {
+        let records = split_records(bytes, from.offset, |offset, error| {
             read_count += 1;
             log::warn!(target: "comfreymast", offset, error:%; "record skipped");
         })?;
         read_count += records.len() as u64;
-        Ok(StorePage { records, next_offset: from + read_count })
+        let next = StorePosition { offset: from.offset + read_count, ..from };
+        Ok(StorePage { records, next })
     }
 
     /// Appends one record, which replaces earlier records of its key.
@@ -196,25 +215,33 @@
     }
 
     /// Makes one call. A connection on which a call failed is not reused.
-    async fn call(&mut self, request: Request<Body>, timeout_ms: u64) -> Result<Bytes, StoreError> {
+    async fn call(&mut self, request: Request<Body>, timeout_ms: u64) -> Result<Reply, StoreError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.is_reusable() => connection,
             _ => OwnedConnection::open(&self.spawner, self.addr, CONNECT_TIMEOUT_MS).await?,
         };
         let exchange = async {
             let (head, body) = connection.send(request).await?.into_parts();
-            Ok::<_, StoreError>((head.status, collect(body, MAX_REPLY_BYTES).await?))
+            Ok::<_, StoreError>((head, collect(body, MAX_REPLY_BYTES).await?))
         };
-        let (status, bytes) = within(timeout_ms, exchange).await??;
+        let (head, bytes) = within(timeout_ms, exchange).await??;
         self.connection = Some(connection);
-        match status {
-            StatusCode::OK => Ok(bytes),
+        let era =
+            head.headers.get(names::STORE_ERA).and_then(|era| era.to_str().ok()?.parse().ok());
+        match head.status {
+            StatusCode::OK => Ok(Reply { bytes, era: era.unwrap_or(0) }),
             StatusCode::GONE => Err(StoreError::Deleted),
             status => Err(status.into()),
         }
     }
 }
 
+/// The body of a successful reply, and the era in which the store gave it.
+struct Reply {
+    bytes: Bytes,
+    era: u64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct NewestReply {
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -32,6 +32,20 @@
     })
 }
 
+/// When the upstream of an entry started, and the number of the entry since then. Of two entries of
+/// one upstream the higher pair is newer. `None` if the entry does not say.
+#[must_use]
+pub fn upstream_revision(bytes: &[u8]) -> Option<(u64, u64)> {
+    let fields: RevisionFields = serde_json::from_slice(bytes).ok()?;
+    Some((fields.born.unwrap_or(0), fields.sequence?))
+}
+
+#[derive(Deserialize)]
+struct RevisionFields {
+    born: Option<u64>,
+    sequence: Option<u64>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct UpstreamFields {
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -57,6 +57,8 @@
     places: Mutex<Vec<PlacedUpstream>>,
     all_upstreams: Mutex<Vec<PlatformUpstream>>,
     version: AtomicU64,
+    /// The number of the next entry of an upstream.
+    sequence: AtomicU64,
 }
 
 impl Site {
@@ -88,6 +90,7 @@
             places: Mutex::default(),
             all_upstreams: Mutex::default(),
             version: AtomicU64::new(0),
+            sequence: AtomicU64::new(1),
         });
         site.publish();
         for index in 0..options.engines + options.plain_upstreams {
@@ -155,6 +158,7 @@
             slots: SLOTS,
             state,
             started_unix_ms: placed.started_unix_ms,
+            sequence: self.sequence.fetch_add(1, Ordering::AcqRel),
         };
         self.write(UPSTREAMS_TOPIC, &placed.upstream.name, entry.document().to_string().as_bytes());
     }
