Learn from peers what the store lost, also in a daemon that starts after its return; soak: returns of the store

A daemon that started between the return and the rewrite had the configuration of the copy, older than what its peers had in force, and would have denied routes that were acknowledged before. Heartbeats now say that a daemon keeps lost records, and a daemon that has not seen an earlier era fetches the topics from it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -217,6 +217,8 @@
             },
             ..Heartbeat::default()
         };
+        let topics = [&self.operators, &self.upstreams, &self.quarantines];
+        heartbeat.keeps_lost_records = topics.iter().any(|topic| topic.keeps_lost_records());
         positions.write_to_heartbeat(&mut heartbeat);
         heartbeat
     }
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -18,6 +18,8 @@
 pub(crate) struct Feed {
     position: StorePosition,
     is_loaded: bool,
+    /// The era in which all keys were read first.
+    first_era: u64,
     records: BTreeMap<String, StoredRecord>,
     removed: RemovedKeys,
     revision_of: fn(&[u8]) -> Option<Revision>,
@@ -85,6 +87,7 @@
         Self {
             position: StorePosition::default(),
             is_loaded: false,
+            first_era: 0,
             records: BTreeMap::new(),
             removed: RemovedKeys::default(),
             revision_of,
@@ -131,6 +134,7 @@
         }
         let before = self.position;
         let is_new_era = self.is_loaded && end.era > before.era;
+        let kept_lost = self.keeps_lost_records();
         self.position = self.position.max(end);
         let listed: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
         let removed: Vec<_> = self
@@ -144,8 +148,13 @@
         for record in records {
             changes.extend(self.accept(record.key, record.position, Some(record.value)));
         }
+        if !self.is_loaded {
+            self.first_era = end.era;
+        }
         self.is_loaded = true;
-        let era_change = is_new_era.then(|| EraChange {
+        // A daemon that started after the return learns from peers what the store lost.
+        let learned_of_return = !kept_lost && self.keeps_lost_records();
+        let era_change = (is_new_era || learned_of_return).then(|| EraChange {
             before,
             after: self.position,
             lost: self.unconfirmed(),
@@ -154,6 +163,16 @@
         Replacement { changes, era_change }
     }
 
+    /// True if the feed has records of an earlier era, which the store has lost.
+    pub(crate) fn keeps_lost_records(&self) -> bool {
+        self.records.values().any(|stored| stored.position.era < self.position.era)
+    }
+
+    /// True if the feed has not seen the store in an earlier era.
+    pub(crate) fn is_in_first_era(&self) -> bool {
+        self.is_loaded && self.position.era == self.first_era
+    }
+
     /// Removes the records of earlier eras, which nobody has written again.
     pub(crate) fn drop_unconfirmed(&mut self) -> Vec<FeedChange> {
         let position = self.position;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -37,6 +37,7 @@
     handlers: TopicHandlers,
     position: ArcSwap<StorePosition>,
     is_loaded: AtomicBool,
+    keeps_lost_records: AtomicBool,
     store_answers: AtomicBool,
     last_answer_ms: AtomicU64,
     wait_ms: AtomicU64,
@@ -65,6 +66,7 @@
             handlers,
             position: ArcSwap::default(),
             is_loaded: AtomicBool::new(false),
+            keeps_lost_records: AtomicBool::new(false),
             store_answers: AtomicBool::new(false),
             last_answer_ms: AtomicU64::new(0),
             wait_ms: AtomicU64::new(wait_ms),
@@ -115,8 +117,18 @@
         self.feed().snapshot()
     }
 
-    /// Applies a peer's snapshot, unless this daemon is ahead of it.
-    pub(crate) fn apply_snapshot(&self, snapshot: TopicSnapshot) {
+    /// True if this daemon keeps records that the store lost when it came back.
+    pub(crate) fn keeps_lost_records(&self) -> bool {
+        self.keeps_lost_records.load(Ordering::Acquire)
+    }
+
+    /// True if this daemon has not seen the store in an earlier era.
+    pub(crate) fn is_in_first_era(&self) -> bool {
+        self.feed().is_in_first_era()
+    }
+
+    /// Applies a peer's snapshot, unless this daemon is ahead of it. Returns true if it was applied.
+    pub(crate) fn apply_snapshot(&self, snapshot: TopicSnapshot) -> bool {
         let records = snapshot.records.into_iter().map(|record| KnownRecord {
             key: record.key,
             position: StorePosition { era: record.era, offset: record.offset },
@@ -124,8 +136,10 @@
         });
         let end = StorePosition { era: snapshot.era, offset: snapshot.next_offset };
         let mut feed = self.feed();
+        let is_ahead = feed.is_loaded() && feed.position() > end;
         let replaced = feed.replace(records.collect(), end);
         self.publish_replacement(&feed, &replaced, "peer");
+        !is_ahead
     }
 
     /// Applies records that a peer has just read, if no earlier record is missing.
@@ -242,6 +256,7 @@
         }
         self.position.store(Arc::new(feed.position()));
         self.is_loaded.store(feed.is_loaded(), Ordering::Release);
+        self.keeps_lost_records.store(feed.keeps_lost_records(), Ordering::Release);
     }
 
     fn feed(&self) -> MutexGuard<'_, Feed> {
--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use comfreymast_base::StorePosition;
 use comfreymast_net::{OwnedConnection, Spawner, collect, empty, request, within};
@@ -24,6 +25,8 @@
     path: &'static str,
     behind_since_ms: Option<u64>,
     last_fetch_ms: u64,
+    /// True once a peer's topic was applied, with what the store had lost.
+    lost_fetched: Arc<AtomicBool>,
 }
 
 impl LagMonitor {
@@ -39,43 +42,63 @@
             path,
             behind_since_ms: None,
             last_fetch_ms: 0,
+            lost_fetched: Arc::default(),
         }
     }
 
     /// Checks this daemon against the position that heartbeats and summaries have of the topic. A peer
     /// in a later era is followed at once, since this daemon's offsets mean nothing there.
     pub(crate) fn check(&mut self, of_topic: impl Fn(TopicPositions) -> StorePosition) {
-        let Self { dispatch, followed, path, .. } = self;
-        let path = *path;
-        let ahead = dispatch.peers.furthest_ahead(of_topic);
-        let now_ms = dispatch.clock.now_ms();
-        let known = followed.position_if_loaded();
-        let Some((addr, position)) = ahead.filter(|(_, position)| *position > known) else {
-            self.behind_since_ms = None;
-            return;
-        };
-        let behind_since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let tolerance_ms = if position.era > known.era { 0 } else { LAG_TOLERANCE_MS };
-        if now_ms - behind_since_ms < tolerance_ms
-            || now_ms - self.last_fetch_ms < MIN_FETCH_INTERVAL_MS
-        {
+        let now_ms = self.dispatch.clock.now_ms();
+        let Some(source) = self.source(of_topic, now_ms) else { return };
+        if now_ms - self.last_fetch_ms < MIN_FETCH_INTERVAL_MS {
             return;
         }
         self.last_fetch_ms = now_ms;
-        followed.refresh();
-        let spawner = dispatch.spawner.clone();
-        let followed = followed.clone();
-        dispatch.spawner.detach(async move {
-            let outcome = fetch(&spawner, addr, path).await;
+        self.followed.refresh();
+        let (spawner, path) = (self.dispatch.spawner.clone(), self.path);
+        let (followed, lost_fetched) = (self.followed.clone(), self.lost_fetched.clone());
+        self.dispatch.spawner.detach(async move {
+            let outcome = fetch(&spawner, source.addr, path).await;
             let is_fetched = outcome.is_some();
-            log::info!(target: "comfreymast", code = 1505, peer:% = addr, path, position:%,
-                known:% = followed.position(), fetched = is_fetched;
+            log::info!(target: "comfreymast", code = 1505, peer:% = source.addr, path,
+                position:% = source.position, known:% = followed.position(), fetched = is_fetched;
                 "requested a topic from a peer that is ahead");
-            if let Some(snapshot) = outcome {
-                followed.apply_snapshot(snapshot);
+            if outcome.is_some_and(|snapshot| followed.apply_snapshot(snapshot)) {
+                lost_fetched.store(true, Ordering::Release);
             }
         });
     }
+
+    /// The peer from which to fetch the topic now: one that has been ahead for a while, or, for a
+    /// daemon that started after the store came back, one that keeps what the store has lost.
+    fn source(
+        &mut self,
+        of_topic: impl Fn(TopicPositions) -> StorePosition,
+        now_ms: u64,
+    ) -> Option<Source> {
+        let known = self.followed.position_if_loaded();
+        let ahead = self.dispatch.peers.furthest_ahead(of_topic);
+        let Some((addr, position)) = ahead.filter(|(_, position)| *position > known) else {
+            self.behind_since_ms = None;
+            let lacks_lost = self.followed.is_in_first_era()
+                && !self.followed.keeps_lost_records()
+                && !self.lost_fetched.load(Ordering::Acquire);
+            let keeper = lacks_lost.then(|| self.dispatch.peers.keeper_of_lost_records())??;
+            return Some(Source { addr: keeper, position: known });
+        };
+        let behind_since_ms = *self.behind_since_ms.get_or_insert(now_ms);
+        let tolerance_ms = if position.era > known.era { 0 } else { LAG_TOLERANCE_MS };
+        (now_ms - behind_since_ms >= tolerance_ms).then_some(Source { addr, position })
+    }
+}
+
+/// A peer to fetch a topic from.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    addr: SocketAddr,
+    /// How far the peer is.
+    position: StorePosition,
 }
 
 async fn fetch(spawner: &Spawner, addr: SocketAddr, path: &str) -> Option<TopicSnapshot> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -237,6 +237,13 @@
             .max_by_key(|(_, position)| (*position, rand::random::<u32>()))
     }
 
+    /// A peer that keeps records which the store has lost.
+    pub(crate) fn keeper_of_lost_records(&self) -> Option<SocketAddr> {
+        let table = self.table();
+        let keeper = table.by_name.values().find(|peer| peer.heartbeat.keeps_lost_records)?;
+        Some(keeper.addr)
+    }
+
     /// The time since the store last answered any live peer; `None` without peers.
     pub(crate) fn store_answer_age_ms(&self) -> Option<u64> {
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -258,3 +258,23 @@
         wait_for("another announcement", is_announced).await;
     });
 }
+
+#[test]
+fn a_daemon_that_starts_after_a_return_learns_from_peers_what_the_store_lost() {
+    run_test(async |spawner| {
+        let mut fleet = fleet(&spawner, 1).await;
+        let copy = fleet.env.store.copy();
+        fleet.env.publish_with_route("/late/", 2);
+        fleet.wait_status("/late/", StatusCode::OK).await;
+        fleet.env.store.restore(&copy);
+        // Upstreams register again, operators have not written yet.
+        fleet.env.announce(&fleet.upstream, "plain", "ready");
+        let started = fleet.env.gateway("d1").await;
+        started.wait_ready(&spawner).await;
+        fleet.gateways.push(started);
+        fleet.wait_status("/late/", StatusCode::OK).await;
+        // What is written again in an older version does not take it back.
+        fleet.env.publish(1, |_| ());
+        fleet.assert_served("/late/").await;
+    });
+}
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -37,6 +37,9 @@
     /// Replaces an upstream by a new one, with or without announcing in the store that it is
     /// leaving.
     Leave { upstream: usize, gives_notice: bool },
+    /// The store is away for a moment and comes back from a copy of this age; operators and upstreams
+    /// write again a little later.
+    StoreReturn { copy_age_ms: u64, away_ms: u64 },
     /// Publishes a new configuration.
     Publish,
 }
@@ -76,6 +79,7 @@
 pub(crate) fn plan_faults(options: &SoakOptions) -> Vec<PlannedFault> {
     let mut planned = plan_faults_of_all_kinds(options);
     planned.extend(plan_answer_faults(options));
+    planned.extend(plan_store_returns(options));
     planned.sort_by_key(|fault| fault.at_ms);
     planned
 }
@@ -102,6 +106,22 @@
     planned
 }
 
+/// Drawn apart, like the faults of answers.
+fn plan_store_returns(options: &SoakOptions) -> Vec<PlannedFault> {
+    const SEED_OFFSET: u64 = 0x6572_6173;
+    const GAP_MS: std::ops::Range<u64> = 1_500..5_000;
+    let mut random = StdRng::seed_from_u64(options.seed ^ SEED_OFFSET);
+    let mut planned = Vec::new();
+    let mut at_ms = random.random_range(GAP_MS);
+    while at_ms < options.duration_ms {
+        let copy_age_ms = random.random_range(100..2_000);
+        let away_ms = random.random_range(100..800);
+        planned.push(PlannedFault { at_ms, fault: Fault::StoreReturn { copy_age_ms, away_ms } });
+        at_ms += random.random_range(GAP_MS);
+    }
+    planned
+}
+
 /// Some faults repeat in quick succession, and many overlap.
 fn plan_faults_of_all_kinds(options: &SoakOptions) -> Vec<PlannedFault> {
     const MAX_GAP_MS: u64 = 700;
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -129,6 +129,10 @@
         Fault::Leave { upstream, gives_notice } => {
             replace_upstream(site, upstream, gives_notice).await
         }
+        Fault::StoreReturn { copy_age_ms, away_ms } => {
+            return_store(site, copy_age_ms, away_ms).await;
+            Ok(())
+        }
         Fault::Publish => {
             site.publish();
             Ok(())
@@ -136,6 +140,22 @@
     }
 }
 
+/// Plays a return of the store from an older copy.
+async fn return_store(site: &Site, copy_age_ms: u64, away_ms: u64) {
+    /// How long operators and upstreams take to write again.
+    const REWRITE_MS: u64 = 400;
+    let copy = site.copy_store();
+    sleep_ms(copy_age_ms).await;
+    let window = site.recorder.fault_started(FaultTarget::Store);
+    site.set_store_faults(store_faults(StoreTrouble::Down));
+    sleep_ms(away_ms).await;
+    site.return_store(&copy);
+    site.set_store_faults(LogFaults::default());
+    sleep_ms(REWRITE_MS).await;
+    site.write_again();
+    site.recorder.fault_ended(window);
+}
+
 async fn kill(site: &Site, daemons: &[usize]) -> Result<(), ProofError> {
     let windows =
         daemons.iter().map(|daemon| site.recorder.fault_started(FaultTarget::Daemon(*daemon)));
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Sender;
 use async_net::TcpListener;
-use comfreymast_fakes::log_service::{LogFaults, LogService};
+use comfreymast_fakes::log_service::{LogFaults, LogService, StoreCopy};
 use comfreymast_fakes::platform_documents::{
     CONFIGURATION_KEY, ConfigurationEntry, OPERATORS_TOPIC, RouteEntry, UPSTREAMS_TOPIC,
     UpstreamEntry,
@@ -163,6 +163,31 @@
         self.write(UPSTREAMS_TOPIC, &placed.upstream.name, entry.document().to_string().as_bytes());
     }
 
+    /// A copy of the store, from which it can come back.
+    pub(crate) fn copy_store(&self) -> StoreCopy {
+        self.store.copy()
+    }
+
+    /// The store comes back from a copy.
+    pub(crate) fn return_store(&self, copy: &StoreCopy) {
+        self.store.restore(copy);
+    }
+
+    /// Operators and upstreams write again what the store may have lost, and entries of upstreams that
+    /// are gone expire.
+    pub(crate) fn write_again(&self) {
+        self.publish();
+        let places = self.places().clone();
+        for placed in &places {
+            self.write_entry(placed, "ready");
+        }
+        let all = self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_placed = |name: &str| places.iter().any(|placed| *placed.upstream.name == *name);
+        for gone in all.iter().filter(|upstream| !is_placed(&upstream.name)) {
+            self.write(UPSTREAMS_TOPIC, &gone.name, &[]);
+        }
+    }
+
     /// Deletes an upstream's entry in the store.
     pub(crate) fn delete_entry(&self, placed: &PlacedUpstream) {
         self.write(UPSTREAMS_TOPIC, &placed.upstream.name, &[]);
