See an upstream's end when its connections close before its port, or when it is back at once

Cause: the gateway dialled once, at once; if that was accepted, the report was lost for good and the dead connection went into the pool.

Ruled out: the verdict, which was right once reports came. Only a connection that stayed open goes into the pool.

The daemon's own interface is not changed.

--- a/crates/gateway/src/answer/end_check.rs
+++ b/crates/gateway/src/answer/end_check.rs
@@ -35,7 +35,7 @@
 ///
 /// Only a refused connection shows that the upstream ended: a silent or broken connection may be
 /// the network's fault.
-pub(crate) async fn refuses_connections(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
+async fn refuses_connections(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
     let addr = upstream.record.addr;
     match OwnedConnection::open(&dispatch.spawner, addr, DIAL_LIMIT_MS).await {
         Ok(connection) => {
--- a/crates/gateway/src/answer/mod.rs
+++ b/crates/gateway/src/answer/mod.rs
@@ -9,7 +9,7 @@
 mod event_stream;
 mod whole_answer;
 
-pub(crate) use end_check::{check_end, refuses_connections};
+pub(crate) use end_check::check_end;
 pub(crate) use event_splitter::Event;
 pub(crate) use event_stream::{EventStream, StreamStep};
 pub(crate) use whole_answer::read_whole;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -68,7 +68,7 @@
                 }
                 known => {
                     if let Some(known) = known {
-                        mark_leaving(known, now_ms, "restarted");
+                        mark_replaced(known, &record, now_ms);
                     }
                     let state = Arc::new(UpstreamState::new(record, now_ms));
                     log::info!(target: "comfreymast", code = 1301, upstream = name.as_str(),
@@ -109,10 +109,24 @@
         && (record.is_leaving || !known.is_leaving)
 }
 
+/// Marks an upstream as leaving whose name has registered again.
+fn mark_replaced(known: &UpstreamState, record: &UpstreamRecord, now_ms: u64) {
+    let is_later_start = known.record.started_unix_ms < record.started_unix_ms;
+    let is_first =
+        if is_later_start { known.mark_restarted(now_ms) } else { known.mark_leaving(now_ms) };
+    if is_first {
+        log_leaving(known, "restarted");
+    }
+}
+
 fn mark_leaving(state: &UpstreamState, now_ms: u64, reason: &str) {
     if state.mark_leaving(now_ms) {
-        state.pool.clear();
-        log::info!(target: "comfreymast", code = 1302, upstream = state.record.name.as_str(),
-            reason; "upstream is leaving");
+        log_leaving(state, reason);
     }
 }
+
+fn log_leaving(state: &UpstreamState, reason: &str) {
+    state.pool.clear();
+    log::info!(target: "comfreymast", code = 1302, upstream = state.record.name.as_str(),
+        reason; "upstream is leaving");
+}
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -149,7 +149,7 @@
 
     async fn record_not_continued(
         &self,
-        target: &UpstreamState,
+        target: &Arc<UpstreamState>,
         failure: SendFailure,
         sent_ms: u64,
     ) {
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -216,7 +216,7 @@
 
     /// Reports the stream if `upstream` ended while it ran there; `alive_ms` is when the upstream
     /// last gave a sign of life.
-    pub(super) async fn report_if_ended(&self, upstream: &UpstreamState, alive_ms: u64) {
+    pub(super) async fn report_if_ended(&self, upstream: &Arc<UpstreamState>, alive_ms: u64) {
         let progress = LastProgress { tokens: self.generated_tokens(), alive_ms };
         report_if_ended(&self.dispatch, &self.call, upstream, progress).await;
     }
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -1,15 +1,20 @@
 use std::sync::Arc;
 
+use async_channel::{Sender, bounded};
 use comfreymast_base::{Upstream, hex};
-use comfreymast_decide::quarantine::DeathReport;
+use comfreymast_decide::quarantine::{DeathReport, Fingerprint};
+use comfreymast_decide::upstream_end::{EndSign, EndStep, EndWatch, EndWatchOptions};
+use comfreymast_net::{OwnedConnection, sleep_ms, within};
 
 use super::fingerprint;
 use super::suspicion::report_death;
-use crate::answer::refuses_connections;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::upstream_state::UpstreamState;
 
+const DIAL_LIMIT_MS: u64 = 150;
+const POLL_MS: u64 = 5;
+
 /// How far an upstream was with a request when the connection to it broke, or when it did not
 /// answer in time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -21,39 +26,127 @@
 }
 
 /// Checks whether an upstream ended while it ran `call`; if so, suspects the call and tells peers.
+///
+/// Returns after the first sign. The check goes on without the call, which may have lost its caller.
 pub(crate) async fn report_if_ended(
     dispatch: &Arc<Dispatch>,
     call: &Call,
-    upstream: &UpstreamState,
+    upstream: &Arc<UpstreamState>,
     progress: LastProgress,
 ) {
-    if !has_ended(dispatch, upstream).await {
+    if upstream.is_leaving() && !upstream.has_restarted() {
         return;
     }
-    let record = &upstream.record;
-    let fingerprint = fingerprint(call);
-    let silent_ms = dispatch.clock.now_ms().saturating_sub(progress.alive_ms);
-    dispatch.metrics.upstream_ends.inc();
-    log::warn!(target: "comfreymast", code = 1308, request = &*call.head.id,
-        upstream = record.name.as_str(), started_unix_ms = record.started_unix_ms,
-        fingerprint = hex::encode(&fingerprint), tokens = progress.tokens, silent_ms;
-        "upstream ended while it ran a request");
-    // Names and addresses are used again, so only the start tells one upstream from the next.
-    let started_unix_ms = record.started_unix_ms.unwrap_or(0);
-    let identity = format!("{}@{}#{started_unix_ms}", record.name, record.addr);
-    let report = DeathReport {
-        fingerprint,
-        upstream: Upstream::from(identity),
-        progress_tokens: u32::try_from(progress.tokens).unwrap_or(u32::MAX),
-        last_alive_ms: progress.alive_ms,
+    let check = EndCheck {
+        dispatch: dispatch.clone(),
+        upstream: upstream.clone(),
+        request: call.head.id.clone(),
+        fingerprint: fingerprint(call),
+        progress,
+        connection: None,
     };
-    report_death(dispatch, &report);
+    let (first_sign, seen) = bounded::<()>(1);
+    dispatch.spawner.detach(check.run(first_sign));
+    // Fails once the check has dropped its end of the channel.
+    let _ = seen.recv().await;
+}
+
+/// The check of one upstream after a request broke off there.
+struct EndCheck {
+    dispatch: Arc<Dispatch>,
+    upstream: Arc<UpstreamState>,
+    request: Arc<str>,
+    fingerprint: Fingerprint,
+    progress: LastProgress,
+    /// The connection that is watched.
+    connection: Option<OwnedConnection>,
 }
 
-/// True if the upstream refuses connections and has not announced that it would: an upstream that
-/// is leaving ends for another reason.
-async fn has_ended(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
-    !upstream.is_leaving()
-        && refuses_connections(dispatch, upstream).await
-        && !upstream.is_leaving()
+impl EndCheck {
+    /// Runs the check to its end. `first_sign` is dropped once the first dial has an outcome and, if
+    /// that shows the end, the report is made.
+    async fn run(mut self, first_sign: Sender<()>) {
+        let mut first_sign = Some(first_sign);
+        let mut watch = EndWatch::new(EndWatchOptions::default());
+        let mut step = EndStep::Dial;
+        loop {
+            let sign = match step {
+                EndStep::Dial => self.dial().await,
+                EndStep::Watch { for_ms } => self.watch(for_ms).await,
+                EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
+                EndStep::Ended => return self.report(),
+                EndStep::NotEnded => return,
+            };
+            step = watch.after(sign);
+            if step != EndStep::Ended {
+                drop(first_sign.take());
+            }
+        }
+    }
+
+    async fn dial(&mut self) -> EndSign {
+        let addr = self.upstream.record.addr;
+        match OwnedConnection::open(&self.dispatch.spawner, addr, DIAL_LIMIT_MS).await {
+            Ok(connection) => {
+                self.connection = Some(connection);
+                EndSign::Accepted
+            }
+            // An upstream that left meanwhile refuses connections for another reason.
+            Err(error) if error.is_refused() => self.change().unwrap_or(EndSign::Refused),
+            Err(_) => EndSign::Unanswered,
+        }
+    }
+
+    async fn watch(&mut self, for_ms: u64) -> EndSign {
+        let Some(connection) = self.connection.take() else { return EndSign::Unanswered };
+        let clock = self.dispatch.clock.clone();
+        let until_ms = clock.now_ms() + for_ms;
+        while clock.now_ms() < until_ms {
+            if let Some(sign) = self.change() {
+                return sign;
+            }
+            if !connection.is_reusable() {
+                return EndSign::Closed;
+            }
+            sleep_ms(POLL_MS).await;
+        }
+        let idle_ms = self.dispatch.options.idle_connection_ms;
+        self.upstream.pool.put(connection, clock.now_ms() + idle_ms);
+        EndSign::StayedOpen
+    }
+
+    async fn await_restart(&self, for_ms: u64) -> EndSign {
+        // A timeout means that nothing has changed.
+        let _ = within(for_ms, self.upstream.wait_leaving()).await;
+        self.change().unwrap_or(EndSign::NoNews)
+    }
+
+    /// What the upstream's entry says, if it has changed.
+    fn change(&self) -> Option<EndSign> {
+        if self.upstream.has_restarted() {
+            return Some(EndSign::Restarted);
+        }
+        self.upstream.is_leaving().then_some(EndSign::Left)
+    }
+
+    fn report(&self) {
+        let Self { dispatch, upstream, fingerprint, progress, .. } = self;
+        let record = &upstream.record;
+        let silent_ms = dispatch.clock.now_ms().saturating_sub(progress.alive_ms);
+        dispatch.metrics.upstream_ends.inc();
+        log::warn!(target: "comfreymast", code = 1308, request = &*self.request,
+            upstream = record.name.as_str(), started_unix_ms = record.started_unix_ms,
+            fingerprint = hex::encode(fingerprint), tokens = progress.tokens, silent_ms,
+            restarted = upstream.has_restarted(); "upstream ended while it ran a request");
+        // Names and addresses are used again, so only the start tells one upstream from the next.
+        let started_unix_ms = record.started_unix_ms.unwrap_or(0);
+        let identity = format!("{}@{}#{started_unix_ms}", record.name, record.addr);
+        let report = DeathReport {
+            fingerprint: *fingerprint,
+            upstream: Upstream::from(identity),
+            progress_tokens: u32::try_from(progress.tokens).unwrap_or(u32::MAX),
+            last_alive_ms: progress.alive_ms,
+        };
+        report_death(dispatch, &report);
+    }
 }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -1,4 +1,4 @@
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
@@ -36,6 +36,8 @@
     leaving: Receiver<()>,
     leave: Sender<()>,
     leaving_since_ms: AtomicU64,
+    /// True once a later start of the upstream has registered.
+    has_restarted: AtomicBool,
     first_seen_ms: u64,
     outcomes: Mutex<Outcomes>,
 }
@@ -67,6 +69,7 @@
             leaving,
             leave,
             leaving_since_ms: AtomicU64::new(0),
+            has_restarted: AtomicBool::new(false),
             first_seen_ms: now_ms,
             outcomes: Mutex::default(),
         }
@@ -83,6 +86,20 @@
         is_first
     }
 
+    /// Marks the upstream as leaving because a later start of it has registered. Has no effect on an
+    /// upstream that had announced its leave.
+    pub(crate) fn mark_restarted(&self, now_ms: u64) -> bool {
+        if !self.is_leaving() {
+            self.has_restarted.store(true, Ordering::Release);
+        }
+        self.mark_leaving(now_ms)
+    }
+
+    /// True once a later start of the upstream has registered, without a leave before.
+    pub(crate) fn has_restarted(&self) -> bool {
+        self.has_restarted.load(Ordering::Acquire)
+    }
+
     /// True once the upstream is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.is_closed()
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -44,6 +44,7 @@
     is_closed: AtomicBool,
     closed_changed: Event,
     delay_ms: AtomicU64,
+    port_delay_ms: AtomicU64,
 }
 
 impl Link {
@@ -74,7 +75,12 @@
                 }
                 Some(Err(_)) => return,
                 None => {
-                    // The port closes first, so that nobody who saw a connection end can reconnect.
+                    let port_delay_ms = self.state.port_delay_ms.load(Ordering::Acquire);
+                    if port_delay_ms > 0 {
+                        self.cut_open();
+                        sleep_ms(port_delay_ms).await;
+                    }
+                    // Otherwise nobody who saw a connection end can connect again.
                     drop(listener);
                     self.cut_open();
                     self.state.wait_until_closed(false).await;
@@ -100,6 +106,12 @@
         self.state.set_closed(true);
     }
 
+    /// Like [`Link::close`], but the port closes `port_delay_ms` after the connections.
+    pub fn close_connections_first(&self, port_delay_ms: u64) {
+        self.state.port_delay_ms.store(port_delay_ms, Ordering::Release);
+        self.close();
+    }
+
     /// Opens the port again after [`Link::close`].
     pub fn reopen(&self) {
         self.state.set_closed(false);
--- a/crates/soak/src/crash/options.rs
+++ b/crates/soak/src/crash/options.rs
@@ -11,6 +11,8 @@
     pub interval_ms: u64,
     /// How long a crashed upstream is down.
     pub restart_ms: u64,
+    /// How much later than its connections the port of a crashed upstream closes.
+    pub port_delay_ms: u64,
     /// Time between two faults that have nothing to do with the culprits: upstreams and daemons
     /// that are killed, in turn. `None` for no faults.
     pub kill_interval_ms: Option<u64>,
@@ -31,6 +33,7 @@
             culprits,
             interval_ms: 700,
             restart_ms: 1_500,
+            port_delay_ms: 0,
             kill_interval_ms: None,
             kills_all_upstreams: false,
             is_store_down: false,
--- a/crates/soak/src/crash/run.rs
+++ b/crates/soak/src/crash/run.rs
@@ -91,7 +91,8 @@
     let started = places.map(|place| {
         let (kill, kills) = async_channel::bounded(1);
         let placed = site.upstream_at(place);
-        let crashes = crash_and_restart(site.clone(), placed, options.restart_ms, kills);
+        let (restart_ms, port_delay_ms) = (options.restart_ms, options.port_delay_ms);
+        let crashes = crash_and_restart(site.clone(), placed, restart_ms, port_delay_ms, kills);
         (kill, site.spawner.spawn(crashes))
     });
     started.unzip()
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -24,6 +24,10 @@
         optional --culprits culprits: usize
         /// With --crashes: also kill an upstream or a daemon this often.
         optional --kill-interval-ms kill_interval_ms: u64
+        /// With --crashes: how much later than its connections the port of an upstream closes.
+        optional --port-delay-ms port_delay_ms: u64
+        /// With --crashes: how long a crashed upstream is down; default 1500.
+        optional --restart-ms restart_ms: u64
         /// Where settings and logs go; default is a folder for each seed below the system's.
         optional --folder folder: PathBuf
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -64,7 +64,9 @@
     let seed = fleet.seed;
     let kinds = [Kind::Safe, Kind::Report, Kind::Plain, Kind::Caption];
     let culprits = kinds.iter().copied().cycle().take(flags.culprits.unwrap_or(2)).collect();
-    let options = CrashOptions::new(fleet, culprits).kill_interval_ms(flags.kill_interval_ms);
+    let mut options = CrashOptions::new(fleet, culprits).kill_interval_ms(flags.kill_interval_ms);
+    options.port_delay_ms = flags.port_delay_ms.unwrap_or(options.port_delay_ms);
+    options.restart_ms = flags.restart_ms.unwrap_or(options.restart_ms);
     let report = Spawner::run(THREADS, async |spawner| run_crashes(&spawner, &options).await)?;
     for culprit in &report.culprits {
         println!("seed {seed}: {culprit:?}");
--- a/crates/soak/tests/crashes.rs
+++ b/crates/soak/tests/crashes.rs
@@ -84,3 +84,23 @@
     };
     assert_stopped(&run_culprits(&[Kind::Safe, Kind::Report], change));
 }
+
+/// A process that ends may close its connections before its port, so a daemon that dials at once is
+/// still accepted.
+#[test]
+fn culprits_are_found_although_connections_close_before_the_port() {
+    for port_delay_ms in [2, 20, 50] {
+        let change = |options: &mut CrashOptions| options.port_delay_ms = port_delay_ms;
+        assert_stopped(&run_culprits(&[Kind::Safe, Kind::Plain], change));
+    }
+}
+
+/// An upstream that is back before anybody dials it refuses nobody; only its new start tells of the end.
+#[test]
+fn culprits_are_found_although_their_upstreams_are_back_at_once() {
+    let change = |options: &mut CrashOptions| {
+        options.port_delay_ms = 1;
+        options.restart_ms = 5;
+    };
+    assert_stopped(&run_culprits(&[Kind::Safe], change));
+}
