--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -5,7 +5,7 @@
 use comfreymast_platform::{EngineReport, decode_report, report_request};
 
 use crate::dispatch::Dispatch;
-use crate::follow::FollowedTopic;
+use crate::followed_topic::FollowedTopic;
 use crate::upstream_state::UpstreamState;
 
 const INTERVAL_MS: u64 = 250;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 
 use crate::dispatch::Dispatch;
 use crate::fleet_sum::generation_use;
-use crate::follow::FollowedTopic;
+use crate::followed_topic::FollowedTopic;
 use crate::lag_monitor::LagMonitor;
 use crate::outbox::Origin;
 use crate::quarantine;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,24 +1,24 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::SystemTime;
 
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
-use comfreymast_net::{Spawner, empty, handler, sleep_ms, within};
-use comfreymast_platform::{READY_PATH, StoreClient, Topic, VmSettings};
-use comfreymast_wire::news::Member;
+use comfreymast_net::{Spawner, empty, handler, sleep_ms};
+use comfreymast_platform::{READY_PATH, VmSettings};
 use derive_more::{Display, Error};
 use hyper::{Response, StatusCode};
-use prost::Message;
 
+use crate::announce::announce;
 use crate::dispatch::Dispatch;
 use crate::exchange::Exchange;
-use crate::follow::{FollowedTopic, follow};
+use crate::follow::follow;
+use crate::followed_topic::FollowedTopic;
 use crate::quarantine::{follow_suspects, remove_expired};
 use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
+use crate::settings_watch::watch_settings;
 use crate::{GatewayOptions, engine_watch, request_handler, suspension_watch};
 
 /// Why a gateway did not start.
@@ -50,9 +50,6 @@
 /// process.
 const STOP_MARGIN_MS: u64 = 150;
 
-/// How old the copy is at most from which the store comes back.
-const MAX_COPY_AGE_MS: u64 = 60_000;
-
 /// Runs one daemon on the platform until `stop` closes, then drains. A message on `reload` makes
 /// it reload its settings. `started` is called once with the addresses.
 ///
@@ -149,83 +146,6 @@
     drop(accepting);
 }
 
-/// Writes this daemon's address to the store and reads those of the others, and writes it again when
-/// the store may have lost it.
-async fn announce(dispatch: Arc<Dispatch>) {
-    loop {
-        let store_returns = dispatch.next_store_return();
-        announce_once(&dispatch).await;
-        let announced_ms = dispatch.clock.now_ms();
-        store_returns.await;
-        if dispatch.clock.now_ms() - announced_ms > MAX_COPY_AGE_MS {
-            // The copy from which the store came back has it, and so has each later one.
-            return;
-        }
-    }
-}
-
-/// Writes this daemon's address to the store and reads those of the others; retries until both
-/// succeed.
-async fn announce_once(dispatch: &Dispatch) {
-    const PAUSE_MS: u64 = 500;
-    let settings = dispatch.settings.load_full();
-    let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
-    let own = dispatch.peers.own_member().encode_to_vec();
-    loop {
-        let put = client.put(Topic::Daemons, settings.name.as_str(), &own).await;
-        let newest = match put {
-            Ok(()) => client.newest(Topic::Daemons).await,
-            Err(error) => Err(error),
-        };
-        match newest {
-            Ok(newest) => {
-                let values = newest.records.into_iter().filter_map(|record| record.value);
-                let members: Vec<_> =
-                    values.filter_map(|value| Member::decode(value).ok()).collect();
-                dispatch.peers.add_members(&members);
-                return;
-            }
-            Err(error) => {
-                log::warn!(target: "comfreymast", code = 1506, error:%; "daemon not announced yet");
-                sleep_ms(PAUSE_MS).await;
-            }
-        }
-    }
-}
-
-/// Reloads the settings on request, or when their file has changed, until `reload` closes.
-async fn watch_settings(dispatch: Arc<Dispatch>, path: PathBuf, reload: Receiver<()>) {
-    let mut known = modified(&path);
-    loop {
-        let request = within(dispatch.options.settings_interval_ms, reload.recv()).await;
-        let is_requested = match request {
-            Ok(Err(_)) => return,
-            Ok(Ok(())) => true,
-            Err(_) => false,
-        };
-        let now = modified(&path);
-        if !is_requested && now == known {
-            continue;
-        }
-        known = now;
-        match VmSettings::read(&path) {
-            Ok(settings) => {
-                log::info!(target: "comfreymast", code = 1004, asked = is_requested;
-                    "settings reloaded");
-                dispatch.settings.store(Arc::new(settings));
-            }
-            Err(error) => {
-                log::error!(target: "comfreymast", code = 1005, error:%;
-                    "invalid settings ignored, the previous ones stay in use");
-            }
-        }
-    }
-}
-
-fn modified(path: &std::path::Path) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
-}
-
 fn caller_server(dispatch: &Arc<Dispatch>, stop: Receiver<()>) -> Server {
     let handler_dispatch = dispatch.clone();
     let limits_dispatch = dispatch.clone();
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -6,6 +6,7 @@
 mod placement;
 mod relay;
 mod relay_body;
+mod relay_log;
 mod reservation;
 mod start;
 
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -17,7 +17,6 @@
 use crate::answer::{Event, EventStream, StreamStep, check_end};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
-use crate::metrics::MoveLabels;
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{Outstanding, Sent};
 use crate::upstream_state::UpstreamState;
@@ -270,27 +269,6 @@
         let _ = self.chunks.send(Err(BodyError::Aborted)).await;
         self.log_end(reason);
     }
-
-    fn log_broken(&self, reason: BreakReason, unfinished_bytes: usize) {
-        log::info!(target: "comfreymast", code = 1409, request = &*self.call.head.id,
-            upstream = self.upstream.record.name.as_str(), reason:%, framing:% = self.framing,
-            unfinished_bytes, events = self.events; "stream broke off");
-    }
-
-    fn log_end(&self, outcome: &str) {
-        log::info!(target: "comfreymast", code = 1103, request = &*self.call.head.id,
-            upstream = self.upstream.record.name.as_str(), outcome, events = self.events,
-            moves = self.moves, framing:% = self.framing, longest_pause_ms = self.longest_pause_ms,
-            age_ms = self.call.age_ms(&self.dispatch.clock); "stream ended");
-    }
-
-    fn log_not_moved(&self, outcome: &'static str, reason: &str) {
-        self.dispatch.metrics.moves.get_or_create(&MoveLabels { outcome }).inc();
-        let since_notice_ms = self.upstream.since_notice_ms(self.dispatch.clock.now_ms());
-        log::info!(target: "comfreymast", code = 1403, request = &*self.call.head.id,
-            upstream = self.upstream.record.name.as_str(), outcome, reason, since_notice_ms,
-            events = self.events; "generation does not move");
-    }
 }
 
 /// Why relaying from one upstream ended before the stream did.
--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -8,7 +8,7 @@
 use prost::Message;
 
 use crate::dispatch::Dispatch;
-use crate::follow::FollowedTopic;
+use crate::followed_topic::FollowedTopic;
 use crate::topic_positions::TopicPositions;
 
 const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! A caller's request enters at `request_handler`, a change of the configuration at `follow`.
 
+mod announce;
 mod answer;
 mod call;
 mod call_error;
@@ -18,6 +19,7 @@
 mod feed;
 mod fleet_sum;
 mod follow;
+mod followed_topic;
 mod gateway;
 mod generation;
 mod json_log;
@@ -35,7 +37,9 @@
 mod roster;
 mod send;
 mod server;
+mod settings_watch;
 mod suspension_watch;
+mod topic_handlers;
 mod topic_positions;
 mod upstream_state;
 
--- a/crates/gateway/src/quarantine/restore.rs
+++ b/crates/gateway/src/quarantine/restore.rs
@@ -5,7 +5,7 @@
 use super::store_writer::{put_key, store_client};
 use crate::dispatch::Dispatch;
 use crate::feed::EraChange;
-use crate::follow::FollowedTopic;
+use crate::followed_topic::FollowedTopic;
 
 /// The delay of the first daemon by name, and that of each further one behind the one before it.
 /// Longer than daemons take to see what another one wrote.
--- a/crates/gateway/src/quarantine/stored.rs
+++ b/crates/gateway/src/quarantine/stored.rs
@@ -13,7 +13,8 @@
 use super::suspicion::record_death;
 use crate::dispatch::Dispatch;
 use crate::feed::{EraChange, FeedChange, Revision};
-use crate::follow::{FollowedTopic, TopicHandlers};
+use crate::followed_topic::FollowedTopic;
+use crate::topic_handlers::TopicHandlers;
 
 /// Follows the suspected and quarantined requests in the store, and applies them.
 pub(crate) fn follow_suspects(
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -12,7 +12,8 @@
 
 use crate::dispatch::Dispatch;
 use crate::feed::{EraChange, FeedChange};
-use crate::follow::{FollowedTopic, TopicHandlers};
+use crate::followed_topic::FollowedTopic;
+use crate::topic_handlers::TopicHandlers;
 
 /// Subtracted from the time within which a leaving upstream must stop getting new requests, for
 /// those under way to it.
--- a/crates/gateway/src/suspension_watch.rs
+++ b/crates/gateway/src/suspension_watch.rs
@@ -5,7 +5,7 @@
 use rustix::time::{ClockId, clock_gettime};
 
 use crate::dispatch::Dispatch;
-use crate::follow::FollowedTopic;
+use crate::followed_topic::FollowedTopic;
 
 const INTERVAL_MS: u64 = 200;
 
