Watch the upstream of an unframed stream that ended, in case its port closes after its connections

What callers could see: an unframed stream whose upstream ended between two events looked complete if the port closed up to tens of milliseconds after the connection. The check dialled once, as quarantine did. Both now share one probe and the decision of decide/upstream_end.rs; streams are watched for 60 ms after their last event, plain answers are dialled once as before. Test: a port that closes 20 ms late; failed before (looked complete), passes.

--- a/crates/fakes/src/framed_upstream.rs
+++ b/crates/fakes/src/framed_upstream.rs
@@ -17,21 +17,24 @@
 //! ```
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_executor::Task;
 use async_net::{TcpListener, TcpStream};
 use bytes::{BufMut, Bytes, BytesMut};
 use comfreymast_net::{BodyFraming, Spawner, sleep_ms};
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use hyper::{StatusCode, Version};
 
 use crate::platform_documents::SIGNATURE_PREFIX;
 
 /// Small, so that a body has several chunks.
 const CHUNK_BYTES: usize = 7;
+/// How much later than the connection the port closes in [`AnswerEnd::CrashLate`].
+const PORT_DELAY_MS: u64 = 20;
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 /// How an answer ends after the bytes that are written of it.
@@ -43,8 +46,11 @@
     Close,
     /// The connection is reset.
     Reset,
-    /// The port is closed first, then the connection in good order, as when a process ends.
+    /// The port is closed first, then all connections in good order, as when a process ends.
     Crash,
+    /// The connection of the answer is closed in good order, and a moment later the port and all
+    /// other connections.
+    CrashLate,
 }
 
 /// One answer.
@@ -119,6 +125,9 @@
     respond: Respond,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     accepting: Arc<Mutex<Option<Task<()>>>>,
+    /// Closed when the upstream has crashed.
+    crashed: Receiver<()>,
+    _not_crashed: Sender<()>,
 }
 
 impl FramedUpstream {
@@ -133,12 +142,15 @@
         respond: impl Fn(&ReceivedRequest) -> WrittenAnswer + Send + Sync + 'static,
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let (not_crashed, crashed) = async_channel::bounded(1);
         let upstream = Self {
             name: name.into(),
             addr: listener.local_addr()?,
             respond: Arc::new(respond),
             requests: Arc::default(),
             accepting: Arc::default(),
+            crashed,
+            _not_crashed: not_crashed,
         };
         let accepting = spawner.spawn(upstream.clone().accept(spawner.clone(), listener));
         *lock(&upstream.accepting) = Some(accepting);
@@ -155,8 +167,13 @@
         while let Ok((stream, _)) = listener.accept().await {
             let upstream = self.clone();
             spawner.detach(async move {
+                let crashed = upstream.crashed.clone();
+                let ended = async {
+                    let _ = crashed.recv().await;
+                    Ok(())
+                };
                 // Fails when the gateway has closed the connection.
-                let _ = upstream.serve(stream).await;
+                let _ = future::or(upstream.serve(stream), ended).await;
             });
         }
     }
@@ -173,7 +190,13 @@
                 AnswerEnd::Complete | AnswerEnd::Close => return Ok(()),
                 AnswerEnd::Reset => return reset(&stream),
                 AnswerEnd::Crash => {
-                    self.close_port().await;
+                    self.crash().await;
+                    return Ok(());
+                }
+                AnswerEnd::CrashLate => {
+                    stream.shutdown(Shutdown::Both)?;
+                    sleep_ms(PORT_DELAY_MS).await;
+                    self.crash().await;
                     return Ok(());
                 }
             }
@@ -181,11 +204,12 @@
         Ok(())
     }
 
-    async fn close_port(&self) {
+    async fn crash(&self) {
         let accepting = lock(&self.accepting).take();
         if let Some(accepting) = accepting {
             accepting.cancel().await;
         }
+        self.crashed.close();
     }
 
     fn encode(&self, request: &ReceivedRequest, answer: &WrittenAnswer) -> Bytes {
--- a/crates/gateway/src/answer/end_check.rs
+++ b/crates/gateway/src/answer/end_check.rs
@@ -1,27 +1,31 @@
+use std::sync::Arc;
+
 use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
-use comfreymast_net::{BodyFraming, OwnedConnection};
+use comfreymast_decide::upstream_end::{EndStep, EndWatch, EndWatchOptions};
+use comfreymast_net::BodyFraming;
 
 use crate::dispatch::Dispatch;
+use crate::end_probe::EndProbe;
 use crate::metrics::BreakLabels;
 use crate::upstream_state::UpstreamState;
 
-const DIAL_LIMIT_MS: u64 = 150;
-
-/// Decides whether an answer that ended is whole, and counts it if it broke off.
+/// Decides whether an answer that ended is whole, and counts it if it broke off. An upstream whose
+/// connection marks the end is watched for `watch_ms`, in case that its port closes later.
 ///
 /// # Errors
 ///
 /// Why it is not whole.
 pub(crate) async fn check_end(
-    dispatch: &Dispatch,
-    upstream: &UpstreamState,
+    dispatch: &Arc<Dispatch>,
+    upstream: &Arc<UpstreamState>,
     framing: BodyFraming,
     end: AnswerEnd,
+    watch_ms: u64,
 ) -> Result<(), BreakReason> {
     let reason = match judge(end) {
         Verdict::Whole => return Ok(()),
         Verdict::Broken(reason) => reason,
-        Verdict::WholeIfUpstreamLives if refuses_connections(dispatch, upstream).await => {
+        Verdict::WholeIfUpstreamLives if has_ended(dispatch, upstream, watch_ms).await => {
             BreakReason::UpstreamEnded
         }
         Verdict::WholeIfUpstreamLives => return Ok(()),
@@ -31,18 +35,19 @@
     Err(reason)
 }
 
-/// True if the upstream refuses connections. A connection that opens is kept for later requests.
-///
-/// Only a refused connection shows that the upstream ended: a silent or broken connection may be
-/// the network's fault.
-async fn refuses_connections(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
-    let addr = upstream.record.addr;
-    match OwnedConnection::open(&dispatch.spawner, addr, DIAL_LIMIT_MS).await {
-        Ok(connection) => {
-            let idle_ms = dispatch.options.idle_connection_ms;
-            upstream.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
-            false
-        }
-        Err(error) => error.is_refused(),
+async fn has_ended(dispatch: &Arc<Dispatch>, upstream: &Arc<UpstreamState>, watch_ms: u64) -> bool {
+    const MAX_DIALS: u32 = 2;
+    let options = EndWatchOptions { watch_ms, restart_ms: 0, max_dials: MAX_DIALS };
+    let mut watch = EndWatch::new(options);
+    let mut probe = EndProbe::new(dispatch, upstream);
+    let mut step = EndStep::Dial;
+    loop {
+        let sign = match step {
+            EndStep::Dial => probe.dial().await,
+            EndStep::Watch { for_ms } => probe.watch(for_ms).await,
+            EndStep::Ended => return true,
+            EndStep::NotEnded | EndStep::AwaitRestart { .. } => return false,
+        };
+        step = watch.after(sign);
     }
 }
--- a/crates/gateway/src/answer/whole_answer.rs
+++ b/crates/gateway/src/answer/whole_answer.rs
@@ -20,7 +20,7 @@
 /// [`SendFailure::Lost`] if it broke off, is not the upstream's own, or says that the request did
 /// not run although it may have.
 pub(crate) async fn read_whole(
-    dispatch: &Dispatch,
+    dispatch: &Arc<Dispatch>,
     upstream: &Arc<UpstreamState>,
     sent: Sent,
     limit_ms: u64,
@@ -46,13 +46,14 @@
 
 /// The body, or `None` if it is not whole or too long.
 async fn read_body(
-    dispatch: &Dispatch,
-    upstream: &UpstreamState,
+    dispatch: &Arc<Dispatch>,
+    upstream: &Arc<UpstreamState>,
     mut body: ResponseBody,
 ) -> Option<Bytes> {
     let (bytes, mark) = body.read(MAX_ANSWER_BYTES).await.ok()?;
     let end = AnswerEnd { mark, is_inside_event: false, may_be_stopped: false };
-    check_end(dispatch, upstream, body.framing(), end).await.ok()?;
+    // Its caller waits, so the upstream is not watched beyond the first answer to a dial.
+    check_end(dispatch, upstream, body.framing(), end, 0).await.ok()?;
     Some(bytes)
 }
 
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -21,6 +21,10 @@
 use crate::send::{Outstanding, Sent};
 use crate::upstream_state::UpstreamState;
 
+/// How long the upstream of a finished stream without framing is watched. Its caller has all events
+/// by then.
+const END_WATCH_MS: u64 = 60;
+
 /// Relays one stream from its upstream to its caller.
 pub(super) struct Relay {
     pub(super) dispatch: Arc<Dispatch>,
@@ -175,7 +179,8 @@
                     }
                     let end = AnswerEnd { may_be_stopped: self.may_be_stopped, ..end };
                     let framing = source.events.framing();
-                    let checked = check_end(&self.dispatch, &self.upstream, framing, end).await;
+                    let checked =
+                        check_end(&self.dispatch, &self.upstream, framing, end, END_WATCH_MS).await;
                     return checked.map_err(Interruption::Broken);
                 }
                 Step::Leaving => mover = Some(self.start_move()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod call_error;
 mod directory;
 mod dispatch;
+mod end_probe;
 mod engine_watch;
 mod exchange;
 mod feed;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -113,7 +113,7 @@
 }
 
 async fn attempt(
-    dispatch: &Dispatch,
+    dispatch: &Arc<Dispatch>,
     call: &Call,
     upstream: &Arc<UpstreamState>,
     runs: u32,
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -4,17 +4,15 @@
 use comfreymast_base::{Upstream, hex};
 use comfreymast_decide::quarantine::{DeathReport, Fingerprint};
 use comfreymast_decide::upstream_end::{EndSign, EndStep, EndWatch, EndWatchOptions};
-use comfreymast_net::{OwnedConnection, sleep_ms, within};
+use comfreymast_net::within;
 
 use super::fingerprint;
 use super::suspicion::report_death;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
+use crate::end_probe::EndProbe;
 use crate::upstream_state::UpstreamState;
 
-const DIAL_LIMIT_MS: u64 = 150;
-const POLL_MS: u64 = 5;
-
 /// How far an upstream was with a request when the connection to it broke, or when it did not
 /// answer in time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -43,7 +41,7 @@
         request: call.head.id.clone(),
         fingerprint: fingerprint(call),
         progress,
-        connection: None,
+        probe: EndProbe::new(dispatch, upstream),
     };
     let (first_sign, seen) = bounded::<()>(1);
     dispatch.spawner.detach(check.run(first_sign));
@@ -58,8 +56,7 @@
     request: Arc<str>,
     fingerprint: Fingerprint,
     progress: LastProgress,
-    /// The connection that is watched.
-    connection: Option<OwnedConnection>,
+    probe: EndProbe,
 }
 
 impl EndCheck {
@@ -71,54 +68,24 @@
         let mut step = EndStep::Dial;
         loop {
             let sign = match step {
-                EndStep::Dial => self.dial().await,
-                EndStep::Watch { for_ms } => self.watch(for_ms).await,
+                EndStep::Dial => self.probe.dial().await,
+                EndStep::Watch { for_ms } => self.probe.watch(for_ms).await,
                 EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
                 EndStep::Ended => return self.report(),
                 EndStep::NotEnded => return,
             };
-            step = watch.after(sign);
+            // What an upstream has announced explains why it refuses connections.
+            step = watch.after(self.change().unwrap_or(sign));
             if step != EndStep::Ended {
                 drop(first_sign.take());
             }
         }
     }
 
-    async fn dial(&mut self) -> EndSign {
-        let addr = self.upstream.record.addr;
-        match OwnedConnection::open(&self.dispatch.spawner, addr, DIAL_LIMIT_MS).await {
-            Ok(connection) => {
-                self.connection = Some(connection);
-                EndSign::Accepted
-            }
-            // An upstream that left meanwhile refuses connections for another reason.
-            Err(error) if error.is_refused() => self.change().unwrap_or(EndSign::Refused),
-            Err(_) => EndSign::Unanswered,
-        }
-    }
-
-    async fn watch(&mut self, for_ms: u64) -> EndSign {
-        let Some(connection) = self.connection.take() else { return EndSign::Unanswered };
-        let clock = self.dispatch.clock.clone();
-        let until_ms = clock.now_ms() + for_ms;
-        while clock.now_ms() < until_ms {
-            if let Some(sign) = self.change() {
-                return sign;
-            }
-            if !connection.is_reusable() {
-                return EndSign::Closed;
-            }
-            sleep_ms(POLL_MS).await;
-        }
-        let idle_ms = self.dispatch.options.idle_connection_ms;
-        self.upstream.pool.put(connection, clock.now_ms() + idle_ms);
-        EndSign::StayedOpen
-    }
-
     async fn await_restart(&self, for_ms: u64) -> EndSign {
         // A timeout means that nothing has changed.
         let _ = within(for_ms, self.upstream.wait_leaving()).await;
-        self.change().unwrap_or(EndSign::NoNews)
+        EndSign::NoNews
     }
 
     /// What the upstream's entry says, if it has changed.
--- a/crates/gateway/tests/answer_ends.rs
+++ b/crates/gateway/tests/answer_ends.rs
@@ -57,7 +57,7 @@
     /// True if the framing shows that the answer is whole.
     fn is_framed_whole(&self, body: &[u8]) -> bool {
         match (self.end, self.framing) {
-            (AnswerEnd::Reset | AnswerEnd::Crash, _) => false,
+            (AnswerEnd::Reset | AnswerEnd::Crash | AnswerEnd::CrashLate, _) => false,
             (AnswerEnd::Complete, _) | (_, BodyFraming::ConnectionClose) => true,
             (AnswerEnd::Close, BodyFraming::Length) => self.cut_at_bytes == body.len(),
             (AnswerEnd::Close, BodyFraming::Chunked) => false,
@@ -362,27 +362,41 @@
     });
 }
 
+/// Asserts that an unframed answer whose upstream ends with `crash` does not look complete.
+async fn assert_crash_is_seen(
+    spawner: &Spawner,
+    service: &str,
+    body: &'static str,
+    crash: AnswerEnd,
+) {
+    let respond = move |request: &ReceivedRequest| {
+        let end = if request.id() == "probe" { AnswerEnd::Complete } else { crash };
+        let framing = BodyFraming::ConnectionClose;
+        WrittenAnswer { framing, body: body.into(), end, ..WrittenAnswer::default() }
+    };
+    let (_env, gateway, _upstreams) = start(spawner, service, 1, Arc::new(respond)).await;
+    let request = if service == "plain" {
+        call("POST", "/plain/x", "id-1")
+    } else {
+        generation("/report/x", "id-1")
+    };
+    let received = receive(spawner, &gateway, request).await;
+    let is_refused = received == Received::whole(StatusCode::BAD_GATEWAY, "");
+    assert!(!received.looks_complete || is_refused, "{received:?}");
+}
+
 #[test]
 fn an_unframed_answer_of_an_upstream_that_ended_never_looks_complete() {
     run_test(async |spawner| {
-        for (service, path, body) in
-            [("engines", "/report/x", EVENTS[0]), ("plain", "/plain/x", PLAIN_BODY)]
-        {
-            let respond = move |request: &ReceivedRequest| {
-                let end =
-                    if request.id() == "probe" { AnswerEnd::Complete } else { AnswerEnd::Crash };
-                let framing = BodyFraming::ConnectionClose;
-                WrittenAnswer { framing, body: body.into(), end, ..WrittenAnswer::default() }
-            };
-            let (_env, gateway, _upstreams) = start(&spawner, service, 1, Arc::new(respond)).await;
-            let received = if service == "plain" {
-                receive(&spawner, &gateway, call("POST", path, "id-1")).await
-            } else {
-                receive(&spawner, &gateway, generation(path, "id-1")).await
-            };
-            let is_refused = received == Received::whole(StatusCode::BAD_GATEWAY, "");
-            assert!(!received.looks_complete || is_refused, "{received:?}");
-        }
+        assert_crash_is_seen(&spawner, "engines", EVENTS[0], AnswerEnd::Crash).await;
+        assert_crash_is_seen(&spawner, "plain", PLAIN_BODY, AnswerEnd::Crash).await;
+    });
+}
+
+#[test]
+fn an_unframed_stream_of_an_upstream_whose_port_closes_late_never_looks_complete() {
+    run_test(async |spawner| {
+        assert_crash_is_seen(&spawner, "engines", EVENTS[0], AnswerEnd::CrashLate).await;
     });
 }
 
