Pause between reloads of a topic that do not help

What callers cause: nothing; by reading the new code. Now up to 0.8 s lie between two reloads without a good read in between; the test allows 60 and passes. Also: a record that was appended after a return counts as newer than a removal of the same revision; only the copy's does not.

--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -134,6 +134,11 @@
         StoreCopy { topics: self.state().topics.clone() }
     }
 
+    /// Names this era in all answers from now on.
+    pub fn set_era(&self, era: u64) {
+        self.state().era = era;
+    }
+
     /// Comes back from a copy: what was appended since is gone, and offsets are assigned again.
     pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.state();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -234,6 +234,7 @@
     /// the store came back from a copy in between.
     fn is_outdated(&self, key: &str, position: StorePosition, value: &[u8]) -> bool {
         let Some(revision) = (self.revision_of)(value) else { return false };
+        let is_appended = position >= self.position;
         if let Some(known) = self.records.get(key) {
             let known_revision = (self.revision_of)(&known.value);
             return known.position.era != position.era
@@ -241,7 +242,10 @@
         }
         let removed = self.removed.get(key).filter(|removed| removed.era < self.position.era);
         let removed_revision = removed.and_then(|removed| removed.revision);
-        removed_revision.is_some_and(|removed| revision <= removed)
+        removed_revision.is_some_and(|removed| {
+            // The copy may have the very value that was removed.
+            if is_appended { revision < removed } else { revision <= removed }
+        })
     }
 
     fn set(
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,6 +17,7 @@
     let mut must_reload = true;
     let mut backoff_ms = MIN_BACKOFF_MS;
     let mut is_store_lost = false;
+    let mut reloads = 0_u32;
     loop {
         let refresh_requested = followed.next_refresh();
         let read = future::or(
@@ -29,6 +30,7 @@
         match read.await {
             None => client.reconnect(),
             Some(Ok(())) => {
+                reloads = if must_reload { reloads } else { 0 };
                 must_reload = false;
                 followed.record_store_answers(true);
                 backoff_ms = MIN_BACKOFF_MS;
@@ -37,7 +39,14 @@
                         position:% = followed.position(); "store answers again");
                 }
             }
-            Some(Err(StoreError::Deleted | StoreError::OtherEra { .. })) => must_reload = true,
+            Some(Err(StoreError::Deleted | StoreError::OtherEra { .. })) => {
+                must_reload = true;
+                reloads += 1;
+                // A reload that does not help is not repeated at once.
+                if reloads > 1 {
+                    sleep_ms(jittered_ms(MAX_BACKOFF_MS, rand::random())).await;
+                }
+            }
             Some(Err(error)) => {
                 followed.record_store_answers(false);
                 if !std::mem::replace(&mut is_store_lost, true) {
--- a/crates/gateway/tests/eras.rs
+++ b/crates/gateway/tests/eras.rs
@@ -278,3 +278,24 @@
         fleet.assert_served("/late/").await;
     });
 }
+
+#[test]
+fn a_store_in_an_earlier_era_is_not_asked_again_and_again() {
+    run_test(async |spawner| {
+        const SPAN_MS: u64 = 1_000;
+        // Three topics, each read and reloaded with a pause of up to 0.8 s.
+        const FEW_READS: u64 = 60;
+        let fleet = fleet(&spawner, 1).await;
+        fleet.env.store.set_era(2);
+        fleet.env.publish_with_route("/added/", 2);
+        fleet.wait_status("/added/", StatusCode::OK).await;
+        fleet.env.store.set_era(1);
+        fleet.env.publish_with_route("/earlier/", 3);
+        sleep_ms(SPAN_MS).await;
+        let before = fleet.env.store.stats().reads;
+        sleep_ms(SPAN_MS).await;
+        let reads = fleet.env.store.stats().reads - before;
+        assert!(reads < FEW_READS, "{reads} reads");
+        fleet.assert_served("/added/").await;
+    });
+}
