A record of an earlier era never replaces one that was written again

Equal revisions now keep the later era. A reload of a topic compares keys by a set, not one by one; a whole answer on a streaming route that is a success clears its request as others do.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -1,4 +1,5 @@
-use std::collections::BTreeMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use comfreymast_base::StorePosition;
@@ -136,11 +137,11 @@
         let is_new_era = self.is_loaded && end.era > before.era;
         let kept_lost = self.keeps_lost_records();
         self.position = self.position.max(end);
-        let listed: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
+        let listed: BTreeSet<_> = records.iter().map(|record| record.key.clone()).collect();
         let removed: Vec<_> = self
             .records
             .iter()
-            .filter(|(key, stored)| stored.position.era == end.era && !listed.contains(key))
+            .filter(|(key, stored)| stored.position.era == end.era && !listed.contains(*key))
             .map(|(key, _)| key.clone())
             .collect();
         let mut changes: Vec<_> =
@@ -236,9 +237,12 @@
         let Some(revision) = (self.revision_of)(value) else { return false };
         let is_appended = position >= self.position;
         if let Some(known) = self.records.get(key) {
-            let known_revision = (self.revision_of)(&known.value);
-            return known.position.era != position.era
-                && known_revision.is_some_and(|known| revision < known);
+            let Some(known_revision) = (self.revision_of)(&known.value) else { return false };
+            return match position.era.cmp(&known.position.era) {
+                Ordering::Less => revision <= known_revision,
+                Ordering::Equal => false,
+                Ordering::Greater => revision < known_revision,
+            };
         }
         let removed = self.removed.get(key).filter(|removed| removed.era < self.position.era);
         let removed_revision = removed.and_then(|removed| removed.revision);
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -18,7 +18,7 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
-use crate::quarantine::{self, LastProgress, report_if_ended};
+use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::upstream_state::UpstreamState;
 
@@ -158,7 +158,12 @@
                     }
                     let left_ms = self.call.remaining_ms(&self.dispatch.clock);
                     match read_whole(self.dispatch, &upstream, sent, left_ms).await {
-                        Ok(response) => return Ok(FirstAnswer::Whole(response)),
+                        Ok(response) => {
+                            if response.status().is_success() {
+                                record_success(self.dispatch, self.call);
+                            }
+                            return Ok(FirstAnswer::Whole(response));
+                        }
                         Err(failure) => failure,
                     }
                 }
