--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -66,16 +66,19 @@
         let mut first_sign = Some(first_sign);
         let mut watch = EndWatch::new(EndWatchOptions::default());
         let mut step = EndStep::Dial;
+        let mut signs = Vec::new();
         loop {
             let sign = match step {
                 EndStep::Dial => self.probe.dial().await,
                 EndStep::Watch { for_ms } => self.probe.watch(for_ms).await,
                 EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
                 EndStep::Ended => return self.report(),
-                EndStep::NotEnded => return,
+                EndStep::NotEnded => return self.log_no_end(&signs),
             };
             // What an upstream has announced explains why it refuses connections.
-            step = watch.after(self.change().unwrap_or(sign));
+            let sign = self.change().unwrap_or(sign);
+            signs.push(sign);
+            step = watch.after(sign);
             if step != EndStep::Ended {
                 drop(first_sign.take());
             }
@@ -96,6 +99,13 @@
         self.upstream.is_leaving().then_some(EndSign::Left)
     }
 
+    fn log_no_end(&self, signs: &[EndSign]) {
+        log::info!(target: "comfreymast", code = 1309, request = &*self.request,
+            upstream = self.upstream.record.name.as_str(),
+            fingerprint = hex::encode(&self.fingerprint), signs:? = signs;
+            "no end of an upstream found after its answer broke off");
+    }
+
     fn report(&self) {
         let Self { dispatch, upstream, fingerprint, progress, .. } = self;
         let record = &upstream.record;
--- a/crates/gateway/src/quarantine/suspicion.rs
+++ b/crates/gateway/src/quarantine/suspicion.rs
@@ -17,6 +17,7 @@
 pub(super) fn report_death(dispatch: &Arc<Dispatch>, report: &DeathReport) {
     let now_ms = dispatch.clock.now_ms();
     if dispatch.quarantine.has_just_succeeded(&report.fingerprint, now_ms) {
+        log_not_counted(&report.fingerprint, &report.upstream);
         return;
     }
     let own = dispatch.peers.own_member();
@@ -61,6 +62,7 @@
     };
     let Some(deaths) = record_death(dispatch, &report, false) else { return };
     if deaths > 1 && dispatch.quarantine.has_just_succeeded(&fingerprint, now_ms) {
+        log_not_counted(&fingerprint, &report.upstream);
         exonerate(dispatch, &fingerprint);
         send_exoneration(dispatch, &fingerprint);
         return;
@@ -73,6 +75,11 @@
     dispatch.outbox.pass_on(news::Body::Suspicion(suspicion), origin);
 }
 
+fn log_not_counted(fingerprint: &Fingerprint, upstream: &Upstream) {
+    log::info!(target: "comfreymast", code = 1610, fingerprint = hex::encode(fingerprint),
+        upstream = upstream.as_str(); "end not counted, as the request has just run to its end");
+}
+
 /// Records a death and returns how many the request was in; `None` if the report is not new. The
 /// death is judged once the reports of all daemons had time to arrive.
 pub(super) fn record_death(
