Known red: a request that was served before it crashed a whole service is sent on

The crash soak can now play a small service that ends as a whole and comes back under new names (--whole-service), culprits that crash nothing at first (--harmless-ms) and harmless requests to the same service.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -149,6 +149,12 @@
         change(&mut self.state().behaviour);
     }
 
+    /// Its behaviour.
+    #[must_use]
+    pub fn behaviour(&self) -> UpstreamBehaviour {
+        self.state().behaviour.clone()
+    }
+
     /// Completes when a request of [`UpstreamBehaviour::crashes_on`] begins to run. The request is
     /// never answered; whoever starts the upstream closes its port and connections.
     pub async fn wait_crash(&self) {
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use async_net::{TcpListener, TcpStream};
@@ -45,6 +45,8 @@
     closed_changed: Event,
     delay_ms: AtomicU64,
     port_delay_ms: AtomicU64,
+    /// Where new connections lead; `None` before the start.
+    target: Mutex<Option<SocketAddr>>,
 }
 
 impl Link {
@@ -56,13 +58,14 @@
     pub async fn start(spawner: &Spawner, target: SocketAddr) -> Result<Self, ProofError> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let link = Self { addr: listener.local_addr()?, state: Arc::default() };
-        let served = link.clone().serve(spawner.clone(), listener, target);
+        link.retarget(target);
+        let served = link.clone().serve(spawner.clone(), listener);
         spawner.detach(served);
         Ok(link)
     }
 
     /// Accepts connections, and closes the port while the link is closed.
-    async fn serve(self, spawner: Spawner, mut listener: TcpListener, target: SocketAddr) {
+    async fn serve(self, spawner: Spawner, mut listener: TcpListener) {
         loop {
             let closed = async {
                 self.state.wait_until_closed(true).await;
@@ -71,7 +74,7 @@
             match future::or(closed, async { Some(listener.accept().await) }).await {
                 Some(Ok((client, _))) => {
                     let number = self.state.accepted.fetch_add(1, Ordering::AcqRel);
-                    spawner.detach(relay(self.state.clone(), number, client, target));
+                    spawner.detach(relay(self.state.clone(), number, client));
                 }
                 Some(Err(_)) => return,
                 None => {
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Lets new connections lead to another target, which takes over the address.
+    pub fn retarget(&self, target: SocketAddr) {
+        *self.state.target.lock().unwrap_or_else(PoisonError::into_inner) = Some(target);
+    }
+
     /// Closes the port and all connections, as when the target's process ends.
     pub fn close(&self) {
         self.state.set_closed(true);
@@ -152,6 +160,10 @@
 }
 
 impl State {
+    fn target(&self) -> Option<SocketAddr> {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn silent_below(&self, direction: Direction) -> &AtomicU64 {
         match direction {
             Direction::ToTarget => &self.silent_to_target,
@@ -196,7 +208,8 @@
     Reset,
 }
 
-async fn relay(state: Arc<State>, number: u64, client: TcpStream, target: SocketAddr) {
+async fn relay(state: Arc<State>, number: u64, client: TcpStream) {
+    let Some(target) = state.target() else { return };
     let Ok(server) = TcpStream::connect(target).await else { return };
     let to_target = copy(&state, number, Direction::ToTarget, client.clone(), server.clone());
     let from_target = copy(&state, number, Direction::FromTarget, server.clone(), client.clone());
--- a/crates/soak/src/crash/options.rs
+++ b/crates/soak/src/crash/options.rs
@@ -13,6 +13,10 @@
     pub restart_ms: u64,
     /// How much later than its connections the port of a crashed upstream closes.
     pub port_delay_ms: u64,
+    /// Crashed upstreams come back as new ones, with another name, at the same address.
+    pub renames_upstreams: bool,
+    /// How long the culprits crash nothing at first.
+    pub harmless_ms: u64,
     /// Time between two faults that have nothing to do with the culprits: upstreams and daemons
     /// that are killed, in turn. `None` for no faults.
     pub kill_interval_ms: Option<u64>,
@@ -20,8 +24,8 @@
     pub kills_all_upstreams: bool,
     /// The store refuses all calls once the daemons serve.
     pub is_store_down: bool,
-    /// Number of streams that are sent again and again like culprits but crash nothing.
-    pub harmless: usize,
+    /// The kind of each request that is sent again and again like culprits but crashes nothing.
+    pub harmless: Vec<Kind>,
 }
 
 impl CrashOptions {
@@ -34,10 +38,26 @@
             interval_ms: 700,
             restart_ms: 1_500,
             port_delay_ms: 0,
+            renames_upstreams: false,
+            harmless_ms: 0,
             kill_interval_ms: None,
             kills_all_upstreams: false,
             is_store_down: false,
-            harmless: 0,
+            harmless: Vec::new(),
+        }
+    }
+
+    /// A small service that ends as a whole, again and again: its few upstreams come back together,
+    /// as new ones, under a culprit that comes often.
+    #[must_use]
+    pub fn whole_service(mut fleet: SoakOptions, culprits: Vec<Kind>) -> Self {
+        fleet.engines = 1;
+        fleet.plain_upstreams = 4;
+        Self {
+            interval_ms: 100,
+            restart_ms: 3_400,
+            renames_upstreams: true,
+            ..Self::new(fleet, culprits)
         }
     }
 
--- a/crates/soak/src/crash/report.rs
+++ b/crates/soak/src/crash/report.rs
@@ -47,15 +47,16 @@
     }
 }
 
-/// Counts the runs of a culprit on all upstreams.
+/// Counts the runs of a culprit on all upstreams since it began to crash them.
 pub(super) fn culprit_report(
     culprit: RepeatedRequest,
     upstreams: &[UpstreamRuns],
+    crashes_from_ms: u64,
 ) -> CulpritReport {
     let body = culprit.body();
     let runs = upstreams.iter().flat_map(|upstream| &upstream.runs);
-    let mut starts_ms: Vec<_> =
-        runs.filter(|run| run.body == body).map(|run| run.started_unix_ms).collect();
+    let crashes = runs.filter(|run| run.body == body && run.started_unix_ms >= crashes_from_ms);
+    let mut starts_ms: Vec<_> = crashes.map(|run| run.started_unix_ms).collect();
     starts_ms.sort_unstable();
     let late_from_ms = starts_ms.get(TOLERATED_ENDS - 1).map(|third_ms| third_ms + CONTACT_MS);
     let late =
--- a/crates/soak/src/crash/run.rs
+++ b/crates/soak/src/crash/run.rs
@@ -12,12 +12,12 @@
 use super::repeated_request::{RepeatedRequest, is_repeated};
 use super::report::{CrashReport, culprit_report, others_refused};
 use super::upstream_crashes::crash_and_restart;
+use crate::SoakError;
 use crate::caller::run_caller;
 use crate::checks::{self, UpstreamRuns};
 use crate::daemon::Daemon;
 use crate::run::{upstream_runs, wait_until_all_serve};
 use crate::site::Site;
-use crate::{Kind, SoakError};
 
 /// How often a harmless request is sent, so that each engine runs it at most times.
 const HARMLESS_INTERVAL_MS: u64 = 40;
@@ -47,28 +47,36 @@
         .enumerate()
         .map(|(number, kind)| RepeatedRequest::culprit(number, *kind))
         .collect();
-    for upstream in site.all_upstreams() {
-        upstream.update_behaviour(|behaviour| {
-            behaviour.crashes_on = culprits.iter().map(|culprit| culprit.body()).collect();
-        });
-    }
     if options.is_store_down {
         site.set_store_faults(LogFaults { down: true, ..LogFaults::default() });
     }
     // Closing this channel stops all callers.
     let (stop_sender, stop) = async_channel::bounded::<()>(1);
-    let (kills, _upstreams) = start_upstreams(site, options);
+    let crashing = start_upstreams(site, options);
     let callers = start_callers(site, options, &culprits, &stop);
-    inject_kills(site, options, &kills).await?;
+    sleep_ms(options.harmless_ms).await;
+    let crashes_from_ms = site.recorder.now_ms();
+    for upstream in site.all_upstreams() {
+        upstream.update_behaviour(|behaviour| {
+            behaviour.crashes_on = culprits.iter().map(|culprit| culprit.body()).collect();
+        });
+    }
+    inject_kills(site, options, &crashing.kills).await?;
     drop(stop_sender);
     for caller in callers {
         caller.await;
     }
+    for task in crashing.tasks.into_iter().filter(Task::is_finished) {
+        task.await?;
+    }
     let upstreams = upstream_runs(site);
     let events = site.recorder.events().clone();
     let violations = checks::check(&events, &without_repeated(&upstreams));
     Ok(CrashReport {
-        culprits: culprits.iter().map(|culprit| culprit_report(*culprit, &upstreams)).collect(),
+        culprits: culprits
+            .iter()
+            .map(|culprit| culprit_report(*culprit, &upstreams, crashes_from_ms))
+            .collect(),
         other_calls: events.calls.len(),
         others_refused: others_refused(&options.fleet.folder).map_err(ProofError::from)?,
         violations: violations.into_iter().collect(),
@@ -85,17 +93,26 @@
     others
 }
 
-/// Lets each upstream crash and restart. Returns the channels that kill them, and the tasks.
-fn start_upstreams(site: &Arc<Site>, options: &CrashOptions) -> (Vec<Sender<()>>, Vec<Task<()>>) {
-    let places = 0..options.fleet.engines + options.fleet.plain_upstreams;
-    let started = places.map(|place| {
+/// The upstreams of a run, which crash and are started again.
+#[derive(Default)]
+struct CrashingUpstreams {
+    /// Kill the upstream at each place.
+    kills: Vec<Sender<()>>,
+    /// Ends only when an upstream cannot be started again.
+    tasks: Vec<Task<Result<(), ProofError>>>,
+}
+
+/// Lets each upstream crash and restart.
+fn start_upstreams(site: &Arc<Site>, options: &CrashOptions) -> CrashingUpstreams {
+    let mut started = CrashingUpstreams::default();
+    for place in 0..options.fleet.engines + options.fleet.plain_upstreams {
         let (kill, kills) = async_channel::bounded(1);
         let placed = site.upstream_at(place);
-        let (restart_ms, port_delay_ms) = (options.restart_ms, options.port_delay_ms);
-        let crashes = crash_and_restart(site.clone(), placed, restart_ms, port_delay_ms, kills);
-        (kill, site.spawner.spawn(crashes))
-    });
-    started.unzip()
+        let crashes = crash_and_restart(site.clone(), placed, options.clone(), kills);
+        started.kills.push(kill);
+        started.tasks.push(site.spawner.spawn(crashes));
+    }
+    started
 }
 
 fn start_callers(
@@ -113,8 +130,8 @@
         let sends = culprit.send_repeatedly(site.clone(), options.interval_ms, stop.clone());
         site.spawner.spawn(sends)
     });
-    let harmless = (0..options.harmless).map(|number| {
-        let request = RepeatedRequest::harmless(number, Kind::Caption);
+    let harmless = options.harmless.iter().enumerate().map(|(number, kind)| {
+        let request = RepeatedRequest::harmless(number, *kind);
         let sends = request.send_repeatedly(site.clone(), HARMLESS_INTERVAL_MS, stop.clone());
         site.spawner.spawn(sends)
     });
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -28,6 +28,12 @@
         optional --port-delay-ms port_delay_ms: u64
         /// With --crashes: how long a crashed upstream is down; default 1500.
         optional --restart-ms restart_ms: u64
+        /// With --crashes: a service of four ends as a whole and comes back under new names.
+        optional --whole-service
+        /// With --crashes: how long the culprits crash nothing at first.
+        optional --harmless-ms harmless_ms: u64
+        /// With --crashes: how many requests are sent as often but crash nothing; default 0.
+        optional --harmless harmless: usize
         /// Where settings and logs go; default is a folder for each seed below the system's.
         optional --folder folder: PathBuf
     }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -62,9 +62,16 @@
 /// Sends requests that crash their upstreams; true when all were stopped in time and all else held.
 fn play_crashes(flags: &ComfreymastSoak, fleet: SoakOptions) -> Result<bool, SoakError> {
     let seed = fleet.seed;
+    let count = flags.culprits.unwrap_or(2);
     let kinds = [Kind::Safe, Kind::Report, Kind::Plain, Kind::Caption];
-    let culprits = kinds.iter().copied().cycle().take(flags.culprits.unwrap_or(2)).collect();
-    let mut options = CrashOptions::new(fleet, culprits).kill_interval_ms(flags.kill_interval_ms);
+    let mut options = if flags.whole_service {
+        CrashOptions::whole_service(fleet, vec![Kind::Safe; count])
+    } else {
+        CrashOptions::new(fleet, kinds.iter().copied().cycle().take(count).collect())
+    };
+    options = options.kill_interval_ms(flags.kill_interval_ms);
+    options.harmless_ms = flags.harmless_ms.unwrap_or(options.harmless_ms);
+    options.harmless = vec![Kind::Safe; flags.harmless.unwrap_or(0)];
     options.port_delay_ms = flags.port_delay_ms.unwrap_or(options.port_delay_ms);
     options.restart_ms = flags.restart_ms.unwrap_or(options.restart_ms);
     let report = Spawner::run(THREADS, async |spawner| run_crashes(&spawner, &options).await)?;
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -149,6 +149,24 @@
         Ok(placed)
     }
 
+    /// Lets a new upstream take over the address of one that has ended, and registers it.
+    pub(crate) async fn start_successor(
+        &self,
+        ended: &PlacedUpstream,
+    ) -> Result<PlacedUpstream, ProofError> {
+        let number = self.all_upstreams().len();
+        let upstream = PlatformUpstream::start(&self.spawner, &format!("u-{number}")).await?;
+        let behaviour = ended.upstream.behaviour();
+        upstream.update_behaviour(|new| *new = behaviour);
+        self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner).push(upstream.clone());
+        ended.link.retarget(upstream.addr);
+        ended.link.reopen();
+        let started_unix_ms = self.recorder.now_ms();
+        let placed = PlacedUpstream { upstream, started_unix_ms, ..ended.clone() };
+        self.write_entry(&placed, "ready");
+        Ok(placed)
+    }
+
     /// Writes an upstream's entry in the store.
     pub(crate) fn write_entry(&self, placed: &PlacedUpstream, state: &str) {
         let entry = UpstreamEntry {
--- a/crates/soak/tests/crashes.rs
+++ b/crates/soak/tests/crashes.rs
@@ -17,7 +17,11 @@
         .engines(6);
     let mut options = CrashOptions::new(fleet, kinds.to_vec());
     change(&mut options);
-    let report = Spawner::run(THREADS, async |spawner| run_crashes(&spawner, &options).await);
+    run_with(&options)
+}
+
+fn run_with(options: &CrashOptions) -> CrashReport {
+    let report = Spawner::run(THREADS, async |spawner| run_crashes(&spawner, options).await);
     report.expect("programs that start")
 }
 
@@ -69,7 +73,7 @@
     let change = |options: &mut CrashOptions| {
         options.kill_interval_ms = Some(KILL_INTERVAL_MS);
         options.kills_all_upstreams = true;
-        options.harmless = 2;
+        options.harmless = vec![Kind::Caption; 2];
     };
     assert_stopped(&run_culprits(&[], change));
 }
@@ -104,3 +108,13 @@
     };
     assert_stopped(&run_culprits(&[Kind::Safe], change));
 }
+
+/// Before the trouble, an equal request was served, which says nothing about upstreams that start later.
+#[test]
+fn a_request_that_was_served_before_it_crashed_a_whole_service_is_not_sent_on() {
+    let folder = TempDir::new().expect("a folder");
+    let fleet = SoakOptions::new(1, folder.path().to_owned()).duration_ms(DURATION_MS).daemons(3);
+    let mut options = CrashOptions::whole_service(fleet, vec![Kind::Safe]);
+    options.harmless_ms = 2_000;
+    assert_stopped(&run_with(&options));
+}
