A success before a service ended no longer protects a request when its successors end

Cause: for 10 s after an equal request had run to its end, each report of an end was dropped, and daemons that heard of one cleared the request everywhere. Meant for equal harmless requests on upstreams that fail together; but a culprit may have been served before it became one. Class: evidence applied to what it says nothing about, a success to upstreams that started after it.

Now every end is recorded. A success tells its time; ends after it count once an upstream that started later ends under the request as well. Messages between daemons carry the age of the success and of the upstream.

--- a/crates/daemon/src/quarantine/suspicion.rs
+++ b/crates/daemon/src/quarantine/suspicion.rs
@@ -41,6 +41,7 @@
         upstream: Upstream::from(format!("{}@{}", engine.name, engine.addr)),
         progress_tokens: u32::try_from(start.resume.len()).unwrap_or(u32::MAX),
         last_alive_ms,
+        known_since_ms: None,
     };
     events::ENGINE_DEATH.log(format_args!("{}", engine.name));
     let suspicion = Suspicion {
@@ -67,6 +68,7 @@
         upstream,
         progress_tokens: suspicion.progress_tokens,
         last_alive_ms: daemon.clock.now_ms().saturating_sub(suspicion.silent_ms),
+        known_since_ms: None,
     };
     record_death(daemon, report);
 }
--- a/crates/decide/src/quarantine/options.rs
+++ b/crates/decide/src/quarantine/options.rs
@@ -16,6 +16,9 @@
     pub progress_tokens: u32,
     /// If another engine dies within this time without the request, one more death is required.
     pub mass_failure_ms: u64,
+    /// An engine that a daemon has known for this much less time than since a success counts as
+    /// started after it, since news of a start arrive late.
+    pub start_news_ms: u64,
     /// Maximum number of deaths that are remembered.
     pub max_deaths: usize,
     /// Maximum number of suspected requests.
@@ -32,6 +35,7 @@
             same_death_ms: 2_000,
             progress_tokens: 16,
             mass_failure_ms: 5_000,
+            start_news_ms: 1_000,
             max_deaths: 1_024,
             max_suspects: 4_096,
         }
--- a/crates/decide/src/quarantine/recent.rs
+++ b/crates/decide/src/quarantine/recent.rs
@@ -2,7 +2,7 @@
 
 use super::Fingerprint;
 
-/// How long a request that has run to its end is not suspected of an engine's death.
+/// How long it is remembered that a request has run to its end.
 const TTL_MS: u64 = 10_000;
 /// The most requests that are remembered.
 const CAPACITY: usize = 1_024;
@@ -25,11 +25,12 @@
         self.ended.push_back((fingerprint, now_ms));
     }
 
-    /// True if the request has run to its end a short time ago.
+    /// When the request last ran to its end, if that was a short time ago.
     #[must_use]
-    pub fn contains(&self, fingerprint: &Fingerprint, now_ms: u64) -> bool {
-        let recent = self.ended.iter().filter(|(_, ended_ms)| is_recent(*ended_ms, now_ms));
-        recent.into_iter().any(|(ended, _)| ended == fingerprint)
+    pub fn last(&self, fingerprint: &Fingerprint, now_ms: u64) -> Option<u64> {
+        let recent = self.ended.iter().rev();
+        let mut recent = recent.take_while(|(_, ended_ms)| is_recent(*ended_ms, now_ms));
+        recent.find(|(ended, _)| ended == fingerprint).map(|(_, ended_ms)| *ended_ms)
     }
 }
 
--- a/crates/decide/src/quarantine/report.rs
+++ b/crates/decide/src/quarantine/report.rs
@@ -14,4 +14,7 @@
     pub progress_tokens: u32,
     /// When the reporting daemon last received something from the engine, on this table's clock.
     pub last_alive_ms: u64,
+    /// Since when the reporting daemon knew this start of the engine, on this table's clock. `None`
+    /// if that is not known, which counts as later than any success.
+    pub known_since_ms: Option<u64>,
 }
--- a/crates/decide/src/quarantine/table.rs
+++ b/crates/decide/src/quarantine/table.rs
@@ -2,7 +2,7 @@
 
 use comfreymast_base::Upstream;
 
-use super::{DeathReport, Fingerprint, QuarantineOptions, QuarantineStatus};
+use super::{DeathReport, Fingerprint, QuarantineOptions, QuarantineStatus, SuccessEffect};
 
 #[derive(Clone, Debug)]
 struct Death {
@@ -20,6 +20,10 @@
     progress_tokens: u32,
     last_report_ms: u64,
     quarantined: bool,
+    /// Since when the engine was known that started last of those that died under it.
+    newest_start_ms: u64,
+    /// When it last ran to its end, as far as known.
+    succeeded_ms: Option<u64>,
 }
 
 /// The deaths within [`QuarantineOptions::window_ms`], as reported by all daemons.
@@ -60,13 +64,18 @@
             progress_tokens: report.progress_tokens,
             last_report_ms: now_ms,
             quarantined: false,
+            newest_start_ms: 0,
+            succeeded_ms: None,
         });
         if report.progress_tokens >= suspect.progress_tokens.saturating_add(progress_tokens) {
             suspect.deaths = 0;
+            suspect.newest_start_ms = 0;
         }
         suspect.deaths += 1;
         suspect.progress_tokens = report.progress_tokens;
         suspect.last_report_ms = now_ms;
+        let known_since_ms = report.known_since_ms.unwrap_or(u64::MAX);
+        suspect.newest_start_ms = suspect.newest_start_ms.max(known_since_ms);
         let deaths = suspect.deaths;
         self.deaths[index].death_counts.insert(report.fingerprint, deaths);
         Some(deaths)
@@ -86,6 +95,7 @@
             for (fingerprint, deaths) in culprits {
                 if let Some(suspect) = self.suspects.get_mut(&fingerprint)
                     && !suspect.quarantined
+                    && is_confirmed(suspect, &self.options)
                 {
                     suspect.quarantined = true;
                     found.push((fingerprint, deaths));
@@ -106,7 +116,9 @@
             return QuarantineStatus::Clear;
         }
         let is_settling = now_ms.saturating_sub(suspect.last_report_ms) < self.options.settle_ms;
-        if is_settling && suspect.deaths >= self.options.deaths {
+        let may_be_culprit =
+            suspect.deaths >= self.options.deaths && is_confirmed(suspect, &self.options);
+        if is_settling && may_be_culprit {
             return QuarantineStatus::Pending;
         }
         QuarantineStatus::Suspect
@@ -123,13 +135,38 @@
         upstreams
     }
 
-    /// Forgets the deaths of a request that has run to its end, and returns how many it was in. Has
-    /// no effect on a quarantine.
-    pub fn exonerate(&mut self, fingerprint: &Fingerprint) -> Option<u32> {
-        let suspect = self.suspects.get(fingerprint).filter(|suspect| !suspect.quarantined)?;
+    /// The number of deaths that a request was in.
+    #[must_use]
+    pub fn deaths(&self, fingerprint: &Fingerprint) -> u32 {
+        self.suspects.get(fingerprint).map_or(0, |suspect| suspect.deaths)
+    }
+
+    /// True if the deaths of a request count, since no success speaks against them.
+    #[must_use]
+    pub fn is_confirmed(&self, fingerprint: &Fingerprint) -> bool {
+        self.suspects.get(fingerprint).is_some_and(|suspect| is_confirmed(suspect, &self.options))
+    }
+
+    /// Records that a request ran to its end at `succeeded_ms`. Has no effect on a quarantine.
+    pub fn record_success(
+        &mut self,
+        fingerprint: &Fingerprint,
+        succeeded_ms: u64,
+    ) -> SuccessEffect {
+        let news_ms = self.options.start_news_ms;
+        let suspect = self.suspects.get_mut(fingerprint).filter(|suspect| !suspect.quarantined);
+        let Some(suspect) = suspect else { return SuccessEffect::None };
         let deaths = suspect.deaths;
-        self.forget(fingerprint);
-        Some(deaths)
+        if succeeded_ms >= suspect.last_report_ms {
+            self.forget(fingerprint);
+            return SuccessEffect::Cleared(deaths);
+        }
+        // The same success may be told of again, at a slightly different time.
+        if suspect.succeeded_ms.is_some_and(|known_ms| succeeded_ms < known_ms + news_ms) {
+            return SuccessEffect::None;
+        }
+        suspect.succeeded_ms = Some(succeeded_ms);
+        SuccessEffect::Deferred(deaths)
     }
 
     /// Forgets the deaths of a request, after an operator has lifted its quarantine.
@@ -218,3 +255,10 @@
         self.suspects.retain(|_, suspect| suspect.last_report_ms >= oldest_ms);
     }
 }
+
+/// True unless the request has run to its end while all engines were running that died under it.
+fn is_confirmed(suspect: &Suspect, options: &QuarantineOptions) -> bool {
+    suspect.succeeded_ms.is_none_or(|succeeded_ms| {
+        suspect.newest_start_ms > succeeded_ms.saturating_add(options.start_news_ms)
+    })
+}
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -2,7 +2,8 @@
 
 use comfreymast_base::Upstream;
 use comfreymast_decide::quarantine::{
-    DeathReport, Fingerprint, QuarantineOptions, QuarantineStatus, RecentSuccesses, SuspicionTable,
+    DeathReport, Fingerprint, QuarantineOptions, QuarantineStatus, RecentSuccesses, SuccessEffect,
+    SuspicionTable,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -28,6 +29,7 @@
             upstream: Upstream::from(upstream),
             progress_tokens: *progress_tokens,
             last_alive_ms: now_ms,
+            known_since_ms: Some(0),
         };
         table.record(&report, now_ms);
         // Daemons receive each other's reports, some of them twice.
@@ -51,6 +53,7 @@
         upstream: Upstream::from("e1"),
         progress_tokens: 0,
         last_alive_ms: 10_000,
+        known_since_ms: None,
     };
     table.record(&report, 10_000);
     assert_eq!(table.status(&CULPRIT, 10_000), QuarantineStatus::Pending);
@@ -69,6 +72,7 @@
         upstream: Upstream::from("e0"),
         progress_tokens: 0,
         last_alive_ms: 900,
+        known_since_ms: None,
     };
     table.record(&late_report, 60_000);
     assert!(table.find_culprits(60_000 + SETTLED_MS).is_empty());
@@ -86,6 +90,7 @@
         upstream: Upstream::from("e1"),
         progress_tokens: 0,
         last_alive_ms: 10_000,
+        known_since_ms: None,
     };
     assert_eq!(table.record(&report, 10_000), Some(2));
     assert_eq!(table.record(&report, 10_250), None);
@@ -220,7 +225,7 @@
         let now_ms = death * 700;
         assert!(record_death(&mut table, &format!("e{death}"), &[(CULPRIT, 0)], now_ms).is_empty());
         record_death(&mut table, &format!("killed{death}"), &[(bystander(1), 50)], now_ms + 350);
-        table.exonerate(&bystander(1));
+        table.record_success(&bystander(1), now_ms + 400);
     }
     assert_eq!(record_death(&mut table, "e3", &[(CULPRIT, 0)], 2_100), [CULPRIT]);
 }
@@ -230,8 +235,8 @@
     let mut table = SuspicionTable::new(QuarantineOptions::for_any_request());
     record_death(&mut table, "e0", &[(bystander(1), 0)], 0);
     record_death(&mut table, "e1", &[(bystander(1), 0)], 10_000);
-    assert_eq!(table.exonerate(&bystander(1)), Some(2));
-    assert_eq!(table.exonerate(&bystander(1)), None);
+    assert_eq!(table.record_success(&bystander(1), 15_000), SuccessEffect::Cleared(2));
+    assert_eq!(table.record_success(&bystander(1), 15_000), SuccessEffect::None);
     assert!(record_death(&mut table, "e2", &[(bystander(1), 0)], 20_000).is_empty());
     assert_eq!(table.status(&bystander(1), 20_000 + SETTLED_MS), QuarantineStatus::Suspect);
 }
@@ -241,10 +246,54 @@
     let mut table = SuspicionTable::default();
     record_death(&mut table, "e0", &[(CULPRIT, 0)], 0);
     record_death(&mut table, "e1", &[(CULPRIT, 0)], 10_000);
-    assert_eq!(table.exonerate(&CULPRIT), None);
+    assert_eq!(table.record_success(&CULPRIT, 20_000), SuccessEffect::None);
     assert_eq!(table.status(&CULPRIT, 20_000), QuarantineStatus::Quarantined);
 }
 
+/// The death of an engine that has been known since `known_since_ms`.
+fn death_under(
+    fingerprint: Fingerprint,
+    upstream: &str,
+    at_ms: u64,
+    known_since_ms: u64,
+) -> DeathReport {
+    DeathReport {
+        fingerprint,
+        upstream: Upstream::from(upstream),
+        progress_tokens: 0,
+        last_alive_ms: at_ms,
+        known_since_ms: Some(known_since_ms),
+    }
+}
+
+/// All four engines of a service end under the request, which was served just before.
+fn table_of_a_service_that_ended() -> SuspicionTable {
+    let mut table = SuspicionTable::new(QuarantineOptions::for_any_request());
+    for (number, at_ms) in [10_000, 10_050, 10_150, 10_200].into_iter().enumerate() {
+        table.record(&death_under(CULPRIT, &format!("e{number}"), at_ms, 0), at_ms);
+        table.record_success(&CULPRIT, 9_900);
+    }
+    assert!(table.find_culprits(11_000).is_empty());
+    assert_eq!(table.status(&CULPRIT, 11_000), QuarantineStatus::Suspect);
+    table
+}
+
+#[test]
+fn a_success_before_a_service_ended_protects_only_until_an_engine_that_started_later_ends() {
+    let mut table = table_of_a_service_that_ended();
+    table.record(&death_under(CULPRIT, "e4", 13_600, 13_500), 13_600);
+    assert_eq!(table.status(&CULPRIT, 13_601), QuarantineStatus::Pending);
+    assert_eq!(table.find_culprits(14_000), [(CULPRIT, 5)]);
+}
+
+#[test]
+fn a_request_that_succeeds_after_its_service_ended_is_cleared() {
+    let mut table = table_of_a_service_that_ended();
+    assert_eq!(table.record_success(&CULPRIT, 13_600), SuccessEffect::Cleared(4));
+    table.record(&death_under(CULPRIT, "e4", 13_700, 13_500), 13_700);
+    assert!(table.find_culprits(14_100).is_empty());
+}
+
 #[test]
 fn the_weakest_suspect_makes_room_for_a_new_one() {
     let options = QuarantineOptions { max_suspects: 2, ..QuarantineOptions::for_any_request() };
@@ -261,7 +310,7 @@
 fn only_requests_that_ended_a_short_time_ago_count_as_recent_successes() {
     let mut recent = RecentSuccesses::default();
     recent.record(CULPRIT, 1_000);
-    assert!(recent.contains(&CULPRIT, 5_000));
-    assert!(!recent.contains(&bystander(1), 5_000));
-    assert!(!recent.contains(&CULPRIT, 20_000));
+    assert_eq!(recent.last(&CULPRIT, 5_000), Some(1_000));
+    assert_eq!(recent.last(&bystander(1), 5_000), None);
+    assert_eq!(recent.last(&CULPRIT, 20_000), None);
 }
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -123,6 +123,7 @@
             upstream: Upstream::from(identity),
             progress_tokens: u32::try_from(progress.tokens).unwrap_or(u32::MAX),
             last_alive_ms: progress.alive_ms,
+            known_since_ms: Some(upstream.first_seen_ms()),
         };
         report_death(dispatch, &report);
     }
--- a/crates/gateway/src/quarantine/exoneration.rs
+++ b/crates/gateway/src/quarantine/exoneration.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::hex;
-use comfreymast_decide::quarantine::Fingerprint;
+use comfreymast_decide::quarantine::{Fingerprint, SuccessEffect};
 use comfreymast_wire::news::{Exoneration, news};
 
 use super::fingerprint;
@@ -10,38 +10,44 @@
 use crate::dispatch::Dispatch;
 use crate::outbox::Origin;
 
-/// Records that a call has run to its end, so it is no longer suspected on any daemon.
+/// Records that a call has run to its end, so its deaths so far are forgotten on all daemons.
 pub(crate) fn record_success(dispatch: &Arc<Dispatch>, call: &Call) {
     let fingerprint = fingerprint(call);
-    dispatch.quarantine.record_success(fingerprint, dispatch.clock.now_ms());
+    let now_ms = dispatch.clock.now_ms();
+    dispatch.quarantine.record_success(fingerprint, now_ms);
     // With a single death, a request is far from being refused anywhere.
-    if exonerate(dispatch, &fingerprint).is_some_and(|deaths| deaths > 1) {
-        send_exoneration(dispatch, &fingerprint);
+    if let SuccessEffect::Cleared(2..) = exonerate(dispatch, &fingerprint, now_ms) {
+        send_exoneration(dispatch, &fingerprint, now_ms);
         if dispatch.quarantine.is_stored(&fingerprint) {
             dispatch.spawner.detach(delete_suspect(dispatch.clone(), fingerprint));
         }
     }
 }
 
-/// Tells peers that a request has run to its end.
-pub(super) fn send_exoneration(dispatch: &Dispatch, fingerprint: &Fingerprint) {
+/// Tells peers that a request ran to its end at `succeeded_ms`.
+pub(super) fn send_exoneration(dispatch: &Dispatch, fingerprint: &Fingerprint, succeeded_ms: u64) {
     let own = dispatch.peers.own_member();
     let exoneration = Exoneration {
         fingerprint: fingerprint.to_vec().into(),
         daemon: own.daemon,
         data_centre: own.data_centre,
+        age_ms: dispatch.clock.now_ms().saturating_sub(succeeded_ms),
     };
-    dispatch.outbox.send_repeatedly(move |_| news::Body::Exoneration(exoneration.clone()));
+    dispatch.outbox.send_repeatedly(move |elapsed_ms| {
+        let age_ms = exoneration.age_ms + elapsed_ms;
+        news::Body::Exoneration(Exoneration { age_ms, ..exoneration.clone() })
+    });
 }
 
-/// Clears a request that has run to its end through a peer, and passes the message on if it was
-/// suspected here.
+/// Applies that a request has run to its end through a peer, and passes the message on if that is
+/// news here.
 pub(crate) fn handle_exoneration(dispatch: &Arc<Dispatch>, mut exoneration: Exoneration) {
     let Ok(fingerprint) = exoneration.fingerprint[..].try_into() else {
         log::debug!("{} sent an exoneration with an invalid fingerprint", exoneration.daemon);
         return;
     };
-    if exonerate(dispatch, &fingerprint).is_none() {
+    let succeeded_ms = dispatch.clock.now_ms().saturating_sub(exoneration.age_ms);
+    if exonerate(dispatch, &fingerprint, succeeded_ms) == SuccessEffect::None {
         return;
     }
     let origin = Origin::of(&dispatch.peers, &exoneration.data_centre);
@@ -49,15 +55,31 @@
     dispatch.outbox.pass_on(news::Body::Exoneration(exoneration), origin);
 }
 
-/// Clears a request and returns how many deaths it was in; `None` if it was not suspected. Has no
-/// effect on a quarantine, so that runs in flight do not end it.
-pub(super) fn exonerate(dispatch: &Dispatch, fingerprint: &Fingerprint) -> Option<u32> {
+/// Applies that a request ran to its end at `succeeded_ms`. Has no effect on a quarantine, so that
+/// runs in flight do not end it.
+pub(super) fn exonerate(
+    dispatch: &Dispatch,
+    fingerprint: &Fingerprint,
+    succeeded_ms: u64,
+) -> SuccessEffect {
     let now_unix_ms = dispatch.clock.unix_ms();
     if dispatch.quarantine.is_empty() || dispatch.quarantine.is_declared(fingerprint, now_unix_ms) {
-        return None;
+        return SuccessEffect::None;
     }
-    let deaths = dispatch.quarantine.update(|table| table.exonerate(fingerprint))?;
-    log::info!(target: "comfreymast", code = 1606, fingerprint = hex::encode(fingerprint), deaths;
-        "suspected request has run to its end");
-    Some(deaths)
+    let effect =
+        dispatch.quarantine.update(|table| table.record_success(fingerprint, succeeded_ms));
+    let fingerprint = hex::encode(fingerprint);
+    match effect {
+        SuccessEffect::None => {}
+        SuccessEffect::Cleared(deaths) => {
+            log::info!(target: "comfreymast", code = 1606, fingerprint, deaths;
+                "suspected request has run to its end");
+        }
+        SuccessEffect::Deferred(deaths) => {
+            let age_ms = dispatch.clock.now_ms().saturating_sub(succeeded_ms);
+            log::info!(target: "comfreymast", code = 1610, fingerprint, deaths, age_ms;
+                "suspected request had run to its end before");
+        }
+    }
+    effect
 }
--- a/crates/gateway/src/quarantine/state.rs
+++ b/crates/gateway/src/quarantine/state.rs
@@ -88,9 +88,9 @@
         lock(&self.recent).record(fingerprint, now_ms);
     }
 
-    /// True if the request has run to its end a short time ago.
-    pub(super) fn has_just_succeeded(&self, fingerprint: &Fingerprint, now_ms: u64) -> bool {
-        lock(&self.recent).contains(fingerprint, now_ms)
+    /// When the request last ran to its end through this daemon, if that was a short time ago.
+    pub(super) fn last_success_ms(&self, fingerprint: &Fingerprint, now_ms: u64) -> Option<u64> {
+        lock(&self.recent).last(fingerprint, now_ms)
     }
 
     /// True if the store has a quarantine of the request that has not expired.
--- a/crates/gateway/src/quarantine/store_writer.rs
+++ b/crates/gateway/src/quarantine/store_writer.rs
@@ -81,7 +81,10 @@
     let status = dispatch.quarantine.status(fingerprint, now_ms, now_unix_ms);
     match status {
         QuarantineStatus::Clear => false,
-        QuarantineStatus::Suspect | QuarantineStatus::Pending => !is_quarantined,
+        QuarantineStatus::Suspect | QuarantineStatus::Pending => {
+            // Readers would take deaths that do not count yet for such that do.
+            !is_quarantined && dispatch.quarantine.update(|table| table.is_confirmed(fingerprint))
+        }
         QuarantineStatus::Quarantined => is_quarantined,
     }
 }
--- a/crates/gateway/src/quarantine/stored.rs
+++ b/crates/gateway/src/quarantine/stored.rs
@@ -96,6 +96,8 @@
             progress_tokens: 0,
             // Long ago, so that this is the death that a peer may have reported already.
             last_alive_ms: 0,
+            // Only requests whose deaths count are in the store.
+            known_since_ms: None,
         };
         record_death(dispatch, &report, false);
     }
--- a/crates/gateway/src/quarantine/suspicion.rs
+++ b/crates/gateway/src/quarantine/suspicion.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use comfreymast_base::{Upstream, hex};
-use comfreymast_decide::quarantine::{DeathReport, Fingerprint, QuarantineOptions};
+use comfreymast_decide::quarantine::{DeathReport, Fingerprint, QuarantineOptions, SuccessEffect};
 use comfreymast_decide::retry::jittered_ms;
 use comfreymast_net::sleep_ms;
 use comfreymast_wire::news::{Suspicion, news};
@@ -16,11 +16,8 @@
 /// Suspects a request of the death of an upstream that this daemon saw, and tells peers.
 pub(super) fn report_death(dispatch: &Arc<Dispatch>, report: &DeathReport) {
     let now_ms = dispatch.clock.now_ms();
-    if dispatch.quarantine.has_just_succeeded(&report.fingerprint, now_ms) {
-        log_not_counted(&report.fingerprint, &report.upstream);
-        return;
-    }
     let own = dispatch.peers.own_member();
+    let known_since_ms = report.known_since_ms.unwrap_or(now_ms);
     let suspicion = Suspicion {
         fingerprint: report.fingerprint.to_vec().into(),
         upstream: report.upstream.to_string(),
@@ -28,10 +25,12 @@
         daemon: own.daemon,
         silent_ms: now_ms.saturating_sub(report.last_alive_ms),
         data_centre: own.data_centre,
+        known_for_ms: now_ms.saturating_sub(known_since_ms),
     };
     let message = move |elapsed_ms| {
         let silent_ms = suspicion.silent_ms + elapsed_ms;
-        news::Body::Suspicion(Suspicion { silent_ms, ..suspicion.clone() })
+        let known_for_ms = suspicion.known_for_ms + elapsed_ms;
+        news::Body::Suspicion(Suspicion { silent_ms, known_for_ms, ..suspicion.clone() })
     };
     // Most requests that were in one death only shared an upstream with another, so it is enough
     // that most daemons hear of them.
@@ -59,14 +58,9 @@
         upstream: Upstream::from(suspicion.upstream.as_str()),
         progress_tokens: suspicion.progress_tokens,
         last_alive_ms: now_ms.saturating_sub(suspicion.silent_ms),
+        known_since_ms: Some(now_ms.saturating_sub(suspicion.known_for_ms)),
     };
     let Some(deaths) = record_death(dispatch, &report, false) else { return };
-    if deaths > 1 && dispatch.quarantine.has_just_succeeded(&fingerprint, now_ms) {
-        log_not_counted(&fingerprint, &report.upstream);
-        exonerate(dispatch, &fingerprint);
-        send_exoneration(dispatch, &fingerprint);
-        return;
-    }
     let origin = Origin::of(&dispatch.peers, &suspicion.data_centre);
     log::info!(target: "comfreymast", code = 1601, fingerprint = hex::encode(&fingerprint),
         upstream = suspicion.upstream.as_str(), daemon = suspicion.daemon.as_str(), deaths,
@@ -75,11 +69,6 @@
     dispatch.outbox.pass_on(news::Body::Suspicion(suspicion), origin);
 }
 
-fn log_not_counted(fingerprint: &Fingerprint, upstream: &Upstream) {
-    log::info!(target: "comfreymast", code = 1610, fingerprint = hex::encode(fingerprint),
-        upstream = upstream.as_str(); "end not counted, as the request has just run to its end");
-}
-
 /// Records a death and returns how many the request was in; `None` if the report is not new. The
 /// death is judged once the reports of all daemons had time to arrive.
 pub(super) fn record_death(
@@ -89,10 +78,24 @@
 ) -> Option<u32> {
     let now_ms = dispatch.clock.now_ms();
     let deaths = dispatch.quarantine.update(|table| table.record(report, now_ms))?;
+    // With a single death, a request is far from being refused anywhere.
+    if deaths > 1 {
+        apply_earlier_success(dispatch, &report.fingerprint, now_ms);
+    }
     dispatch.spawner.detach(evaluate(dispatch.clone(), is_own));
     Some(deaths)
 }
 
+/// Applies that a suspected request ran to its end through this daemon before, and tells peers. Then
+/// equal requests that crash nothing are not blamed when all upstreams of a service end together.
+fn apply_earlier_success(dispatch: &Arc<Dispatch>, fingerprint: &Fingerprint, now_ms: u64) {
+    let succeeded_ms = dispatch.quarantine.last_success_ms(fingerprint, now_ms);
+    let Some(succeeded_ms) = succeeded_ms else { return };
+    if exonerate(dispatch, fingerprint, succeeded_ms) != SuccessEffect::None {
+        send_exoneration(dispatch, fingerprint, succeeded_ms);
+    }
+}
+
 async fn evaluate(dispatch: Arc<Dispatch>, is_own: bool) {
     sleep_ms(QuarantineOptions::for_any_request().settle_ms + EVALUATION_SLACK_MS).await;
     let now_ms = dispatch.clock.now_ms();
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -137,6 +137,11 @@
         *self.others_generations.lock().unwrap_or_else(PoisonError::into_inner) = generations;
     }
 
+    /// When this start of the upstream became known.
+    pub(crate) fn first_seen_ms(&self) -> u64 {
+        self.first_seen_ms
+    }
+
     /// How much longer the upstream is slow because it has just started.
     pub(crate) fn cold_ms(&self, now_ms: u64) -> u64 {
         (self.first_seen_ms + self.record.cold_ms).saturating_sub(now_ms)
