An upstream that closes new connections before its port is dialled until it refuses

Cause: a process that ends may accept connections for a moment longer and close each. Three of them used up the watch within some 15 ms; the later start of the same name, which it then waited for, never comes where upstreams return under new names. Class: a wait bounded by a count of events whose rate the other side sets.

Now it is dialled six times, with pauses from 10 ms that double, 310 ms in all. Checks of unframed ends still dial twice without a pause. Not covered: a port that closes later than that, and a host that goes dark.

--- a/crates/decide/src/upstream_end.rs
+++ b/crates/decide/src/upstream_end.rs
@@ -1,8 +1,9 @@
 //! Whether an upstream has ended, after a connection to it broke or an answer did not come.
 //!
 //! A process that ends refuses connections, but not always at once: its connections may close before
-//! its port, and a connection that still waits to be accepted is reset then. If it is started again
-//! at once, only its new start tells. Silence tells nothing, since it may be the network's fault.
+//! its port, and a connection that still waits to be accepted is reset then, or it accepts connections
+//! for a moment longer and closes each. So it is dialled again, after pauses that double. If it is
+//! started again at once, only its new start tells. Silence tells nothing, since it may be the network's fault.
 //!
 //! Load pattern: a request that crashes its upstreams, sent again and again, beside resets, cuts and
 //! kills that have nothing to do with it.
@@ -12,7 +13,7 @@
 //!
 //! let mut watch = EndWatch::new(EndWatchOptions::default());
 //! assert_eq!(watch.after(EndSign::Accepted), EndStep::Watch { for_ms: 250 });
-//! assert_eq!(watch.after(EndSign::Closed), EndStep::Dial);
+//! assert_eq!(watch.after(EndSign::Closed), EndStep::Dial { after_ms: 10 });
 //! assert_eq!(watch.after(EndSign::Refused), EndStep::Ended);
 //! ```
 
@@ -41,7 +42,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndStep {
     /// Open a connection.
-    Dial,
+    Dial {
+        /// After this pause.
+        after_ms: u64,
+    },
     /// Watch the open connection.
     Watch {
         /// For how long.
@@ -65,13 +69,15 @@
     pub watch_ms: u64,
     /// How long an upstream that seems alive may take to tell of a new start.
     pub restart_ms: u64,
+    /// The pause before the second connection, which doubles for each further one.
+    pub first_pause_ms: u64,
     /// How many connections are opened at most.
     pub max_dials: u32,
 }
 
 impl Default for EndWatchOptions {
     fn default() -> Self {
-        Self { watch_ms: 250, restart_ms: 2_500, max_dials: 3 }
+        Self { watch_ms: 250, restart_ms: 2_500, first_pause_ms: 10, max_dials: 6 }
     }
 }
 
@@ -96,8 +102,9 @@
             EndSign::Left | EndSign::NoNews => EndStep::NotEnded,
             EndSign::Accepted => EndStep::Watch { for_ms: self.options.watch_ms },
             EndSign::Closed if self.dials < self.options.max_dials => {
+                let after_ms = self.options.first_pause_ms << (self.dials - 1);
                 self.dials += 1;
-                EndStep::Dial
+                EndStep::Dial { after_ms }
             }
             EndSign::Closed | EndSign::StayedOpen | EndSign::Unanswered => {
                 EndStep::AwaitRestart { for_ms: self.options.restart_ms }
--- a/crates/gateway/src/answer/end_check.rs
+++ b/crates/gateway/src/answer/end_check.rs
@@ -37,13 +37,14 @@
 
 async fn has_ended(dispatch: &Arc<Dispatch>, upstream: &Arc<UpstreamState>, watch_ms: u64) -> bool {
     const MAX_DIALS: u32 = 2;
-    let options = EndWatchOptions { watch_ms, restart_ms: 0, max_dials: MAX_DIALS };
+    let options =
+        EndWatchOptions { watch_ms, restart_ms: 0, first_pause_ms: 0, max_dials: MAX_DIALS };
     let mut watch = EndWatch::new(options);
     let mut probe = EndProbe::new(dispatch, upstream);
-    let mut step = EndStep::Dial;
+    let mut step = EndStep::Dial { after_ms: 0 };
     loop {
         let sign = match step {
-            EndStep::Dial => probe.dial().await,
+            EndStep::Dial { .. } => probe.dial().await,
             EndStep::Watch { for_ms } => probe.watch(for_ms).await,
             EndStep::Ended => return true,
             EndStep::NotEnded | EndStep::AwaitRestart { .. } => return false,
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -4,7 +4,7 @@
 use comfreymast_base::{Upstream, hex};
 use comfreymast_decide::quarantine::{DeathReport, Fingerprint};
 use comfreymast_decide::upstream_end::{EndSign, EndStep, EndWatch, EndWatchOptions};
-use comfreymast_net::within;
+use comfreymast_net::{sleep_ms, within};
 
 use super::fingerprint;
 use super::suspicion::report_death;
@@ -65,11 +65,14 @@
     async fn run(mut self, first_sign: Sender<()>) {
         let mut first_sign = Some(first_sign);
         let mut watch = EndWatch::new(EndWatchOptions::default());
-        let mut step = EndStep::Dial;
+        let mut step = EndStep::Dial { after_ms: 0 };
         let mut signs = Vec::new();
         loop {
             let sign = match step {
-                EndStep::Dial => self.probe.dial().await,
+                EndStep::Dial { after_ms } => {
+                    sleep_ms(after_ms).await;
+                    self.probe.dial().await
+                }
                 EndStep::Watch { for_ms } => self.probe.watch(for_ms).await,
                 EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
                 EndStep::Ended => return self.report(),
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -45,6 +45,8 @@
     closed_changed: Event,
     delay_ms: AtomicU64,
     port_delay_ms: AtomicU64,
+    /// True if connections that are accepted in that time are closed at once.
+    closes_accepted: AtomicBool,
     /// Where new connections lead; `None` before the start.
     target: Mutex<Option<SocketAddr>>,
 }
@@ -81,7 +83,7 @@
                     let port_delay_ms = self.state.port_delay_ms.load(Ordering::Acquire);
                     if port_delay_ms > 0 {
                         self.cut_open();
-                        sleep_ms(port_delay_ms).await;
+                        future::or(sleep_ms(port_delay_ms), self.close_accepted(&listener)).await;
                     }
                     // Otherwise nobody who saw a connection end can connect again.
                     drop(listener);
@@ -93,6 +95,15 @@
         }
     }
 
+    /// Closes connections as soon as they are accepted, if that was asked for.
+    async fn close_accepted(&self, listener: &TcpListener) {
+        while self.state.closes_accepted.load(Ordering::Acquire) {
+            // A connection that could not be accepted is closed too.
+            drop(listener.accept().await);
+        }
+        future::pending().await
+    }
+
     /// Binds the link's address again, which another socket may hold for a moment.
     async fn rebind(&self) -> TcpListener {
         const RETRY_MS: u64 = 10;
@@ -120,6 +131,13 @@
         self.close();
     }
 
+    /// Like [`Link::close_connections_first`], and connections that are opened meanwhile are closed at
+    /// once.
+    pub fn close_each_connection_first(&self, port_delay_ms: u64) {
+        self.state.closes_accepted.store(true, Ordering::Release);
+        self.close_connections_first(port_delay_ms);
+    }
+
     /// Opens the port again after [`Link::close`].
     pub fn reopen(&self) {
         self.state.set_closed(false);
--- a/crates/soak/src/crash/options.rs
+++ b/crates/soak/src/crash/options.rs
@@ -13,6 +13,8 @@
     pub restart_ms: u64,
     /// How much later than its connections the port of a crashed upstream closes.
     pub port_delay_ms: u64,
+    /// A crashed upstream accepts connections until its port closes, and closes each at once.
+    pub closes_accepted: bool,
     /// Crashed upstreams come back as new ones, with another name, at the same address.
     pub renames_upstreams: bool,
     /// How long the culprits crash nothing at first.
@@ -38,6 +40,7 @@
             interval_ms: 700,
             restart_ms: 1_500,
             port_delay_ms: 0,
+            closes_accepted: false,
             renames_upstreams: false,
             harmless_ms: 0,
             kill_interval_ms: None,
--- a/crates/soak/src/crash/upstream_crashes.rs
+++ b/crates/soak/src/crash/upstream_crashes.rs
@@ -27,7 +27,11 @@
             }
         };
         future::or(placed.upstream.wait_crash(), killed).await;
-        placed.link.close_connections_first(options.port_delay_ms);
+        if options.closes_accepted {
+            placed.link.close_each_connection_first(options.port_delay_ms);
+        } else {
+            placed.link.close_connections_first(options.port_delay_ms);
+        }
         sleep_ms(options.restart_ms).await;
         if !options.renames_upstreams {
             placed.started_unix_ms = site.recorder.now_ms();
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -26,6 +26,8 @@
         optional --kill-interval-ms kill_interval_ms: u64
         /// With --crashes: how much later than its connections the port of an upstream closes.
         optional --port-delay-ms port_delay_ms: u64
+        /// With --crashes: until then, it closes each new connection at once.
+        optional --closes-accepted
         /// With --crashes: how long a crashed upstream is down; default 1500.
         optional --restart-ms restart_ms: u64
         /// With --crashes: a service of four ends as a whole and comes back under new names.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -70,6 +70,7 @@
         CrashOptions::new(fleet, kinds.iter().copied().cycle().take(count).collect())
     };
     options = options.kill_interval_ms(flags.kill_interval_ms);
+    options.closes_accepted = flags.closes_accepted;
     options.harmless_ms = flags.harmless_ms.unwrap_or(options.harmless_ms);
     options.harmless = vec![Kind::Safe; flags.harmless.unwrap_or(0)];
     options.port_delay_ms = flags.port_delay_ms.unwrap_or(options.port_delay_ms);
--- a/crates/soak/tests/crashes.rs
+++ b/crates/soak/tests/crashes.rs
@@ -118,3 +118,14 @@
     options.harmless_ms = 2_000;
     assert_stopped(&run_with(&options));
 }
+
+/// A process that ends may accept connections for a moment longer and close each, and its successor has another name.
+#[test]
+fn culprits_are_found_although_a_crashed_upstream_closes_several_new_connections_first() {
+    let folder = TempDir::new().expect("a folder");
+    let fleet = SoakOptions::new(1, folder.path().to_owned()).duration_ms(DURATION_MS).daemons(3);
+    let mut options = CrashOptions::whole_service(fleet, vec![Kind::Safe]);
+    options.port_delay_ms = 40;
+    options.closes_accepted = true;
+    assert_stopped(&run_with(&options));
+}
