--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -50,6 +50,8 @@
     pub is_leaving: bool,
     /// The bodies of requests that end the upstream.
     pub crashes_on: Vec<Bytes>,
+    /// The value of the header in all its answers that limits the requests a second it takes.
+    pub named_limit: Option<String>,
     /// How many of the next copies are made without their answers arriving.
     pub lost_copy_answers: u32,
 }
@@ -69,6 +71,7 @@
             is_full: false,
             is_leaving: false,
             crashes_on: Vec::new(),
+            named_limit: None,
             lost_copy_answers: 0,
         }
     }
@@ -105,6 +108,8 @@
     behaviour: UpstreamBehaviour,
     runs: Vec<Run>,
     refused: Vec<RefusedRequest>,
+    /// When requests arrived, in Unix milliseconds.
+    arrivals_unix_ms: Vec<u64>,
     /// Generations with an open stream and their last event; `None` once they were moved away.
     generations: BTreeMap<String, Option<u64>>,
     open_streams: usize,
@@ -174,6 +179,12 @@
         self.state().refused.clone()
     }
 
+    /// When requests of any kind arrived, in Unix milliseconds, in order.
+    #[must_use]
+    pub fn arrivals_unix_ms(&self) -> Vec<u64> {
+        self.state().arrivals_unix_ms.clone()
+    }
+
     /// The request ids of the generations that are running on it.
     #[must_use]
     pub fn running(&self) -> Vec<String> {
@@ -202,11 +213,20 @@
         let Ok(body) = collect(body, MAX_BODY_BYTES).await else {
             return answer_with(StatusCode::BAD_REQUEST, full(""));
         };
-        match head.uri.path() {
+        let named_limit = {
+            let mut state = self.state();
+            state.arrivals_unix_ms.push(Clock::system().unix_ms());
+            state.behaviour.named_limit.clone()
+        };
+        let mut response = match head.uri.path() {
             "/-/kv-move" => self.copy(&body),
             "/-/report" => self.report(),
             _ => self.run(&head.headers, body).await,
+        };
+        if let Some(limit) = named_limit {
+            set(&mut response, "server-limit", &limit);
         }
+        response
     }
 
     async fn run(self, headers: &HeaderMap, body: Bytes) -> Response<Body> {
