Keep to the limit that an upstream names, over all daemons together

Cause: nothing read the header. Class: a limit of the fleet that no daemon knows of; it would be exceeded as well if each kept to it alone.

The choice of an upstream and the placement of a generation see the limit before the request is bound; without any upstream left a plain request is refused at once, with the usual time to the next place. Counts over sliding windows now stand once.

--- a/crates/decide/src/fleet_budget.rs
+++ b/crates/decide/src/fleet_budget.rs
@@ -6,6 +6,8 @@
 //!
 //! Load pattern: one daemon needs most of the retries, because its upstreams fail or leave.
 
+use crate::sliding_count::SlidingCount;
+
 /// The limit on retries in a window, over all daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetBudgetOptions {
@@ -48,47 +50,32 @@
     (fleet.retries + 1) as f64 <= allowed
 }
 
-const BUCKETS: usize = 10;
-
-/// Counts over a sliding window, in buckets of a tenth of its length.
+/// Counts over a sliding window.
 #[derive(Clone, Debug)]
 pub struct TrafficWindow {
-    bucket_ms: u64,
-    newest: u64,
-    buckets: [Traffic; BUCKETS],
+    requests: SlidingCount,
+    retries: SlidingCount,
 }
 
 impl TrafficWindow {
     /// Creates an empty window of `window_ms`.
     #[must_use]
     pub fn new(window_ms: u64) -> Self {
-        let bucket_ms = (window_ms / BUCKETS as u64).max(1);
-        Self { bucket_ms, newest: 0, buckets: [Traffic::default(); BUCKETS] }
+        Self { requests: SlidingCount::new(window_ms), retries: SlidingCount::new(window_ms) }
     }
 
     /// Counts a request from a caller.
     pub fn record_request(&mut self, now_ms: u64) {
-        self.bucket(now_ms).requests += 1;
+        self.requests.record(now_ms);
     }
 
     /// Counts a send beyond the first of a request.
     pub fn record_retry(&mut self, now_ms: u64) {
-        self.bucket(now_ms).retries += 1;
+        self.retries.record(now_ms);
     }
 
     /// The counts of the window that ends now.
     pub fn total(&mut self, now_ms: u64) -> Traffic {
-        self.bucket(now_ms);
-        self.buckets.iter().fold(Traffic::default(), |sum, bucket| sum.plus(*bucket))
-    }
-
-    fn bucket(&mut self, now_ms: u64) -> &mut Traffic {
-        let current = now_ms / self.bucket_ms;
-        let passed = current.saturating_sub(self.newest).min(BUCKETS as u64);
-        for step in 0..passed {
-            self.buckets[((current - step) % BUCKETS as u64) as usize] = Traffic::default();
-        }
-        self.newest = self.newest.max(current);
-        &mut self.buckets[(self.newest % BUCKETS as u64) as usize]
+        Traffic { requests: self.requests.total(now_ms), retries: self.retries.total(now_ms) }
     }
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`move_steps`] — the next request to that engine after each of its answers.
 //! * [`suspension`] — whether the VM was suspended.
 //! * [`upstream_choice`] — which upstream of a plain service gets a request.
+//! * [`upstream_limit`] — how many requests an upstream gets that names a limit for all daemons.
 //! * [`upstream_end`] — whether an upstream has ended.
 //! * [`fleet_budget`] — the retry budget that all daemons share.
 //! * [`retry`] — retry budgets, slow start of failed upstreams and jittered retry delays.
@@ -47,6 +48,8 @@
 mod queue;
 pub mod retry;
 pub mod routing;
+mod sliding_count;
 pub mod suspension;
 pub mod upstream_choice;
 pub mod upstream_end;
+pub mod upstream_limit;
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -55,6 +55,9 @@
     /// Upstreams could not be reached or did not run it, and no attempt is left.
     #[display("not run by upstreams")]
     NotRun,
+    /// The upstreams take no more requests now, by the limits that they name.
+    #[display("limits of upstreams")]
+    Limited,
     /// No engine has room.
     #[display("engines full")]
     Full,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,6 +6,7 @@
 use comfreymast_base::{Clock, Service};
 use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_retry};
 use comfreymast_decide::links::Member;
+use comfreymast_decide::upstream_limit::FleetNews;
 use comfreymast_fleet::Configuration;
 use comfreymast_net::Spawner;
 use comfreymast_platform::VmSettings;
@@ -119,12 +120,23 @@
             upstream.others_runs.store(engine.runs, Ordering::Release);
             upstream.others_reserved_tokens.store(engine.reserved_tokens, Ordering::Release);
             upstream.others_prefill_tokens.store(engine.prefill_tokens, Ordering::Release);
+            let told = sum.limits.remove(upstream.record.name.as_str()).unwrap_or_default();
+            upstream.limit.apply_news(&upstream.record.name, told, self.clock.now_ms());
         }
         let services = sum.services.into_iter();
         let services = services.map(|(name, traffic)| (Service::from(name), traffic));
         self.budget.set_others(services.collect());
     }
 
+    /// What this daemon knows of the others, for limits that they share.
+    pub(crate) fn fleet_news(&self) -> FleetNews {
+        const LARGE_FLEET_LAG_MS: u64 = 1_000;
+        let is_large = self.is_large_fleet.load(Ordering::Acquire);
+        let lag_ms =
+            if is_large { LARGE_FLEET_LAG_MS } else { 2 * self.options.heartbeat_interval_ms };
+        FleetNews { peers: self.peers.count() as u64, lag_ms }
+    }
+
     /// Records that the store has come back from an older copy, in `era`.
     pub(crate) fn record_store_return(&self, era: u64) {
         self.metrics.store_returns.inc();
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -72,6 +72,7 @@
         Some(connection) => connection,
         None => OwnedConnection::open(&dispatch.spawner, addr, REPORT_TIMEOUT_MS).await.ok()?,
     };
+    engine.limit.record_send(dispatch.clock.now_ms());
     let response = connection.send(report_request(addr)).await.ok()?;
     let bytes = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
     let idle_ms = dispatch.options.idle_connection_ms;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -193,6 +193,10 @@
                 requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
                 repeats: u32::try_from(traffic.retries).unwrap_or(u32::MAX),
             });
+        let limits = directory.all().filter_map(|upstream| {
+            let told = upstream.limit.own_news(now_ms)?;
+            Some(told.message(upstream.record.name.as_str().to_owned(), now_ms))
+        });
         let own = self.dispatch.peers.own_member();
         let positions = TopicPositions {
             operators: self.operators.position_if_loaded(),
@@ -206,6 +210,7 @@
             sequence,
             engines: engines.collect(),
             services: services.collect(),
+            limits: limits.collect(),
             members: self.dispatch.peers.sample_members(sequence, MEMBERS_PER_HEARTBEAT),
             store_answers: self.operators.store_answers() && self.upstreams.store_answers(),
             store_heard_age_ms: self.upstreams.answer_age_ms(),
--- a/crates/gateway/src/fleet_sum.rs
+++ b/crates/gateway/src/fleet_sum.rs
@@ -2,7 +2,9 @@
 
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::fleet_budget::Traffic;
-use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic};
+use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic, UpstreamLimit};
+
+use crate::named_limit::LimitNews;
 
 /// The total load and traffic of several daemons.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +13,8 @@
     pub(crate) engines: BTreeMap<String, EngineSum>,
     /// Requests and retries by service.
     pub(crate) services: BTreeMap<String, Traffic>,
+    /// What was told of upstreams that name limits.
+    pub(crate) limits: BTreeMap<String, LimitNews>,
 }
 
 /// The total load of several daemons on one engine.
@@ -45,6 +49,19 @@
         }
     }
 
+    /// Adds what one daemon or data centre told of limits at `received_ms`.
+    pub(crate) fn add_limits(&mut self, limits: &[UpstreamLimit], received_ms: u64) {
+        for limit in limits {
+            self.limits.entry(limit.upstream.clone()).or_default().add(limit, received_ms);
+        }
+    }
+
+    /// What was told of limits, in the form of a peer message that is sent at `now_ms`.
+    pub(crate) fn limit_news(&self, now_ms: u64) -> Vec<UpstreamLimit> {
+        let limits = self.limits.iter();
+        limits.map(|(upstream, told)| told.message(upstream.clone(), now_ms)).collect()
+    }
+
     /// The sums by engine, in the form of a peer message.
     pub(crate) fn engine_uses(&self) -> Vec<EngineUse> {
         let uses = self.engines.iter().map(|(upstream, sum)| EngineUse {
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -6,6 +6,7 @@
 use comfreymast_fleet::EngineSpec;
 
 use crate::dispatch::Dispatch;
+use crate::named_limit::retain_within_limits;
 use crate::upstream_state::UpstreamState;
 
 const CHOICE_NOISE: f64 = 0.03;
@@ -25,11 +26,12 @@
 ) -> Option<Placement> {
     dispatch.apply_peer_updates();
     let upstreams = dispatch.directory.load();
-    let candidates: Vec<_> = upstreams
+    let mut candidates: Vec<_> = upstreams
         .of_service(service)
         .iter()
         .filter(|engine| !engine.is_leaving() && !excluded.contains(&engine.record.name))
         .collect();
+    retain_within_limits(dispatch, &mut candidates);
     let now_ms = dispatch.clock.now_ms();
     let views: Vec<_> = candidates
         .iter()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod json_log;
 mod lag_monitor;
 mod metrics;
+mod named_limit;
 mod options;
 mod outbox;
 mod peers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub(crate) upstream_ends: Counter,
     /// Sends that were withheld, as their request may crash upstreams.
     pub(crate) quarantine_refusals: Counter,
+    /// Times that an upstream was passed over, as its named limit was used up.
+    pub(crate) limit_skips: Counter,
     /// Returns of the store from an older copy.
     pub(crate) store_returns: Counter,
     /// The era of the store since its last return, 0 before the first.
@@ -112,6 +114,12 @@
             "Sends withheld, as their request may crash upstreams",
             quarantine_refusals.clone(),
         );
+        let limit_skips = Counter::default();
+        registry.register(
+            "gateway_limit_skips",
+            "Times that an upstream was passed over, as its named limit was used up",
+            limit_skips.clone(),
+        );
         let store_returns = Counter::default();
         registry.register(
             "gateway_store_returns",
@@ -137,6 +145,7 @@
             broken_answers,
             upstream_ends,
             quarantine_refusals,
+            limit_skips,
             store_returns,
             store_era,
             dropped_lines,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -170,9 +170,11 @@
         let mut sum = FleetSum::default();
         for peer in table.by_name.values() {
             sum.add(&peer.heartbeat.engines, &peer.heartbeat.services);
+            sum.add_limits(&peer.heartbeat.limits, peer.received_ms);
         }
         for received in table.summaries.values() {
             sum.add(&received.summary.engines, &received.summary.services);
+            sum.add_limits(&received.summary.limits, received.received_ms);
         }
         Some(sum)
     }
@@ -182,6 +184,8 @@
         let table = self.table();
         let mut sum = FleetSum::default();
         sum.add(&own.engines, &own.services);
+        let now_ms = self.clock.now_ms();
+        sum.add_limits(&own.limits, now_ms);
         let mut summary = Summary {
             data_centre: own.data_centre.clone(),
             made_unix_ms: self.clock.unix_ms(),
@@ -196,6 +200,7 @@
                 continue;
             }
             sum.add(&heartbeat.engines, &heartbeat.services);
+            sum.add_limits(&heartbeat.limits, peer.received_ms);
             positions = positions.max_each(&TopicPositions::of(heartbeat));
             summary.store_heard_age_ms =
                 summary.store_heard_age_ms.min(heartbeat.store_heard_age_ms);
@@ -208,6 +213,7 @@
         positions.write_to(&mut summary);
         summary.engines = sum.engine_uses();
         summary.services = sum.service_traffic();
+        summary.limits = sum.limit_news(now_ms);
         summary
     }
 
@@ -257,6 +263,13 @@
         daemons.chain(data_centres).min()
     }
 
+    /// How many other daemons there are, as far as this one knows.
+    pub(crate) fn count(&self) -> usize {
+        let table = self.table();
+        let elsewhere = table.summaries.values().map(|received| received.summary.members.len());
+        table.by_name.len() + elsewhere.sum::<usize>()
+    }
+
     /// How many live daemons that the store answers come before this one by name. A large fleet
     /// counts only those of its own data centre.
     pub(crate) fn readers_before(&self) -> usize {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::named_limit::{retain_within_limits, usual_wait_ms};
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, send};
 use crate::upstream_state::UpstreamState;
@@ -31,14 +32,19 @@
     let mut runs = 0;
     let mut failed: Option<Response<Body>> = None;
     loop {
-        let Some(upstream) = choose(dispatch, service, &tried) else {
-            return give_up(failed, runs, Refusal::NoUpstream);
+        let upstream = match choose(dispatch, service, &tried) {
+            Ok(upstream) => upstream,
+            Err(Refusal::Limited) => {
+                let wait_ms = usual_wait_ms(dispatch.directory.load().of_service(service));
+                return give_up(failed, runs, Refusal::Limited, wait_ms);
+            }
+            Err(reason) => return give_up(failed, runs, reason, None),
         };
         if call.remaining_ms(&dispatch.clock) == 0 {
             return if runs > 0 {
                 Err(CallError::TimedOut)
             } else {
-                give_up(failed, runs, Refusal::TimedOut)
+                give_up(failed, runs, Refusal::TimedOut, None)
             };
         }
         let sent_ms = dispatch.clock.now_ms();
@@ -60,7 +66,7 @@
                 log_attempt(call, &upstream, "not run", "not reached");
                 continue;
             }
-            Err(SendFailure::Withheld(reason)) => return give_up(failed, runs, reason),
+            Err(SendFailure::Withheld(reason)) => return give_up(failed, runs, reason, None),
             Err(SendFailure::NotRun(reason)) => log_attempt(call, &upstream, "not run", reason),
             Err(SendFailure::Lost(reason)) => {
                 log_attempt(call, &upstream, "lost", reason);
@@ -75,7 +81,7 @@
         sends += 1;
         let may_send = sends < MAX_SENDS && runs < call.route.max_attempts;
         if !may_send || !dispatch.try_retry(service) {
-            return give_up(failed, runs, Refusal::NotRun);
+            return give_up(failed, runs, Refusal::NotRun, None);
         }
     }
 }
@@ -89,10 +95,12 @@
 }
 
 /// The answer once no further attempt is allowed: an upstream's error response if there is one.
+/// `wait_ms` is the time until an upstream takes requests again, if that is known.
 fn give_up(
     failed: Option<Response<Body>>,
     runs: u32,
     reason: Refusal,
+    wait_ms: Option<u64>,
 ) -> Result<Response<Body>, CallError> {
     match failed {
         Some(response) => Ok(response),
@@ -100,7 +108,7 @@
         None => {
             let retry_after_ms = match reason {
                 Refusal::Suspected | Refusal::Quarantined => reason.withheld_retry_ms(),
-                _ => Some(REFUSED_RETRY_MS),
+                _ => Some(REFUSED_RETRY_MS.max(wait_ms.unwrap_or(0))),
             };
             Err(CallError::Refused { reason, retry_after_ms })
         }
@@ -142,18 +150,23 @@
     dispatch: &Dispatch,
     service: &Service,
     tried: &[Upstream],
-) -> Option<Arc<UpstreamState>> {
+) -> Result<Arc<UpstreamState>, Refusal> {
     let now_ms = dispatch.clock.now_ms();
     let upstreams = dispatch.directory.load();
-    let candidates: Vec<_> = upstreams
+    let mut candidates: Vec<_> = upstreams
         .of_service(service)
         .iter()
         .filter(|upstream| !upstream.is_leaving() && !tried.contains(&upstream.record.name))
         .collect();
+    if candidates.is_empty() {
+        return Err(Refusal::NoUpstream);
+    }
+    retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> =
         candidates.iter().map(|upstream| view(dispatch, upstream, now_ms)).collect();
-    let chosen = choose_upstream(&views, |_| rand::random::<f64>() * CHOICE_NOISE)?;
-    candidates.get(chosen).map(|upstream| Arc::clone(upstream))
+    let chosen = choose_upstream(&views, |_| rand::random::<f64>() * CHOICE_NOISE);
+    let chosen = chosen.and_then(|chosen| candidates.get(chosen));
+    chosen.map(|upstream| Arc::clone(upstream)).ok_or(Refusal::Limited)
 }
 
 fn view(dispatch: &Dispatch, upstream: &UpstreamState, now_ms: u64) -> UpstreamView {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -114,6 +114,7 @@
     quarantine::check(dispatch, call).map_err(SendFailure::Withheld)?;
     let outstanding = Outstanding::new(upstream);
     let started_ms = dispatch.clock.now_ms();
+    upstream.limit.record_send(started_ms);
     let mut connection = connect(dispatch, call, upstream, options.limit_ms).await?;
     let mut request = forwarded_request(dispatch, call, upstream, options);
     let head = loop {
@@ -144,6 +145,8 @@
         upstream.mark_untrusted(dispatch.clock.now_ms());
         return Err(SendFailure::Lost("answer of another request"));
     }
+    let (name, now_ms) = (&upstream.record.name, dispatch.clock.now_ms());
+    upstream.limit.record_answer(name, answer.named_rate, started_ms, now_ms);
     if answer.is_not_run {
         return Err(SendFailure::NotRun("upstream refused"));
     }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -5,6 +5,7 @@
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::UpstreamRecord;
 
+use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
 
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -39,6 +40,8 @@
     /// True once a later start of the upstream has registered.
     has_restarted: AtomicBool,
     first_seen_ms: u64,
+    /// The limit that it names for all daemons together.
+    pub(crate) limit: NamedLimit,
     outcomes: Mutex<Outcomes>,
 }
 
@@ -71,6 +74,7 @@
             leaving_since_ms: AtomicU64::new(0),
             has_restarted: AtomicBool::new(false),
             first_seen_ms: now_ms,
+            limit: NamedLimit::default(),
             outcomes: Mutex::default(),
         }
     }
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -10,6 +10,8 @@
 pub(crate) const TENANT: &str = "x-tenant";
 /// Marks the response of an upstream that did not execute the request.
 pub(crate) const NOT_EXECUTED: &str = "x-not-executed";
+/// The requests a second that an upstream in need takes from all daemons together.
+pub(crate) const SERVER_LIMIT: &str = "server-limit";
 /// The upstream's signature, which shows that a response comes from an upstream.
 pub(crate) const SIGNATURE: &str = "x-server-signature";
 /// The number of prompt tokens and the maximum number of output tokens.
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -4,8 +4,27 @@
 
 use crate::names;
 
+/// The limit on requests that a response names.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum NamedRate {
+    /// It names none.
+    Absent,
+    /// It names something that is no rate.
+    Invalid,
+    /// Requests a second from all daemons together; finite, not negative.
+    PerS(f64),
+}
+
+impl NamedRate {
+    fn decode(headers: &HeaderMap) -> Self {
+        let Some(value) = headers.get(names::SERVER_LIMIT) else { return Self::Absent };
+        let rate = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+        rate.filter(|rate| rate.is_finite() && *rate >= 0.0).map_or(Self::Invalid, Self::PerS)
+    }
+}
+
 /// The decoded head of an upstream's response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
     /// True when the upstream states that it did not run the request.
     pub is_not_run: bool,
@@ -18,6 +37,8 @@
     pub is_encoded: bool,
     /// The idle timeout of the connection in seconds, if the upstream announces one.
     pub keep_alive_s: Option<u64>,
+    /// The limit on requests from all daemons that the upstream names, if it does.
+    pub named_rate: NamedRate,
     /// True when the upstream closes the connection after this response.
     pub closes_connection: bool,
 }
@@ -35,6 +56,7 @@
             matches_request: echoed.is_none_or(|echoed| echoed == id.as_bytes()),
             is_encoded: headers.contains_key(CONTENT_ENCODING),
             keep_alive_s: keep_alive_s(headers),
+            named_rate: NamedRate::decode(headers),
             closes_connection: headers.get_all(CONNECTION).iter().any(|value| {
                 value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
             }),
