Known red: answers without end hold up neighbours and outlast their time limit

A stand-in writes one element of an answer again and again, on threads of its own, until its connection is closed; four answers are asked for at once, and a neighbour's upstream of another service meanwhile.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -10,8 +10,10 @@
 //! * [`platform_upstream`] — an upstream with the platform's interface, started inside a test.
 //! * [`platform_documents`] — the JSON documents and headers of the platform's interfaces.
 //! * [`framed_upstream`] — an upstream of the platform that frames and cuts its answers as asked.
+//! * [`endless_upstream`] — an upstream whose answers do not end.
 //! * [`history`] — the events of a run, for checkers to read afterwards.
 
+pub mod endless_upstream;
 pub mod engine;
 pub mod framed_upstream;
 pub mod history;
