Yield while bytes arrive without a pause, and give up a response that has no result

Cause: the HTTP library reads on within one poll for as long as bytes complete nothing, and a socket that always has bytes never lets it go. Class: work between two yields that the other side bounds.

Every stream of ours, of clients and servers, now yields after 64 KiB or 16 reads, and a client's connection fails once 256 KiB were read since the last part of a response became known; buffers and heads have 64 KiB at most.

--- a/crates/daemon/src/upstream/engine_stream.rs
+++ b/crates/daemon/src/upstream/engine_stream.rs
@@ -2,13 +2,14 @@
 use std::sync::Arc;
 
 use comfreymast_base::GenerationId;
-use comfreymast_net::{Body, DialError, Elapsed, IdleTimeout, dial, empty, json, request, within};
+use comfreymast_net::{
+    Body, DialError, Elapsed, IdleTimeout, ReceivedBody, dial, empty, json, request, within,
+};
 use comfreymast_wire::engine::{StartGeneration, Token};
 use derive_more::{Display, Error, From};
 use eventsource_stream::{EventStreamError, Eventsource};
 use futures_lite::{Stream, StreamExt};
 use http_body_util::BodyDataStream;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use crate::daemon::Daemon;
@@ -221,7 +222,7 @@
     daemon: &Daemon,
     engine: &UpstreamState,
     request: Request<Body>,
-) -> Result<Response<Incoming>, StartFailure> {
+) -> Result<Response<ReceivedBody>, StartFailure> {
     let sent = async {
         let mut connection = dial(&daemon.spawner, engine.addr, DIAL_LIMIT_MS).await?;
         Ok(within(daemon.settings.silence_ms, connection.send(request)).await??)
@@ -239,6 +240,6 @@
     u32::try_from(tokens.len()).unwrap_or(u32::MAX)
 }
 
-fn events(body: Incoming) -> EngineEvents {
+fn events(body: ReceivedBody) -> EngineEvents {
     Box::pin(BodyDataStream::new(body).eventsource())
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,7 @@
 
 use async_channel::Receiver;
 use async_net::{TcpListener, TcpStream};
-use comfreymast_net::{Handler, Spawner, enable_keepalive, sleep_ms};
+use comfreymast_net::{BoundedStream, Handler, Spawner, enable_keepalive, sleep_ms};
 use futures_lite::future;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -94,7 +94,8 @@
             .timer(SmolTimer::new())
             .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
             .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
-        let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+        let mut connection =
+            pin!(builder.serve_connection(FuturesIo::new(BoundedStream::new(stream)), service));
         let stopped = async {
             let _ = self.stop.recv().await;
             None
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -15,10 +15,10 @@
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::{GatewayAddresses, GatewayOptions, run};
 use comfreymast_net::{
-    Body, OwnedConnection, ServeLimits, Spawner, collect, empty, request, serve, sleep_ms, within,
+    Body, OwnedConnection, ReceivedBody, ServeLimits, Spawner, collect, empty, request, serve,
+    sleep_ms, within,
 };
 use comfreymast_platform::{KeyedRecord, VmSettings};
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde_json::Value;
 use tempfile::TempDir;
@@ -233,7 +233,7 @@
         &self,
         spawner: &Spawner,
         call: Request<Body>,
-    ) -> (OwnedConnection, Response<Incoming>) {
+    ) -> (OwnedConnection, Response<ReceivedBody>) {
         self.try_open(spawner, call).await.expect("an answer")
     }
 
@@ -242,7 +242,7 @@
         &self,
         spawner: &Spawner,
         call: Request<Body>,
-    ) -> Option<(OwnedConnection, Response<Incoming>)> {
+    ) -> Option<(OwnedConnection, Response<ReceivedBody>)> {
         let addr = self.addresses.callers;
         let mut connection =
             OwnedConnection::open(spawner, addr, CALL_LIMIT_MS).await.expect("a connection");
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -4,13 +4,13 @@
 use async_net::TcpStream;
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use smol_hyper::rt::FuturesIo;
 
 use crate::body::collect;
-use crate::{Body, BodyError, Elapsed, Spawner, within};
+use crate::bounded_stream::{MAX_BUFFER_BYTES, ReadAllowance};
+use crate::{Body, BodyError, BoundedStream, Elapsed, ReceivedBody, Spawner, within};
 
 /// An error of an HTTP request.
 #[derive(Debug, Display, Error, From)]
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: http1::SendRequest<Body>,
+    allowance: ReadAllowance,
 }
 
 impl Connection {
@@ -69,9 +70,14 @@
     /// # Errors
     ///
     /// [`DialError::Exchange`]; the server may have processed the request.
-    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, DialError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<ReceivedBody>, DialError> {
+        self.allowance.renew();
         self.sender.ready().await?;
-        Ok(self.sender.send_request(request).await?)
+        let response = self.sender.send_request(request).await?;
+        Ok(ReceivedBody::of(response, &self.allowance))
     }
 
     /// True while the connection is not closed.
@@ -96,13 +102,18 @@
         .map_err(|_| DialError::ConnectTimeout { addr })?
         .map_err(|source| DialError::Connect { addr, source })?;
     stream.set_nodelay(true).map_err(|source| DialError::Connect { addr, source })?;
-    let (sender, connection) = http1::handshake(FuturesIo::new(stream)).await?;
+    let allowance = ReadAllowance::default();
+    let stream = BoundedStream::new(stream).allowance(allowance.clone());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream))
+        .await?;
     spawner.detach(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {addr} ended: {error}");
         }
     });
-    Ok(Connection { sender })
+    Ok(Connection { sender, allowance })
 }
 
 /// Sends a request on a new connection and reads the whole response.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,29 +7,35 @@
 //! * [`Body`] — the body type of all requests and responses, buffered or streamed.
 //! * [`ResponseBody`] — a response body that tells its marked end from a closed connection;
 //!   [`BodyFraming`] — how that end is marked.
+//! * [`ReceivedBody`] — the body of a response as the client received it; [`BoundedStream`] — a stream
+//!   that holds up nobody, however fast bytes arrive.
 //! * [`serve`] — an HTTP/1.1 and HTTP/2 server with graceful shutdown.
 //! * [`dial`] — opens a client connection; [`call`] — sends one request on a new one.
 //! * [`OwnedConnection`] — a client connection that closes when it is dropped.
 //! * [`request`] — builds a request with its `host` header; [`Query`] — query parameters.
 
 mod body;
+mod bounded_stream;
 mod client;
 mod first_bytes;
 mod framing;
 mod idle;
 mod owned;
 mod query;
+mod received_body;
 mod response_body;
 mod server;
 mod spawner;
 mod timeout;
 
 pub use body::{Body, BodyError, channel, collect, empty, full, json};
+pub use bounded_stream::BoundedStream;
 pub use client::{Connection, DialError, call, dial, request};
 pub use framing::BodyFraming;
 pub use idle::IdleTimeout;
 pub use owned::{OpenError, OwnedConnection, SendError, enable_keepalive};
 pub use query::Query;
+pub use received_body::ReceivedBody;
 pub use response_body::{BodyStep, ResponseBody};
 pub use server::{Handler, ServeLimits, handler, serve};
 pub use spawner::{Spawner, sleep_ms};
--- a/crates/net/src/owned.rs
+++ b/crates/net/src/owned.rs
@@ -5,13 +5,13 @@
 use async_executor::Task;
 use async_net::TcpStream;
 use derive_more::{Display, Error};
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
 
-use crate::{Body, Spawner, within};
+use crate::bounded_stream::{MAX_BUFFER_BYTES, ReadAllowance};
+use crate::{Body, BoundedStream, ReceivedBody, Spawner, within};
 
 const KEEPALIVE_IDLE_MS: u64 = 1_000;
 const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
@@ -72,6 +72,7 @@
 #[derive(Debug)]
 pub struct OwnedConnection {
     sender: http1::SendRequest<Body>,
+    allowance: ReadAllowance,
     _task: Task<()>,
 }
 
@@ -93,7 +94,10 @@
             .map_err(|_| OpenError::Timeout { addr, limit_ms })?
             .map_err(|source| OpenError::Connect { addr, source })?;
         enable_keepalive(&stream).map_err(|source| OpenError::Connect { addr, source })?;
+        let allowance = ReadAllowance::default();
+        let stream = BoundedStream::new(stream).allowance(allowance.clone());
         let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|source| OpenError::Handshake { addr, source })?;
@@ -102,7 +106,7 @@
                 log::debug!("connection to {addr} ended: {error}");
             }
         });
-        Ok(Self { sender, _task: task })
+        Ok(Self { sender, allowance, _task: task })
     }
 
     /// Sends a request and waits for the response head.
@@ -110,14 +114,20 @@
     /// # Errors
     ///
     /// [`SendError`], which tells whether the server may have received the request.
-    pub async fn send(&mut self, request: Request<Body>) -> Result<Response<Incoming>, SendError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<ReceivedBody>, SendError> {
+        self.allowance.renew();
         if let Err(source) = self.sender.ready().await {
             return Err(SendError { is_unsent: true, source });
         }
-        self.sender.try_send_request(request).await.map_err(|mut failed| {
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut failed| {
             let is_unsent = failed.take_message().is_some();
             SendError { is_unsent, source: failed.into_error() }
-        })
+        })?;
+        Ok(ReceivedBody::of(response, &self.allowance))
     }
 
     /// True when the last response was read to its end and another request may be sent.
--- a/crates/net/src/response_body.rs
+++ b/crates/net/src/response_body.rs
@@ -1,10 +1,9 @@
 use bytes::{Bytes, BytesMut};
 use comfreymast_base::EndMark;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
-use crate::{BodyError, BodyFraming};
+use crate::{BodyError, BodyFraming, ReceivedBody};
 
 /// The next part of a response body.
 #[derive(Debug)]
@@ -18,15 +17,15 @@
 /// The body of a response, which tells the marked end of a body from a closed connection.
 #[derive(Debug)]
 pub struct ResponseBody {
-    incoming: Incoming,
+    received: ReceivedBody,
     framing: BodyFraming,
 }
 
 impl ResponseBody {
     /// The body of the response with this head, as it was received.
     #[must_use]
-    pub fn new(head: &Parts, incoming: Incoming) -> Self {
-        Self { incoming, framing: BodyFraming::of(&head.headers) }
+    pub fn new(head: &Parts, received: ReceivedBody) -> Self {
+        Self { received, framing: BodyFraming::of(&head.headers) }
     }
 
     /// How its end is marked.
@@ -37,7 +36,7 @@
 
     /// Waits for the next part. Dropping the future loses nothing.
     pub async fn next(&mut self) -> BodyStep {
-        match self.incoming.frame().await {
+        match self.received.frame().await {
             Some(Ok(frame)) => BodyStep::Data(frame.into_data().unwrap_or_default()),
             Some(Err(error)) => {
                 log::debug!("a response broke off: {error}");
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -14,7 +14,7 @@
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 
 use crate::first_bytes::FirstBytesStream;
-use crate::{Body, Spawner, sleep_ms};
+use crate::{Body, BoundedStream, Spawner, sleep_ms};
 
 type ResponseFuture = Pin<Box<dyn Future<Output = Response<Body>> + Send>>;
 
@@ -139,7 +139,8 @@
             async move { Ok::<_, Infallible>(response.await) }
         });
         let builder = self.builder();
-        let mut connection = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+        let mut connection =
+            pin!(builder.serve_connection(FuturesIo::new(BoundedStream::new(stream)), service));
         let finished = future::or(async { Some(connection.as_mut().await) }, async {
             let _ = self.stop.recv().await;
             None
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -3,10 +3,9 @@
 use async_channel::Receiver;
 use bytes::Bytes;
 use comfreymast_fakes::platform_documents::CallerRequest;
-use comfreymast_net::{Body, OwnedConnection, sleep_ms, within};
+use comfreymast_net::{Body, OwnedConnection, ReceivedBody, sleep_ms, within};
 use http_body_util::BodyExt;
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -107,7 +106,7 @@
 }
 
 /// Reads a body to its end; false when it ended with an error.
-async fn read_body(mut incoming: Incoming, body: &mut Vec<u8>) -> bool {
+async fn read_body(mut incoming: ReceivedBody, body: &mut Vec<u8>) -> bool {
     while let Some(frame) = incoming.frame().await {
         let Ok(frame) = frame else { return false };
         if let Ok(bytes) = frame.into_data() {
