Bound the event of a stream that has not ended, and search no byte of it twice

Cause: the splitter kept what arrived without a bound and searched it from the start at each read. Class: state that grows with the other side's bytes, with work that grows with its square.

--- a/crates/base/src/end_mark.rs
+++ b/crates/base/src/end_mark.rs
@@ -8,4 +8,6 @@
     ConnectionClosed,
     /// The connection failed before the end.
     Failed,
+    /// None: reading was given up, as more arrived than an answer may have.
+    TooLong,
 }
--- a/crates/decide/src/answer_end.rs
+++ b/crates/decide/src/answer_end.rs
@@ -32,6 +32,9 @@
     /// The connection failed before the end.
     #[display("connection failed")]
     ConnectionFailed,
+    /// The answer, or an event of it, was longer than allowed.
+    #[display("too long")]
+    TooLong,
     /// The stream ended inside an event.
     #[display("ended inside an event")]
     InsideEvent,
@@ -59,6 +62,7 @@
 pub fn judge(end: AnswerEnd) -> Verdict {
     match end.mark {
         EndMark::Failed => Verdict::Broken(BreakReason::ConnectionFailed),
+        EndMark::TooLong => Verdict::Broken(BreakReason::TooLong),
         _ if end.is_inside_event => Verdict::Broken(BreakReason::InsideEvent),
         EndMark::Framed => Verdict::Whole,
         EndMark::ConnectionClosed if end.may_be_stopped => Verdict::Broken(BreakReason::Stopped),
--- a/crates/gateway/src/answer/event_splitter.rs
+++ b/crates/gateway/src/answer/event_splitter.rs
@@ -5,6 +5,18 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
+    scan: Scan,
+}
+
+/// How far the buffer was searched for the end of its first event, so that no byte is searched twice.
+#[derive(Clone, Copy, Debug, Default)]
+struct Scan {
+    /// Where the line begins that is not complete yet.
+    line_start: usize,
+    /// The next byte to look at.
+    next: usize,
+    /// True if the event has a line that is not blank.
+    has_line: bool,
 }
 
 /// One complete event.
@@ -24,7 +36,8 @@
 
     /// Removes the next complete event.
     pub(crate) fn next_event(&mut self) -> Option<Event> {
-        let end = event_end(&self.buffer)?;
+        let end = self.scan.event_end(&self.buffer)?;
+        self.scan = Scan::default();
         let bytes = self.buffer.split_to(end).freeze();
         Some(Event { id: event_id(&bytes), bytes })
     }
@@ -32,7 +45,10 @@
     /// Removes the blank lines after the last event, if nothing else is left.
     pub(crate) fn blank_rest(&mut self) -> Option<Bytes> {
         let is_blank = !self.buffer.is_empty() && self.buffer.iter().all(|byte| is_line_end(*byte));
-        is_blank.then(|| self.buffer.split().freeze())
+        is_blank.then(|| {
+            self.scan = Scan::default();
+            self.buffer.split().freeze()
+        })
     }
 
     /// Bytes of an incomplete event.
@@ -41,20 +57,31 @@
     }
 }
 
-/// The length of the first event, including the blank lines before it and the one at its end.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    let mut has_line = false;
-    while let Some(length) = bytes[line_start..].iter().position(|byte| is_line_end(*byte)) {
-        let line_end = line_start + length;
-        let is_pair = bytes[line_end..].starts_with(b"\r\n");
-        line_start = line_end + if is_pair { 2 } else { 1 };
-        if length == 0 && has_line {
-            return Some(line_start);
+impl Scan {
+    /// The length of the first event in `bytes`, including the blank lines before it and the one at
+    /// its end; `None` if it is not complete.
+    fn event_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        loop {
+            let Some(length) = bytes[self.next..].iter().position(|byte| is_line_end(*byte)) else {
+                self.next = bytes.len();
+                return None;
+            };
+            let line_end = self.next + length;
+            let is_blank = line_end == self.line_start;
+            let is_pair = bytes[line_end..].starts_with(b"\r\n");
+            if is_blank && self.has_line {
+                return Some(line_end + if is_pair { 2 } else { 1 });
+            }
+            if bytes[line_end..] == *b"\r" {
+                // A line feed that arrives next belongs to this line end.
+                self.next = line_end;
+                return None;
+            }
+            self.has_line |= !is_blank;
+            self.line_start = line_end + if is_pair { 2 } else { 1 };
+            self.next = self.line_start;
         }
-        has_line |= length > 0;
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/gateway/src/answer/event_stream.rs
+++ b/crates/gateway/src/answer/event_stream.rs
@@ -5,6 +5,9 @@
 
 use super::event_splitter::{Event, EventSplitter};
 
+/// The most bytes of an event that has not ended.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// The next part of a stream.
 #[derive(Debug)]
 pub(crate) enum StreamStep {
@@ -50,6 +53,9 @@
                 return self.last_step(mark);
             }
             match self.body.next().await {
+                BodyStep::Data(_) if self.splitter.unfinished_bytes() > MAX_EVENT_BYTES => {
+                    self.end = Some(EndMark::TooLong);
+                }
                 BodyStep::Data(bytes) => self.splitter.push(&bytes),
                 BodyStep::End(mark) => self.end = Some(mark),
             }
