The time limit of a stream comes before its next part

Cause: the relay asked for the next part first, and as one was always there, its timer was never polled. Class: a timeout that is only looked at when nothing else is ready. The known red test (no end within 18 s at a limit of 4 s) passes in each framing.

--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -162,7 +162,8 @@
                     timeout.as_mut().await;
                     Step::TimedOut
                 };
-                future::or(part, future::or(moved, future::or(leaving, timeout))).await
+                // The timeout comes first: parts may arrive without a pause.
+                future::or(timeout, future::or(part, future::or(moved, leaving))).await
             };
             match step {
                 Step::Stream(StreamStep::Event(event)) => self.deliver(event).await?,
