Bound the memory of all answers that are read whole

Cause: each answer had a bound of its own (16 MiB), all together had none. Class: a limit for one where the resource is shared by all.

Whoever exceeds it is given up (1410) and answered 502.

--- a/crates/gateway/src/answer/whole_answer.rs
+++ b/crates/gateway/src/answer/whole_answer.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use comfreymast_decide::answer_end::AnswerEnd;
-use comfreymast_net::{Body, ResponseBody, full, within};
+use comfreymast_net::{Body, BodyStep, ResponseBody, full, within};
 use comfreymast_platform::ResponseHead;
 use hyper::{Response, StatusCode};
 
@@ -50,11 +50,27 @@
     upstream: &Arc<UpstreamState>,
     mut body: ResponseBody,
 ) -> Option<Bytes> {
-    let (bytes, mark) = body.read(MAX_ANSWER_BYTES).await.ok()?;
+    let mut share = dispatch.answer_buffers.share();
+    let mut bytes = BytesMut::new();
+    let mark = loop {
+        match body.next().await {
+            BodyStep::Data(data) => {
+                let is_too_long = bytes.len() + data.len() > MAX_ANSWER_BYTES;
+                if is_too_long || !share.grow(data.len()) {
+                    log::warn!(target: "comfreymast", code = 1410,
+                        upstream = upstream.record.name.as_str(), answer_bytes = bytes.len();
+                        "answer given up, as it takes too much memory");
+                    return None;
+                }
+                bytes.extend_from_slice(&data);
+            }
+            BodyStep::End(mark) => break mark,
+        }
+    };
     let end = AnswerEnd { mark, is_inside_event: false, may_be_stopped: false };
     // Its caller waits, so the upstream is not watched beyond the first answer to a dial.
     check_end(dispatch, upstream, body.framing(), end, 0).await.ok()?;
-    Some(bytes)
+    Some(share.keep_with(bytes.freeze()))
 }
 
 /// True for a status that tells a caller that its request has not run.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,6 +13,7 @@
 use event_listener::{Event, EventListener};
 
 use crate::GatewayOptions;
+use crate::answer::BufferBudget;
 use crate::directory::Directory;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
@@ -41,6 +42,8 @@
     pub(crate) budget: Budget,
     /// Metrics.
     pub(crate) metrics: Metrics,
+    /// The memory of answers that are read whole.
+    pub(crate) answer_buffers: Arc<BufferBudget>,
     /// The other daemons.
     pub(crate) peers: Peers,
     /// Messages to other daemons that do not wait for the next heartbeat.
@@ -70,6 +73,7 @@
         let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
         Self {
             budget: Budget::new(settings.retry_window_ms),
+            answer_buffers: BufferBudget::of_vm(settings.memory_bytes),
             directory: Directory::new(clock.clone()),
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
             outbox: Outbox::new(spawner.clone()),
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -14,6 +14,8 @@
     std::env::var_os(SETTINGS_PATH_VARIABLE).map(PathBuf::from)
 }
 
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// Why the settings of a VM cannot be used.
 #[derive(Debug, Display, Error, From)]
 pub enum SettingsError {
@@ -55,6 +57,8 @@
     pub retry_slack: f64,
     /// The length of the retry budget's window.
     pub retry_window_ms: u64,
+    /// The memory that the process may use.
+    pub memory_bytes: u64,
 }
 
 impl VmSettings {
@@ -88,6 +92,7 @@
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_slack: file.bounds.budget_slack,
             retry_window_ms: seconds_to_ms(file.bounds.budget_window_s),
+            memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
         })
     }
 }
@@ -117,6 +122,8 @@
     seeds: Vec<String>,
     #[serde(default)]
     bounds: BoundsFields,
+    #[serde(default)]
+    limits: LimitsFields,
 }
 
 #[derive(Deserialize)]
@@ -130,6 +137,18 @@
     address: SocketAddr,
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct LimitsFields {
+    memory_mb: f64,
+}
+
+impl Default for LimitsFields {
+    fn default() -> Self {
+        Self { memory_mb: 512.0 }
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 struct BoundsFields {
