Count the runs before a stream began against its route's attempts

A resumable stream whose first answer was lost began at a second upstream with a new count, so after a break there it was resumed at a third although its route allows two. Class: a limit of one attempt, counted by each of its phases from zero. Whether the users saw this is not shown.

--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -40,6 +40,7 @@
     pub(super) last_event: Option<u64>,
     pub(super) events: u64,
     pub(super) may_move: bool,
+    /// Upstreams that ran or may have run the request, over all of this attempt of its caller.
     pub(super) runs: u32,
     pub(super) last_event_ms: u64,
     pub(super) longest_pause_ms: u64,
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -59,6 +59,7 @@
         FirstAnswer::Stream(started) => started,
         FirstAnswer::Whole(response) => return Ok(response),
     };
+    let earlier_runs = start.runs;
     let Sent { connection, mut parts, answer, body, outstanding } = sent;
     if answer.is_encoded || !answer.is_signed {
         upstream.mark_untrusted(dispatch.clock.now_ms());
@@ -67,7 +68,9 @@
     ResponseHead::strip_connection(&mut parts);
     parts.headers.remove(CONTENT_LENGTH);
     let (chunks, unread) = bounded(UNREAD_CHUNKS);
-    let relay = Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
+    let mut relay =
+        Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
+    relay.runs += earlier_runs;
     let events = EventStream::new(body);
     let source = Source { events, connection, answer, _outstanding: outstanding };
     let task = dispatch.spawner.spawn(relay.run(source));
