Keep the retries of daemons that are gone in the fleet's budget

Cause: counts lived only in the daemons and in their last heartbeats, so a kill or a restart gave the budget back, once for each. Class: soft state that bounds the past, lost with its holder.

Peers keep the last counts of a daemon that is gone or was started again for one window; a fleet in which nobody has run for a window uses its slack from nothing up to the quarter that is always left. Whether the users saw this is not shown.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -182,13 +182,23 @@
         self.is_draining().then(|| (started_ms + grace_ms).saturating_sub(self.clock.now_ms()))
     }
 
+    /// The share of the retry budget's slack that may be used. A fleet whose daemons have all just
+    /// started does not know what was used before, in the window that has not ended.
+    fn known_slack_share(&self, window_ms: u64) -> f64 {
+        let uptime_ms = self.clock.now_ms();
+        if uptime_ms >= window_ms || self.peers.longest_uptime_ms() >= window_ms {
+            return 1.0;
+        }
+        (1.0 - USED_SHARE) / USED_SHARE * uptime_ms as f64 / window_ms as f64
+    }
+
     /// True when one more send of a request of `service` is within the fleet's retry budget; the
     /// send is then counted.
     pub(crate) fn try_retry(&self, service: &Service) -> bool {
         let settings = self.settings.load();
         let options = FleetBudgetOptions {
             ratio: settings.retry_ratio,
-            slack: settings.retry_slack,
+            slack: settings.retry_slack * self.known_slack_share(settings.retry_window_ms),
             used_share: USED_SHARE,
         };
         self.apply_peer_updates();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -125,7 +125,8 @@
                 last_summary_ms = clock.now_ms();
             }
             self.send(news::Body::Heartbeat(heartbeat), &links.heartbeat_addrs).await;
-            self.dispatch.peers.expire(options.peer_silence_ms);
+            let window_ms = self.dispatch.settings.load().retry_window_ms;
+            self.dispatch.peers.expire(options.peer_silence_ms, window_ms);
             self.dispatch.apply_peer_updates();
             self.close_expired();
             self.update_store_wait(&links);
@@ -211,6 +212,7 @@
             engines: engines.collect(),
             services: services.collect(),
             limits: limits.collect(),
+            uptime_ms: now_ms,
             members: self.dispatch.peers.sample_members(sequence, MEMBERS_PER_HEARTBEAT),
             store_answers: self.operators.store_answers() && self.upstreams.store_answers(),
             store_heard_age_ms: self.upstreams.answer_age_ms(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod answer;
 mod call;
 mod call_error;
+mod departed_traffic;
 mod directory;
 mod dispatch;
 mod end_probe;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,6 +7,7 @@
 use comfreymast_decide::links::Member;
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
+use crate::departed_traffic::DepartedTraffic;
 use crate::fleet_sum::FleetSum;
 use crate::roster::{Links, Roster};
 use crate::topic_positions::TopicPositions;
@@ -31,6 +32,7 @@
     by_name: BTreeMap<String, Peer>,
     /// The newest summary of each other data centre, in a large fleet.
     summaries: BTreeMap<String, ReceivedSummary>,
+    departed: DepartedTraffic,
 }
 
 #[derive(Debug)]
@@ -122,7 +124,14 @@
             log::info!(target: "comfreymast", code = 1501, peer = name.as_str(), addr:%;
                 "peer discovered");
         }
-        table.by_name.insert(name, Peer { addr, received_ms: now_ms, heartbeat });
+        table.departed.remove(&heartbeat);
+        let started_unix_ms = heartbeat.started_unix_ms;
+        let peer = Peer { addr, received_ms: now_ms, heartbeat };
+        if let Some(before) = table.by_name.insert(name, peer)
+            && before.heartbeat.started_unix_ms != started_unix_ms
+        {
+            table.departed.keep(before.heartbeat, before.received_ms);
+        }
         self.is_changed.store(true, Ordering::Release);
     }
 
@@ -143,19 +152,22 @@
         self.is_changed.store(true, Ordering::Release);
     }
 
-    /// Drops peers that sent no heartbeat for `silence_ms`, and summaries that are too old.
-    pub(crate) fn expire(&self, silence_ms: u64) {
+    /// Drops peers that sent no heartbeat for `silence_ms`, and summaries that are too old. What
+    /// those peers counted is kept for `window_ms`.
+    pub(crate) fn expire(&self, silence_ms: u64, window_ms: u64) {
         let now_ms = self.clock.now_ms();
         let mut table = self.table();
-        table.by_name.retain(|name, peer| {
-            let is_alive = now_ms.saturating_sub(peer.received_ms) < silence_ms;
-            if !is_alive {
-                self.is_changed.store(true, Ordering::Release);
-                log::info!(target: "comfreymast", code = 1502, peer = name.as_str();
-                    "peer timed out");
-            }
-            is_alive
-        });
+        let is_gone = |peer: &Peer| now_ms.saturating_sub(peer.received_ms) >= silence_ms;
+        let gone: Vec<_> = table.by_name.extract_if(.., |_, peer| is_gone(peer)).collect();
+        for (name, peer) in gone {
+            self.is_changed.store(true, Ordering::Release);
+            log::info!(target: "comfreymast", code = 1502, peer = name.as_str();
+                "peer timed out");
+            table.departed.keep(peer.heartbeat, peer.received_ms);
+        }
+        if table.departed.expire(now_ms, window_ms) {
+            self.is_changed.store(true, Ordering::Release);
+        }
         table
             .summaries
             .retain(|_, received| now_ms.saturating_sub(received.received_ms) < MAX_SUMMARY_AGE_MS);
@@ -172,6 +184,9 @@
             sum.add(&peer.heartbeat.engines, &peer.heartbeat.services);
             sum.add_limits(&peer.heartbeat.limits, peer.received_ms);
         }
+        for services in table.departed.services() {
+            sum.add(&[], services);
+        }
         for received in table.summaries.values() {
             sum.add(&received.summary.engines, &received.summary.services);
             sum.add_limits(&received.summary.limits, received.received_ms);
@@ -210,6 +225,9 @@
                 addr: peer.addr.to_string(),
             });
         }
+        for services in table.departed.services() {
+            sum.add(&[], services);
+        }
         positions.write_to(&mut summary);
         summary.engines = sum.engine_uses();
         summary.services = sum.service_traffic();
@@ -263,6 +281,12 @@
         daemons.chain(data_centres).min()
     }
 
+    /// The longest time for which any other daemon has run.
+    pub(crate) fn longest_uptime_ms(&self) -> u64 {
+        let table = self.table();
+        table.by_name.values().map(|peer| peer.heartbeat.uptime_ms).max().unwrap_or(0)
+    }
+
     /// How many other daemons there are, as far as this one knows.
     pub(crate) fn count(&self) -> usize {
         let table = self.table();
--- a/crates/soak/src/crash/options.rs
+++ b/crates/soak/src/crash/options.rs
@@ -24,6 +24,10 @@
     pub kill_interval_ms: Option<u64>,
     /// Kills all upstreams at once instead.
     pub kills_all_upstreams: bool,
+    /// Kills all daemons at once instead.
+    pub kills_all_daemons: bool,
+    /// Plain upstreams answer each request with a failure of their own.
+    pub plain_fails: bool,
     /// The store refuses all calls once the daemons serve.
     pub is_store_down: bool,
     /// The kind of each request that is sent again and again like culprits but crashes nothing.
@@ -45,6 +49,8 @@
             harmless_ms: 0,
             kill_interval_ms: None,
             kills_all_upstreams: false,
+            kills_all_daemons: false,
+            plain_fails: false,
             is_store_down: false,
             harmless: Vec::new(),
         }
--- a/crates/soak/src/crash/run.rs
+++ b/crates/soak/src/crash/run.rs
@@ -5,6 +5,7 @@
 use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_proof::ProofError;
+use hyper::StatusCode;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -58,6 +59,9 @@
     let crashes_from_ms = site.recorder.now_ms();
     for upstream in site.all_upstreams() {
         upstream.update_behaviour(|behaviour| {
+            if options.plain_fails {
+                behaviour.status = StatusCode::INTERNAL_SERVER_ERROR;
+            }
             behaviour.crashes_on = culprits.iter().map(|culprit| culprit.body()).collect();
         });
     }
@@ -138,6 +142,16 @@
     others.chain(culprits).chain(harmless).collect()
 }
 
+/// Kills daemons at the same moment, and starts them again.
+async fn restart(daemons: &[Daemon]) -> Result<(), ProofError> {
+    daemons.iter().for_each(Daemon::kill);
+    sleep_ms(DAEMON_RESTART_MS).await;
+    for daemon in daemons {
+        daemon.start()?;
+    }
+    Ok(())
+}
+
 /// Kills upstreams and daemons in turn until the run is over.
 async fn inject_kills(
     site: &Arc<Site>,
@@ -159,11 +173,11 @@
             for kill in kills {
                 let _ = kill.try_send(());
             }
+        } else if options.kills_all_daemons {
+            restart(&site.daemons).await?;
         } else if count.is_multiple_of(2) {
-            let daemon = &site.daemons[random.random_range(0..site.daemons.len())];
-            daemon.kill();
-            sleep_ms(DAEMON_RESTART_MS).await;
-            daemon.start()?;
+            let daemon = random.random_range(0..site.daemons.len());
+            restart(&site.daemons[daemon..=daemon]).await?;
         } else {
             // A full channel means that this upstream is down already.
             let _ = kills[random.random_range(0..kills.len())].try_send(());
