--- a/crates/gateway/tests/attempts.rs
+++ b/crates/gateway/tests/attempts.rs
@@ -4,6 +4,8 @@
 
 use std::collections::BTreeMap;
 
+use comfreymast_fakes::platform_documents::CallerRequest;
+use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use support::{TestEnv, generation, run_test};
 
 /// The route of the test allows two.
@@ -39,3 +41,39 @@
         assert!(runs.is_empty(), "{runs:?}");
     });
 }
+
+/// Each send tells its upstream how much time is left, so a later one ends no later than the first.
+#[test]
+fn a_repeated_request_has_no_more_time_than_its_first_send_left() {
+    const DEADLINE_MS: u64 = 3_000;
+    /// By the platform's rule.
+    const TOLERANCE_MS: u64 = 500;
+    run_test(async |spawner| {
+        let env = TestEnv::new(&spawner).await;
+        env.publish(1, |_| ());
+        let upstreams = [env.upstream("u0", "plain").await, env.upstream("u1", "plain").await];
+        for upstream in &upstreams {
+            upstream.update_behaviour(|behaviour| behaviour.hangs = true);
+        }
+        let gateway = env.gateway("d0").await;
+        gateway.wait_ready(&spawner).await;
+        let caller =
+            CallerRequest { id: "id", deadline_ms: DEADLINE_MS, ..CallerRequest::default() };
+        gateway.call(&spawner, caller.request("GET", "/safe/a", "")).await;
+        let mut sends: Vec<_> = upstreams
+            .iter()
+            .flat_map(PlatformUpstream::runs)
+            .map(|run| {
+                let left = run.headers["x-deadline-ms"].to_str().expect("text").parse::<u64>();
+                (run.started_unix_ms, left.expect("a number"))
+            })
+            .collect();
+        sends.sort_unstable();
+        let [(first_ms, first_left_ms), (second_ms, second_left_ms)] = sends[..] else {
+            panic!("{} sends", sends.len());
+        };
+        assert!(first_left_ms <= DEADLINE_MS);
+        let first_end_ms = first_ms + first_left_ms;
+        assert!(second_ms + second_left_ms <= first_end_ms + TOLERANCE_MS);
+    });
+}
