--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -36,6 +36,10 @@
         optional --harmless-ms harmless_ms: u64
         /// With --crashes: how many requests are sent as often but crash nothing; default 0.
         optional --harmless harmless: usize
+        /// Let every other upstream name this limit, in requests a second, instead of the seed's faults.
+        optional --limit-per-s limit_per_s: f64
+        /// With --limit-per-s: all callers use the first daemon.
+        optional --skewed
         /// Where settings and logs go; default is a folder for each seed below the system's.
         optional --folder folder: PathBuf
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,8 @@
 //! * [`SoakError`] — why the soak could not run.
 //! * [`run_crashes`] — sends requests that crash their upstreams, and counts how often they run.
 //! * [`CrashOptions`], [`CrashReport`], [`CulpritReport`] — its size and result.
+//! * [`run_limits`] — lets upstreams name limits, and counts what they get.
+//! * [`LimitOptions`], [`LimitReport`] — its size and result.
 //! * [`Kind`] — the kind of a request.
 
 mod call;
@@ -19,6 +21,7 @@
 mod fault;
 mod fault_window;
 mod injector;
+mod limits;
 mod options;
 mod recorder;
 mod run;
@@ -28,5 +31,6 @@
 pub use call::Kind;
 pub use checks::Violation;
 pub use crash::{CrashOptions, CrashReport, CulpritReport, run_crashes};
+pub use limits::{LimitOptions, LimitReport, run_limits};
 pub use options::SoakOptions;
 pub use run::{SoakError, SoakReport, soak};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,9 @@
 use std::process::ExitCode;
 
 use comfreymast_net::Spawner;
-use comfreymast_soak::{CrashOptions, Kind, SoakError, SoakOptions, run_crashes, soak};
+use comfreymast_soak::{
+    CrashOptions, Kind, LimitOptions, SoakError, SoakOptions, run_crashes, run_limits, soak,
+};
 use flags::ComfreymastSoak;
 
 const THREADS: usize = 4;
@@ -39,6 +41,9 @@
         .daemons(flags.daemons.unwrap_or(4))
         .engines(flags.engines.unwrap_or(4))
         .checks_times(flags.times);
+    if let Some(per_s) = flags.limit_per_s {
+        return play_limits(flags, options, per_s);
+    }
     if flags.crashes {
         return play_crashes(flags, options);
     }
@@ -59,6 +64,29 @@
     Ok(report.violations.is_empty())
 }
 
+/// Lets upstreams name limits; true when they were kept and all else held.
+fn play_limits(flags: &ComfreymastSoak, fleet: SoakOptions, per_s: f64) -> Result<bool, SoakError> {
+    let seed = fleet.seed;
+    let options = LimitOptions {
+        fleet,
+        per_s,
+        is_skewed: flags.skewed,
+        kill_interval_ms: flags.kill_interval_ms,
+    };
+    let report = Spawner::run(THREADS, async |spawner| run_limits(&spawner, &options).await)?;
+    println!(
+        "seed {seed}: {} calls, most in 4 s {:?} of {}, {} violations",
+        report.calls,
+        report.most_in_span,
+        report.allowed as usize,
+        report.violations.len()
+    );
+    for violation in &report.violations {
+        println!("  {violation}");
+    }
+    Ok(report.is_within_limits() && report.violations.is_empty())
+}
+
 /// Sends requests that crash their upstreams; true when all were stopped in time and all else held.
 fn play_crashes(flags: &ComfreymastSoak, fleet: SoakOptions) -> Result<bool, SoakError> {
     let seed = fleet.seed;
