--- a/crates/decide/src/quarantine/options.rs
+++ b/crates/decide/src/quarantine/options.rs
@@ -1,3 +1,5 @@
+use super::recent::RECENT_SUCCESS_TTL_MS;
+
 /// When a request is quarantined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct QuarantineOptions {
@@ -16,6 +18,8 @@
     pub progress_tokens: u32,
     /// If another engine dies within this time without the request, one more death is required.
     pub mass_failure_ms: u64,
+    /// How long after a success it still speaks for a request.
+    pub success_ttl_ms: u64,
     /// An engine that a daemon has known for this much less time than since a success counts as
     /// started after it, since news of a start arrive late.
     pub start_news_ms: u64,
@@ -35,6 +39,7 @@
             same_death_ms: 2_000,
             progress_tokens: 16,
             mass_failure_ms: 5_000,
+            success_ttl_ms: RECENT_SUCCESS_TTL_MS,
             start_news_ms: 1_000,
             max_deaths: 1_024,
             max_suspects: 4_096,
--- a/crates/decide/src/quarantine/recent.rs
+++ b/crates/decide/src/quarantine/recent.rs
@@ -3,7 +3,7 @@
 use super::Fingerprint;
 
 /// How long it is remembered that a request has run to its end.
-const TTL_MS: u64 = 10_000;
+pub(super) const RECENT_SUCCESS_TTL_MS: u64 = 10_000;
 /// The most requests that are remembered.
 const CAPACITY: usize = 1_024;
 
@@ -35,5 +35,5 @@
 }
 
 fn is_recent(ended_ms: u64, now_ms: u64) -> bool {
-    now_ms.saturating_sub(ended_ms) < TTL_MS
+    now_ms.saturating_sub(ended_ms) < RECENT_SUCCESS_TTL_MS
 }
--- a/crates/decide/src/quarantine/table.rs
+++ b/crates/decide/src/quarantine/table.rs
@@ -135,12 +135,6 @@
         upstreams
     }
 
-    /// The number of deaths that a request was in.
-    #[must_use]
-    pub fn deaths(&self, fingerprint: &Fingerprint) -> u32 {
-        self.suspects.get(fingerprint).map_or(0, |suspect| suspect.deaths)
-    }
-
     /// True if the deaths of a request count, since no success speaks against them.
     #[must_use]
     pub fn is_confirmed(&self, fingerprint: &Fingerprint) -> bool {
@@ -256,9 +250,11 @@
     }
 }
 
-/// True unless the request has run to its end while all engines were running that died under it.
+/// True unless the request has run to its end a short time ago, while all engines were running that
+/// died under it.
 fn is_confirmed(suspect: &Suspect, options: &QuarantineOptions) -> bool {
     suspect.succeeded_ms.is_none_or(|succeeded_ms| {
-        suspect.newest_start_ms > succeeded_ms.saturating_add(options.start_news_ms)
+        let is_old = suspect.last_report_ms > succeeded_ms.saturating_add(options.success_ttl_ms);
+        is_old || suspect.newest_start_ms > succeeded_ms.saturating_add(options.start_news_ms)
     })
 }
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -286,6 +286,23 @@
     assert_eq!(table.find_culprits(14_000), [(CULPRIT, 5)]);
 }
 
+/// Each engine dies once, all of them started before the success.
+#[test]
+fn a_success_protects_no_longer_than_it_is_recent() {
+    let mut table = SuspicionTable::new(QuarantineOptions::for_any_request());
+    let mut found = Vec::new();
+    for number in 0..8_u64 {
+        let at_ms = 12_000 + number * 2_000;
+        table.record(&death_under(CULPRIT, &format!("e{number}"), at_ms, 0), at_ms);
+        table.record_success(&CULPRIT, 10_000);
+        found.extend(
+            table.find_culprits(at_ms + SETTLED_MS).into_iter().map(|found| (found, at_ms)),
+        );
+    }
+    // The sixth is the first that is more than ten seconds after the success.
+    assert_eq!(found, [((CULPRIT, 6), 22_000)]);
+}
+
 #[test]
 fn a_request_that_succeeds_after_its_service_ended_is_cleared() {
     let mut table = table_of_a_service_that_ended();
