Allow a tenth of the retry slack in a fleet that has just started

Traced, not load: the daemon had run for some 100 ms, and the slack that a young fleet may use was 50 x 1/3 x 0.01, not one retry. So the first failure after a start reached its caller. Now it may use a tenth of the slack at once.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -185,11 +185,14 @@
     /// The share of the retry budget's slack that may be used. A fleet whose daemons have all just
     /// started does not know what was used before, in the window that has not ended.
     fn known_slack_share(&self, window_ms: u64) -> f64 {
+        // So that the first failures after a start need not reach callers.
+        const MIN_SHARE: f64 = 0.1;
         let uptime_ms = self.clock.now_ms();
         if uptime_ms >= window_ms || self.peers.longest_uptime_ms() >= window_ms {
             return 1.0;
         }
-        (1.0 - USED_SHARE) / USED_SHARE * uptime_ms as f64 / window_ms as f64
+        let unused_share = (1.0 - USED_SHARE) / USED_SHARE;
+        (unused_share * uptime_ms as f64 / window_ms as f64).max(MIN_SHARE)
     }
 
     /// True when one more send of a request of `service` is within the fleet's retry budget; the
