Line 1308 names the shared parts of the request's prompt

Parts are decoded on any route, also without token counts; a malformed entry keeps its place, since the last place decides which part is not shared.

--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -40,6 +40,7 @@
         upstream: upstream.clone(),
         request: call.head.id.clone(),
         fingerprint: fingerprint(call),
+        shared_parts: call.head.shared_parts.clone(),
         progress,
         probe: EndProbe::new(dispatch, upstream),
     };
@@ -55,6 +56,7 @@
     upstream: Arc<UpstreamState>,
     request: Arc<str>,
     fingerprint: Fingerprint,
+    shared_parts: Vec<Arc<str>>,
     progress: LastProgress,
     probe: EndProbe,
 }
@@ -116,7 +118,8 @@
         dispatch.metrics.upstream_ends.inc();
         log::warn!(target: "comfreymast", code = 1308, request = &*self.request,
             upstream = record.name.as_str(), started_unix_ms = record.started_unix_ms,
-            fingerprint = hex::encode(fingerprint), tokens = progress.tokens, silent_ms,
+            fingerprint = hex::encode(fingerprint), parts = self.shared_parts.join(","),
+            tokens = progress.tokens, silent_ms,
             restarted = upstream.has_restarted(); "upstream ended while it ran a request");
         // Names and addresses are used again, so only the start tells one upstream from the next.
         let started_unix_ms = record.started_unix_ms.unwrap_or(0);
--- a/crates/platform/src/request_head.rs
+++ b/crates/platform/src/request_head.rs
@@ -12,6 +12,8 @@
 use crate::names;
 
 const BEARER_PREFIX: &str = "Bearer ";
+/// The most shared parts of a prompt that are decoded.
+const MAX_SHARED_PARTS: usize = 128;
 
 /// Why the head of a caller's request is rejected.
 #[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
@@ -61,6 +63,9 @@
     pub deadline_ms: Option<u64>,
     /// The prompt's size; set on requests for a generation.
     pub prompt: Option<PromptShape>,
+    /// The identifiers of the prompt's parts that other requests may share: all but the last, each
+    /// once, 128 at most.
+    pub shared_parts: Vec<Arc<str>>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
 }
@@ -92,6 +97,7 @@
             key: key.map(str::to_owned),
             deadline_ms: parse_number(headers, names::DEADLINE_MS),
             prompt: prompt(headers),
+            shared_parts: shared_parts(headers),
             last_event: parse_number(headers, names::LAST_EVENT_ID),
         })
     }
@@ -132,6 +138,33 @@
     Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
 }
 
+/// The identifiers of all parts but the last. An entry keeps its place even if its length is
+/// malformed, as the last place decides which part is not shared.
+fn shared_parts(headers: &HeaderMap) -> Vec<Arc<str>> {
+    let values = headers.get_all(names::PROMPT_PREFIX).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    let entries: Vec<_> = texts.flat_map(|text| text.split(',')).collect();
+    let Some((_, shared)) = entries.split_last() else { return Vec::new() };
+    let mut ids: Vec<Arc<str>> = Vec::new();
+    for id in shared.iter().map(|entry| part_id(entry)).filter(|id| !id.is_empty()) {
+        if ids.len() < MAX_SHARED_PARTS && !ids.iter().any(|known| **known == *id) {
+            ids.push(id.into());
+        }
+    }
+    ids
+}
+
+/// The identifier of an entry, as the same number is always spelled.
+fn part_id(entry: &str) -> String {
+    let id = entry.split(':').next().unwrap_or_default().trim();
+    let number = id.trim_start_matches('0');
+    if number.is_empty() {
+        id.get(..1).unwrap_or_default().to_owned()
+    } else {
+        number.to_ascii_lowercase()
+    }
+}
+
 /// The location of a generation's copy, from which the generation can be resumed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CopyLocation {
