--- a/crates/fakes/src/platform_documents.rs
+++ b/crates/fakes/src/platform_documents.rs
@@ -192,6 +192,8 @@
     pub deadline_ms: u64,
     /// Number of prompt tokens and maximum number of output tokens; `None` for a plain request.
     pub tokens: Option<(u64, u64)>,
+    /// The parts of its prompt with their lengths, such as `aa:79,bb:300`; `None` for no parts.
+    pub prompt_parts: Option<&'a str>,
     /// The organisation that the caller falsely claims in `x-tenant`.
     pub forged_organisation: Option<&'a str>,
 }
@@ -204,6 +206,7 @@
             key: "key-1",
             deadline_ms: 15_000,
             tokens: None,
+            prompt_parts: None,
             forged_organisation: None,
         }
     }
@@ -222,6 +225,7 @@
             ("x-deadline-ms", Some(self.deadline_ms.to_string())),
             ("authorization", Some(format!("Bearer {}", self.key))),
             ("x-token-counts", tokens),
+            ("x-prompt-prefix", self.prompt_parts.map(str::to_owned)),
             ("x-tenant", self.forged_organisation.map(str::to_owned)),
         ];
         for (name, value) in headers {
@@ -245,6 +249,19 @@
     headers.get("x-tenant")?.to_str().ok()
 }
 
+/// The identifiers of the parts of a request's prompt, without the last, which is never shared.
+#[must_use]
+pub fn shared_parts(headers: &HeaderMap) -> Vec<&str> {
+    let value = headers.get("x-prompt-prefix").and_then(|value| value.to_str().ok());
+    let mut ids: Vec<_> = value
+        .into_iter()
+        .flat_map(|text| text.split(','))
+        .map(|entry| entry.split_once(':').map_or(entry, |(id, _)| id))
+        .collect();
+    ids.pop();
+    ids
+}
+
 /// True when the headers carry an API key.
 #[must_use]
 pub fn has_key(headers: &HeaderMap) -> bool {
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -18,10 +18,11 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use serde::Deserialize;
 
-use crate::platform_documents::SIGNATURE_PREFIX;
+use crate::platform_documents::{SIGNATURE_PREFIX, shared_parts};
 
 const MAX_BODY_BYTES: usize = 1024 * 1024;
 const STREAM_CAPACITY: usize = 4;
+const CLOSED_POLL_MS: u64 = 10;
 
 /// The behaviour of an upstream. Changes apply from the next request on.
 #[derive(Clone, Debug)]
@@ -50,6 +51,10 @@
     pub is_leaving: bool,
     /// The bodies of requests that end the upstream.
     pub crashes_on: Vec<Bytes>,
+    /// The parts of prompts that end the upstream when it begins to write an answer on them.
+    pub crashes_on_parts: Vec<String>,
+    /// How many events of such an answer are written before the end.
+    pub crash_after_events: u64,
     /// The value of the header in all its answers that limits the requests a second it takes.
     pub named_limit: Option<String>,
     /// How many of the next copies are made without their answers arriving.
@@ -71,6 +76,8 @@
             is_full: false,
             is_leaving: false,
             crashes_on: Vec::new(),
+            crashes_on_parts: Vec::new(),
+            crash_after_events: 0,
             named_limit: None,
             lost_copy_answers: 0,
         }
@@ -113,6 +120,10 @@
     /// Generations with an open stream and their last event; `None` once they were moved away.
     generations: BTreeMap<String, Option<u64>>,
     open_streams: usize,
+    /// The parts that ended it, each with the time in Unix milliseconds.
+    part_crashes: Vec<(String, u64)>,
+    /// True from a crash until it is started again.
+    has_crashed: bool,
 }
 
 /// An upstream. Clones share its state.
@@ -167,6 +178,18 @@
         let _ = self.crashes.recv().await;
     }
 
+    /// Forgets crashes that nobody waited for, as a new start of the process does.
+    pub fn forget_crashes(&self) {
+        while self.crashes.try_recv().is_ok() {}
+        self.state().has_crashed = false;
+    }
+
+    /// The parts of prompts that ended it, each with the time in Unix milliseconds.
+    #[must_use]
+    pub fn part_crashes(&self) -> Vec<(String, u64)> {
+        self.state().part_crashes.clone()
+    }
+
     /// The requests that it ran, in order.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -262,8 +285,12 @@
             return crate::reply::aborted();
         }
         let is_stream = headers.contains_key("x-token-counts") && behaviour.status.is_success();
+        let mut parts = shared_parts(headers).into_iter();
+        let crashing_part =
+            parts.find(|part| behaviour.crashes_on_parts.iter().any(|bad| bad == part));
         let body = if is_stream {
-            self.clone().stream(&id, after_event.unwrap_or(0), behaviour.clone())
+            let crashing_part = crashing_part.map(str::to_owned);
+            self.clone().stream(&id, after_event.unwrap_or(0), behaviour.clone(), crashing_part)
         } else {
             full(format!("answer of {}", self.name))
         };
@@ -276,14 +303,25 @@
         response
     }
 
-    fn stream(self, id: &str, after_event: u64, behaviour: UpstreamBehaviour) -> Body {
+    fn stream(
+        self,
+        id: &str,
+        after_event: u64,
+        behaviour: UpstreamBehaviour,
+        crashing_part: Option<String>,
+    ) -> Body {
         let (events, body) = channel(STREAM_CAPACITY);
         self.state().generations.insert(id.to_owned(), Some(after_event));
         self.state().open_streams += 1;
         let id = id.to_owned();
         // The thread ends when the reader disconnects, since sending then fails.
         std::thread::spawn(move || {
-            let sent = async_io::block_on(self.send_events(&id, after_event, &behaviour, &events));
+            let sent = async_io::block_on(async {
+                if let Some(part) = crashing_part {
+                    return self.crash_on(&part, &id, after_event, &behaviour, &events).await;
+                }
+                self.send_events(&id, after_event, &behaviour, &events).await
+            });
             if sent.is_err() {
                 // Waits for room in the channel, since without this error the stream looks
                 // complete. Sending fails only when the reader has disconnected.
@@ -295,6 +333,37 @@
         body
     }
 
+    /// Writes the first events of an answer, then ends; whoever starts the upstream closes the
+    /// connection.
+    async fn crash_on(
+        &self,
+        part: &str,
+        id: &str,
+        after_event: u64,
+        behaviour: &UpstreamBehaviour,
+        events: &async_channel::Sender<Result<Bytes, BodyError>>,
+    ) -> Result<(), BodyError> {
+        let written = UpstreamBehaviour {
+            events: after_event + behaviour.crash_after_events,
+            ..behaviour.clone()
+        };
+        sleep_ms(behaviour.event_ms).await;
+        self.send_events(id, after_event, &written, events).await?;
+        {
+            let mut state = self.state();
+            if !state.has_crashed {
+                state.has_crashed = true;
+                state.part_crashes.push((part.to_owned(), Clock::system().unix_ms()));
+                // Never fails, since this upstream holds the receiver.
+                let _ = self.crash_sender.try_send(());
+            }
+        }
+        while !events.is_closed() {
+            sleep_ms(CLOSED_POLL_MS).await;
+        }
+        Err(BodyError::Aborted)
+    }
+
     async fn send_events(
         &self,
         id: &str,
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -92,6 +92,7 @@
         key: KEY,
         deadline_ms: TIMEOUT_MS,
         tokens: call.kind.is_stream().then_some(TOKENS),
+        prompt_parts: None,
         forged_organisation: Some("not-mine"),
     }
     .request("POST", &path, call.body.clone())
--- a/crates/soak/src/crash/repeated_request.rs
+++ b/crates/soak/src/crash/repeated_request.rs
@@ -10,9 +10,11 @@
 
 const MAX_ANSWER_BYTES: usize = 1024 * 1024;
 /// What the identifiers, paths and bodies of culprits begin with.
-const CULPRIT: &str = "culprit";
+pub(super) const CULPRIT: &str = "culprit";
 /// The same for requests that are sent as often but crash nothing.
 const HARMLESS: &str = "harmless";
+/// What the identifiers of requests begin with that share parts with culprits but crash nothing.
+pub(super) const SOUND: &str = "sound";
 
 /// A request that is sent again and again with the same content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +72,7 @@
             key: KEY,
             deadline_ms: TIMEOUT_MS,
             tokens: kind.is_stream().then_some(TOKENS),
+            prompt_parts: None,
             forged_organisation: None,
         }
         .request("POST", &format!("/{}/{name}/{number}", kind.path()), self.body());
@@ -84,7 +87,8 @@
     id.starts_with(CULPRIT)
 }
 
-/// True for the identifier of an attempt of any repeated request.
+/// True for the identifier of an attempt of any repeated request, or of one that shares parts with
+/// such that crash upstreams.
 pub(super) fn is_repeated(id: &str) -> bool {
-    is_culprit(id) || id.starts_with(HARMLESS)
+    is_culprit(id) || id.starts_with(HARMLESS) || id.starts_with(SOUND)
 }
--- a/crates/soak/src/crash/run.rs
+++ b/crates/soak/src/crash/run.rs
@@ -88,7 +88,7 @@
 }
 
 /// The runs of the other requests, for checks that know only those.
-fn without_repeated(upstreams: &[UpstreamRuns]) -> Vec<UpstreamRuns> {
+pub(super) fn without_repeated(upstreams: &[UpstreamRuns]) -> Vec<UpstreamRuns> {
     let mut others = upstreams.to_vec();
     for upstream in &mut others {
         upstream.runs.retain(|run| !is_repeated(&run.id));
@@ -99,15 +99,15 @@
 
 /// The upstreams of a run, which crash and are started again.
 #[derive(Default)]
-struct CrashingUpstreams {
+pub(super) struct CrashingUpstreams {
     /// Kill the upstream at each place.
-    kills: Vec<Sender<()>>,
+    pub(super) kills: Vec<Sender<()>>,
     /// Ends only when an upstream cannot be started again.
-    tasks: Vec<Task<Result<(), ProofError>>>,
+    pub(super) tasks: Vec<Task<Result<(), ProofError>>>,
 }
 
 /// Lets each upstream crash and restart.
-fn start_upstreams(site: &Arc<Site>, options: &CrashOptions) -> CrashingUpstreams {
+pub(super) fn start_upstreams(site: &Arc<Site>, options: &CrashOptions) -> CrashingUpstreams {
     let mut started = CrashingUpstreams::default();
     for place in 0..options.fleet.engines + options.fleet.plain_upstreams {
         let (kill, kills) = async_channel::bounded(1);
@@ -153,7 +153,7 @@
 }
 
 /// Kills upstreams and daemons in turn until the run is over.
-async fn inject_kills(
+pub(super) async fn inject_kills(
     site: &Arc<Site>,
     options: &CrashOptions,
     kills: &[Sender<()>],
--- a/crates/soak/src/crash/upstream_crashes.rs
+++ b/crates/soak/src/crash/upstream_crashes.rs
@@ -35,6 +35,7 @@
         sleep_ms(options.restart_ms).await;
         if !options.renames_upstreams {
             placed.started_unix_ms = site.recorder.now_ms();
+            placed.upstream.forget_crashes();
             placed.link.reopen();
             site.write_entry(&placed, "ready");
             continue;
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -36,6 +36,14 @@
         optional --harmless-ms harmless_ms: u64
         /// With --crashes: how many requests are sent as often but crash nothing; default 0.
         optional --harmless harmless: usize
+        /// With --crashes: this many parts of prompts crash upstreams, instead of equal requests.
+        optional --bad-parts bad_parts: usize
+        /// With --bad-parts: the requests may run once.
+        optional --once
+        /// With --bad-parts: how many events are written before the end; default 2.
+        optional --crash-after-events crash_after_events: u64
+        /// With --crashes: the time between two such requests.
+        optional --interval-ms interval_ms: u64
         /// Let every other upstream name this limit, in requests a second, instead of the seed's faults.
         optional --limit-per-s limit_per_s: f64
         /// With --limit-per-s: all callers use the first daemon.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,8 @@
 //! * [`SoakError`] — why the soak could not run.
 //! * [`run_crashes`] — sends requests that crash their upstreams, and counts how often they run.
 //! * [`CrashOptions`], [`CrashReport`], [`CulpritReport`] — its size and result.
+//! * [`run_bad_parts`] — sends requests of which no two are alike, with a part that crashes upstreams.
+//! * [`BadPartOptions`], [`BadPartReport`], [`PartReport`], [`SoundCalls`] — its size and result.
 //! * [`run_limits`] — lets upstreams name limits, and counts what they get.
 //! * [`LimitOptions`], [`LimitReport`] — its size and result.
 //! * [`Kind`] — the kind of a request.
@@ -30,7 +32,10 @@
 
 pub use call::Kind;
 pub use checks::Violation;
-pub use crash::{CrashOptions, CrashReport, CulpritReport, run_crashes};
+pub use crash::{
+    BadPartOptions, BadPartReport, CrashOptions, CrashReport, CulpritReport, PartReport,
+    SoundCalls, run_bad_parts, run_crashes,
+};
 pub use limits::{LimitOptions, LimitReport, run_limits};
 pub use options::SoakOptions;
 pub use run::{SoakError, SoakReport, soak};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,7 +7,8 @@
 
 use comfreymast_net::Spawner;
 use comfreymast_soak::{
-    CrashOptions, Kind, LimitOptions, SoakError, SoakOptions, run_crashes, run_limits, soak,
+    BadPartOptions, CrashOptions, Kind, LimitOptions, SoakError, SoakOptions, run_bad_parts,
+    run_crashes, run_limits, soak,
 };
 use flags::ComfreymastSoak;
 
@@ -44,6 +45,9 @@
     if let Some(per_s) = flags.limit_per_s {
         return play_limits(flags, options, per_s);
     }
+    if let Some(bad_parts) = flags.bad_parts {
+        return play_bad_parts(flags, options, bad_parts);
+    }
     if flags.crashes {
         return play_crashes(flags, options);
     }
@@ -87,6 +91,40 @@
     Ok(report.is_within_limits() && report.violations.is_empty())
 }
 
+/// Sends requests with parts that crash upstreams; true when all were stopped in time and all else
+/// held.
+fn play_bad_parts(
+    flags: &ComfreymastSoak,
+    fleet: SoakOptions,
+    bad_parts: usize,
+) -> Result<bool, SoakError> {
+    let seed = fleet.seed;
+    let mut options = BadPartOptions { bad_parts, ..BadPartOptions::new(fleet) };
+    options.kind = if flags.once { Kind::Report } else { options.kind };
+    options.crash_after_events = flags.crash_after_events.unwrap_or(options.crash_after_events);
+    let crashes = &mut options.crashes;
+    crashes.kill_interval_ms = flags.kill_interval_ms;
+    crashes.interval_ms = flags.interval_ms.unwrap_or(crashes.interval_ms);
+    crashes.restart_ms = flags.restart_ms.unwrap_or(crashes.restart_ms);
+    crashes.renames_upstreams = flags.whole_service;
+    let report = Spawner::run(THREADS, async |spawner| run_bad_parts(&spawner, &options).await)?;
+    for part in &report.parts {
+        println!("seed {seed}: {part:?}");
+    }
+    println!(
+        "seed {seed}: sound before {:?}, after {:?}; {} others refused, {} violations",
+        report.sound_before,
+        report.sound_after,
+        report.others_refused.len(),
+        report.violations.len()
+    );
+    for violation in &report.violations {
+        println!("  {violation}");
+    }
+    let is_clean = report.violations.is_empty() && report.others_refused.is_empty();
+    Ok(is_clean && report.not_stopped().is_empty() && report.is_sound_served())
+}
+
 /// Sends requests that crash their upstreams; true when all were stopped in time and all else held.
 fn play_crashes(flags: &ComfreymastSoak, fleet: SoakOptions) -> Result<bool, SoakError> {
     let seed = fleet.seed;
