Stand-in: a later run of a generation outlives the end of an earlier one

A stream that was continued on the engine it came from had its entry removed when the earlier run ended; the engine then said that it ran no such generation and closed the stream, which looked complete to its caller. No engine of the platform answers for one run with the end of another.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -110,6 +110,15 @@
     pub at_unix_ms: u64,
 }
 
+/// A generation with an open stream.
+#[derive(Clone, Copy, Debug)]
+struct Generation {
+    /// Tells it from an earlier one of the same request.
+    number: u64,
+    /// Its last event; `None` once it was moved away.
+    last_event: Option<u64>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     behaviour: UpstreamBehaviour,
@@ -117,8 +126,10 @@
     refused: Vec<RefusedRequest>,
     /// When requests arrived, in Unix milliseconds.
     arrivals_unix_ms: Vec<u64>,
-    /// Generations with an open stream and their last event; `None` once they were moved away.
-    generations: BTreeMap<String, Option<u64>>,
+    /// Generations with an open stream, by the request's id.
+    generations: BTreeMap<String, Generation>,
+    /// The number of the next generation.
+    next_generation: u64,
     open_streams: usize,
     /// The parts that ended it, each with the time in Unix milliseconds.
     part_crashes: Vec<(String, u64)>,
@@ -212,7 +223,7 @@
     #[must_use]
     pub fn running(&self) -> Vec<String> {
         let state = self.state();
-        let running = state.generations.iter().filter(|(_, events)| events.is_some());
+        let running = state.generations.iter().filter(|(_, one)| one.last_event.is_some());
         running.map(|(id, _)| id.clone()).collect()
     }
 
@@ -311,24 +322,24 @@
         crashing_part: Option<String>,
     ) -> Body {
         let (events, body) = channel(STREAM_CAPACITY);
-        self.state().generations.insert(id.to_owned(), Some(after_event));
-        self.state().open_streams += 1;
+        let number = self.add_generation(id, after_event);
         let id = id.to_owned();
         // The thread ends when the reader disconnects, since sending then fails.
         std::thread::spawn(move || {
             let sent = async_io::block_on(async {
                 if let Some(part) = crashing_part {
-                    return self.crash_on(&part, &id, after_event, &behaviour, &events).await;
+                    return self
+                        .crash_on(&part, (&id, number), after_event, &behaviour, &events)
+                        .await;
                 }
-                self.send_events(&id, after_event, &behaviour, &events).await
+                self.send_events((&id, number), after_event, &behaviour, &events).await
             });
             if sent.is_err() {
                 // Waits for room in the channel, since without this error the stream looks
                 // complete. Sending fails only when the reader has disconnected.
                 let _ = events.send_blocking(Err(BodyError::Aborted));
             }
-            self.state().open_streams -= 1;
-            self.state().generations.remove(&id);
+            self.remove_generation(&id, number);
         });
         body
     }
@@ -338,7 +349,7 @@
     async fn crash_on(
         &self,
         part: &str,
-        id: &str,
+        generation: (&str, u64),
         after_event: u64,
         behaviour: &UpstreamBehaviour,
         events: &async_channel::Sender<Result<Bytes, BodyError>>,
@@ -348,7 +359,7 @@
             ..behaviour.clone()
         };
         sleep_ms(behaviour.event_ms).await;
-        self.send_events(id, after_event, &written, events).await?;
+        self.send_events(generation, after_event, &written, events).await?;
         {
             let mut state = self.state();
             if !state.has_crashed {
@@ -364,9 +375,28 @@
         Err(BodyError::Aborted)
     }
 
+    fn add_generation(&self, id: &str, after_event: u64) -> u64 {
+        let mut state = self.state();
+        let number = state.next_generation;
+        state.next_generation += 1;
+        state.open_streams += 1;
+        let generation = Generation { number, last_event: Some(after_event) };
+        state.generations.insert(id.to_owned(), generation);
+        number
+    }
+
+    /// Removes a generation, unless a later one of the same request has taken its place.
+    fn remove_generation(&self, id: &str, number: u64) {
+        let mut state = self.state();
+        state.open_streams -= 1;
+        if state.generations.get(id).is_some_and(|known| known.number == number) {
+            state.generations.remove(id);
+        }
+    }
+
     async fn send_events(
         &self,
-        id: &str,
+        (id, number): (&str, u64),
         after_event: u64,
         behaviour: &UpstreamBehaviour,
         events: &async_channel::Sender<Result<Bytes, BodyError>>,
@@ -375,8 +405,8 @@
             sleep_ms(behaviour.event_ms).await;
             let text = format!("id: {event}\ndata: {id}-{event}\n\n");
             let was_moved = match self.state().generations.get_mut(id) {
-                Some(Some(last_event)) => {
-                    *last_event = event;
+                Some(known) if known.number == number && known.last_event.is_some() => {
+                    known.last_event = Some(event);
                     false
                 }
                 _ => true,
@@ -411,14 +441,14 @@
         let Some(generation) = state.generations.get_mut(&request.id) else {
             return answer_with(StatusCode::NOT_FOUND, full("{}"));
         };
-        let Some(events) = *generation else {
+        let Some(events) = generation.last_event else {
             return answer_with(StatusCode::NOT_FOUND, full("{}"));
         };
         if is_full {
             return answer_with(StatusCode::SERVICE_UNAVAILABLE, full("{}"));
         }
         if request.last {
-            *generation = None;
+            generation.last_event = None;
         }
         if state.behaviour.lost_copy_answers > 0 {
             state.behaviour.lost_copy_answers -= 1;
