--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -17,5 +17,7 @@
 pub use clock::Clock;
 pub use end_mark::EndMark;
 pub use ids::{GenerationId, OperationId, ParseIdError};
-pub use names::{DaemonName, DataCentre, Kind, Model, Organisation, Service, Upstream};
+pub use names::{
+    DaemonName, DataCentre, Kind, Model, Organisation, Service, SoftwareVersion, Upstream,
+};
 pub use store_position::StorePosition;
--- a/crates/base/src/names.rs
+++ b/crates/base/src/names.rs
@@ -46,6 +46,10 @@
     /// A back end: an engine, which runs models, or a plain server.
     Upstream
 }
+name! {
+    /// The version of an upstream's software, not of the weights of its models.
+    SoftwareVersion
+}
 name! {
     /// A running comfreymast daemon, named after its VM.
     DaemonName
--- a/crates/fleet/src/upstream_record.rs
+++ b/crates/fleet/src/upstream_record.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use comfreymast_base::{DataCentre, Service, Upstream};
+use comfreymast_base::{DataCentre, Service, SoftwareVersion, Upstream};
 
 /// What one upstream reports about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +19,9 @@
     pub is_leaving: bool,
     /// Remaining time of its warm-up, during which it is slow.
     pub cold_ms: u64,
+    /// The version of its software; `None` if it states none. What two versions write of one answer
+    /// does not fit together.
+    pub version: Option<SoftwareVersion>,
     /// When it started, in Unix milliseconds; no state survives from an earlier start.
     pub started_unix_ms: Option<u64>,
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -73,7 +73,8 @@
                     let state = Arc::new(UpstreamState::new(record, now_ms));
                     log::info!(target: "comfreymast", code = 1301, upstream = name.as_str(),
                         service = state.record.service.as_str(), addr:% = state.record.addr,
-                        leaving = state.record.is_leaving; "upstream joined");
+                        version = state.version_text(), leaving = state.record.is_leaving;
+                        "upstream joined");
                     if state.record.is_leaving {
                         state.mark_leaving(now_ms);
                     }
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -144,7 +144,8 @@
         self.dispatch.metrics.move_pause_s.observe(pause_ms as f64 / MS_PER_S);
         let since_notice_ms = leaving.since_notice_ms(self.dispatch.clock.now_ms());
         log::info!(target: "comfreymast", code = 1405, request = &*self.call.head.id,
-            upstream = leaving.record.name.as_str(), to = self.upstream.record.name.as_str(),
+            upstream = leaving.record.name.as_str(), version = leaving.version_text(),
+            to = self.upstream.record.name.as_str(), to_version = self.upstream.version_text(),
             pause_ms, since_notice_ms, events = self.events; "generation moved");
     }
 
@@ -155,7 +156,8 @@
         sent_ms: u64,
     ) {
         log::warn!(target: "comfreymast", code = 1406, request = &*self.call.head.id,
-            upstream = target.record.name.as_str(), failure:?, last_event:? = self.last_event;
+            upstream = target.record.name.as_str(), version = target.version_text(), failure:?,
+            last_event:? = self.last_event;
             "stream not continued");
         if matches!(failure, SendFailure::Lost(_)) {
             let tokens = self.generated_tokens();
--- a/crates/gateway/src/generation/relay_log.rs
+++ b/crates/gateway/src/generation/relay_log.rs
@@ -7,14 +7,15 @@
 impl Relay {
     pub(super) fn log_broken(&self, reason: BreakReason, unfinished_bytes: usize) {
         log::info!(target: "comfreymast", code = 1409, request = &*self.call.head.id,
-            upstream = self.upstream.record.name.as_str(), reason:%, framing:% = self.framing,
+            upstream = self.upstream.record.name.as_str(), version = self.upstream.version_text(),
+            reason:%, framing:% = self.framing,
             unfinished_bytes, events = self.events; "stream broke off");
     }
 
     pub(super) fn log_end(&self, outcome: &str) {
         log::info!(target: "comfreymast", code = 1103, request = &*self.call.head.id,
-            upstream = self.upstream.record.name.as_str(), outcome, events = self.events,
-            moves = self.moves, framing:% = self.framing, longest_pause_ms = self.longest_pause_ms,
+            upstream = self.upstream.record.name.as_str(), version = self.upstream.version_text(),
+            outcome, events = self.events, moves = self.moves, framing:% = self.framing, longest_pause_ms = self.longest_pause_ms,
             age_ms = self.call.age_ms(&self.dispatch.clock); "stream ended");
     }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -272,7 +272,9 @@
     fn log_started(&self, placed: &Placement, status: u16, need_tokens: u64) {
         let Placement { upstream, view, near_with_room, far_with_room } = placed;
         log::info!(target: "comfreymast", code = 1402, request = &*self.call.head.id,
-            upstream = upstream.record.name.as_str(), status, need_tokens,
+            upstream = upstream.record.name.as_str(), version = upstream.version_text(),
+            resumes:? = self.call.head.resumes, last_event:? = self.call.head.last_event, status,
+            need_tokens,
             room_ms = self.room_ms, started_ms = self.call.age_ms(&self.dispatch.clock),
             is_near = view.is_near, reserved_tokens = view.reserved_tokens,
             prefill_tokens = view.prefill_tokens, runs = view.runs,
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -2,6 +2,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
+use comfreymast_base::SoftwareVersion;
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::UpstreamRecord;
 
@@ -79,6 +80,11 @@
         }
     }
 
+    /// The version of its software, for the log; empty if it states none.
+    pub(crate) fn version_text(&self) -> &str {
+        self.record.version.as_ref().map_or("", SoftwareVersion::as_str)
+    }
+
     /// Marks the upstream as leaving: it gets no new work, and generations on it move away. True
     /// on the first call.
     pub(crate) fn mark_leaving(&self, now_ms: u64) -> bool {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -34,7 +34,7 @@
 pub use engine_report::{EngineReport, decode_report, report_request};
 pub use log_client::{LogClient, LogEntry, LogError, LogPage};
 pub use request_head::{
-    CopyLocation, ForwardOptions, PromptPart, PromptShape, RequestHead, RequestHeadError,
+    CopyLocation, ForwardOptions, PromptPart, PromptShape, RequestHead, RequestHeadError, Resumes,
     request_id, upstream_headers,
 };
 pub use response_head::{NamedRate, ResponseHead};
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -24,6 +24,8 @@
 pub(crate) const REQUEST_PRIORITY: &str = "x-request-priority";
 /// The identifier of the last event that was received on a stream.
 pub(crate) const LAST_EVENT_ID: &str = "last-event-id";
+/// The caller's attempt that brought the first event of a stream which this one takes up.
+pub(crate) const RESUMES: &str = "resumes";
 /// The copy of a generation from which a request resumes.
 pub(crate) const KV_FROM: &str = "kv-from";
 /// Headers that only the gateway sets on requests to upstreams; a caller's are not forwarded.
--- a/crates/platform/src/request_head.rs
+++ b/crates/platform/src/request_head.rs
@@ -68,6 +68,31 @@
     pub shared_parts: Vec<Arc<str>>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of a stream that it resumes.
+    pub resumes: Resumes,
+}
+
+/// Which attempt of its caller a request says that it takes up.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Resumes {
+    /// It names none.
+    #[default]
+    Nothing,
+    /// This one.
+    Attempt(Arc<str>),
+    /// It names several, or one that is no text.
+    Ambiguous,
+}
+
+impl Resumes {
+    fn decode(headers: &HeaderMap) -> Self {
+        let mut named = headers.get_all(names::RESUMES).iter().map(|value| value.to_str().ok());
+        match (named.next(), named.next()) {
+            (None, _) => Self::Nothing,
+            (Some(Some(id)), None) => Self::Attempt(id.trim().into()),
+            _ => Self::Ambiguous,
+        }
+    }
 }
 
 /// The identifier of a caller's request, even if the request is otherwise malformed.
@@ -99,6 +124,7 @@
             prompt: prompt(headers),
             shared_parts: shared_parts(headers),
             last_event: parse_number(headers, names::LAST_EVENT_ID),
+            resumes: Resumes::decode(headers),
         })
     }
 }
--- a/crates/platform/src/upstream.rs
+++ b/crates/platform/src/upstream.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 
-use comfreymast_base::{DataCentre, Service, Upstream};
+use comfreymast_base::{DataCentre, Service, SoftwareVersion, Upstream};
 use comfreymast_fleet::UpstreamRecord;
 use derive_more::{Display, Error, From};
 use serde::Deserialize;
+use serde_json::Value;
 
 /// Why the entry of an upstream cannot be used.
 #[derive(Debug, Display, Error, From)]
@@ -28,10 +29,20 @@
         slots: fields.slots,
         is_leaving: fields.state == StateField::Draining,
         cold_ms: fields.cold_remaining_ms as u64,
+        version: software_version(&fields.version),
         started_unix_ms: fields.born,
     })
 }
 
+/// A version that is a text or a number. An entry with anything else is used like one without.
+fn software_version(value: &Value) -> Option<SoftwareVersion> {
+    match value {
+        Value::String(text) => Some(SoftwareVersion::from(text.as_str())),
+        Value::Number(number) => Some(SoftwareVersion::from(number.to_string())),
+        _ => None,
+    }
+}
+
 /// When the upstream of an entry started, and the number of the entry since then. Of two entries of
 /// one upstream the higher pair is newer. `None` if the entry does not say.
 #[must_use]
@@ -56,6 +67,8 @@
     state: StateField,
     #[serde(default)]
     cold_remaining_ms: f64,
+    #[serde(default)]
+    version: Value,
     born: Option<u64>,
 }
 
--- a/crates/platform/tests/decoders.rs
+++ b/crates/platform/tests/decoders.rs
@@ -128,3 +128,21 @@
     };
     assert_eq!(location.handle, "h");
 }
+
+#[test]
+fn a_software_version_is_a_text_or_a_number_and_nothing_else_spoils_its_entry() {
+    let version = |value: serde_json::Value| {
+        let mut entry = upstream_entry();
+        entry["version"] = value;
+        let record = decode_upstream("u", entry.to_string().as_bytes()).expect("an entry");
+        record.version.map(|version| version.to_string())
+    };
+    assert_eq!(version(json!("v1.2")).as_deref(), Some("v1.2"));
+    assert_eq!(version(json!(12)).as_deref(), Some("12"));
+    for other in [json!(null), json!(true), json!(["v1"]), json!({ "v": 1 })] {
+        assert_eq!(version(other), None);
+    }
+    let mut entry = upstream_entry();
+    entry.as_object_mut().expect("an object").remove("version");
+    assert_eq!(decode_upstream("u", entry.to_string().as_bytes()).expect("an entry").version, None);
+}
