--- a/crates/fakes/src/platform_documents.rs
+++ b/crates/fakes/src/platform_documents.rs
@@ -9,6 +9,7 @@
 //! assert_eq!(signer(request.headers()), None);
 //! ```
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use comfreymast_net::{Body, full, request};
@@ -38,6 +39,8 @@
     pub slots: u32,
     /// `ready` or `draining`.
     pub state: &'a str,
+    /// The version of its software.
+    pub version: &'a str,
     /// When it started, in Unix milliseconds.
     pub started_unix_ms: u64,
     /// The number of the entry since then.
@@ -51,7 +54,7 @@
         json!({
             "service": self.service, "address": self.addr.to_string(), "zone": self.data_centre,
             "slots": self.slots, "state": self.state, "coldRemainingMs": 0, "sequence": self.sequence,
-            "born": self.started_unix_ms,
+            "version": self.version, "born": self.started_unix_ms,
         })
     }
 }
@@ -194,6 +197,9 @@
     pub tokens: Option<(u64, u64)>,
     /// The parts of its prompt with their lengths, such as `aa:79,bb:300`; `None` for no parts.
     pub prompt_parts: Option<&'a str>,
+    /// The attempt that brought the first event of a stream, and the last event that arrived, if the
+    /// request takes it up.
+    pub resumes: Option<(&'a str, u64)>,
     /// The organisation that the caller falsely claims in `x-tenant`.
     pub forged_organisation: Option<&'a str>,
 }
@@ -207,6 +213,7 @@
             deadline_ms: 15_000,
             tokens: None,
             prompt_parts: None,
+            resumes: None,
             forged_organisation: None,
         }
     }
@@ -226,6 +233,8 @@
             ("authorization", Some(format!("Bearer {}", self.key))),
             ("x-token-counts", tokens),
             ("x-prompt-prefix", self.prompt_parts.map(str::to_owned)),
+            ("resumes", self.resumes.map(|(attempt, _)| attempt.to_owned())),
+            ("last-event-id", self.resumes.map(|(_, event)| event.to_string())),
             ("x-tenant", self.forged_organisation.map(str::to_owned)),
         ];
         for (name, value) in headers {
@@ -268,6 +277,15 @@
     headers.contains_key("authorization")
 }
 
+/// The versions of the upstreams that wrote the complete events of a stream, each once.
+#[must_use]
+pub fn event_versions(body: &[u8]) -> BTreeSet<String> {
+    let text = String::from_utf8_lossy(body);
+    let complete = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    let data = complete.lines().filter_map(|line| line.strip_prefix("data: "));
+    data.filter_map(|data| data.split_once(' ')).map(|(_, version)| version.to_owned()).collect()
+}
+
 /// The ids of the complete events in a stream.
 #[must_use]
 pub fn event_ids(body: &[u8]) -> Vec<u64> {
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -39,8 +39,12 @@
     pub events: u64,
     /// Interval between two events.
     pub event_ms: u64,
-    /// Aborts each stream in the middle of the event after this one.
+    /// Aborts streams in the middle of the event after this many.
     pub breaks_after: Option<u64>,
+    /// Which streams: one in so many. Each counts from the event with which it starts.
+    pub breaks_one_in: u64,
+    /// The version of its software, which it writes into each event.
+    pub version: String,
     /// Ends each stream in the middle of the event after this one, as if it were complete.
     pub ends_inside_event_after: Option<u64>,
     /// Sends answers without length or chunks, so that only the end of the connection ends them.
@@ -71,6 +75,8 @@
             events: 20,
             event_ms: 5,
             breaks_after: None,
+            breaks_one_in: 1,
+            version: "v1".to_owned(),
             ends_inside_event_after: None,
             is_unframed: false,
             is_full: false,
@@ -403,7 +409,8 @@
     ) -> Result<(), BodyError> {
         for event in after_event + 1..=behaviour.events {
             sleep_ms(behaviour.event_ms).await;
-            let text = format!("id: {event}\ndata: {id}-{event}\n\n");
+            let version = &behaviour.version;
+            let text = format!("id: {event}\ndata: {id}-{event} {version}\n\n");
             let was_moved = match self.state().generations.get_mut(id) {
                 Some(known) if known.number == number && known.last_event.is_some() => {
                     known.last_event = Some(event);
@@ -414,7 +421,8 @@
             if was_moved {
                 return Err(BodyError::Aborted);
             }
-            if behaviour.breaks_after.is_some_and(|last| event > last) {
+            let breaks = number.is_multiple_of(behaviour.breaks_one_in);
+            if breaks && behaviour.breaks_after.is_some_and(|last| event > last) {
                 let _ = events.send(Ok(Bytes::from("id: 9"))).await;
                 // Without framing, the part of an event shows the break, and an abort could drop it.
                 return if behaviour.is_unframed { Ok(()) } else { Err(BodyError::Aborted) };
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -112,6 +112,7 @@
             data_centre: "z1",
             slots: SLOTS,
             state,
+            version: "v1",
             started_unix_ms: STARTED_UNIX_MS,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
--- a/crates/proof/tests/answer_memory.rs
+++ b/crates/proof/tests/answer_memory.rs
@@ -64,6 +64,7 @@
         data_centre: "z1",
         slots: 64,
         state: "ready",
+        version: "v1",
         started_unix_ms: 1,
         sequence: 1,
     };
--- a/crates/soak/src/call.rs
+++ b/crates/soak/src/call.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use comfreymast_fakes::platform_documents;
 use hyper::{HeaderMap, StatusCode};
@@ -87,6 +89,11 @@
         platform_documents::signer(&self.headers)
     }
 
+    /// The versions of the upstreams that wrote the complete events, for a stream.
+    pub(crate) fn event_versions(&self) -> BTreeSet<String> {
+        platform_documents::event_versions(&self.body)
+    }
+
     /// The ids of the complete events, for a stream.
     pub(crate) fn event_ids(&self) -> Vec<u64> {
         platform_documents::event_ids(&self.body)
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -93,6 +93,7 @@
         deadline_ms: TIMEOUT_MS,
         tokens: call.kind.is_stream().then_some(TOKENS),
         prompt_parts: None,
+        resumes: None,
         forged_organisation: Some("not-mine"),
     }
     .request("POST", &path, call.body.clone())
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -135,6 +135,9 @@
     if !ids.iter().copied().eq(1..=ids.len() as u64) {
         fail("a stream has each event once, in order");
     }
+    if answer.event_versions().len() > 1 {
+        fail("a stream holds the events of one software version");
+    }
     if answer.is_whole && ids.len() as u64 != EVENTS {
         fail("a stream that ends early does not look complete");
     }
--- a/crates/soak/src/crash/part_caller.rs
+++ b/crates/soak/src/crash/part_caller.rs
@@ -86,6 +86,7 @@
         deadline_ms: TIMEOUT_MS,
         tokens: Some(TOKENS),
         prompt_parts: Some(parts),
+        resumes: None,
         forged_organisation: None,
     }
     .request("POST", &format!("/{}/parts", kind.path()), Bytes::from(format!("body of {id}")));
--- a/crates/soak/src/crash/repeated_request.rs
+++ b/crates/soak/src/crash/repeated_request.rs
@@ -73,6 +73,7 @@
             deadline_ms: TIMEOUT_MS,
             tokens: kind.is_stream().then_some(TOKENS),
             prompt_parts: None,
+            resumes: None,
             forged_organisation: None,
         }
         .request("POST", &format!("/{}/{name}/{number}", kind.path()), self.body());
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -44,6 +44,8 @@
         optional --crash-after-events crash_after_events: u64
         /// With --crashes: the time between two such requests.
         optional --interval-ms interval_ms: u64
+        /// Let engines of several versions break streams off, instead of the seed's faults.
+        optional --versions versions: usize
         /// Let every other upstream name this limit, in requests a second, instead of the seed's faults.
         optional --limit-per-s limit_per_s: f64
         /// With --limit-per-s: all callers use the first daemon.
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -194,7 +194,7 @@
     gives_notice: bool,
 ) -> Result<(), ProofError> {
     let leaving = site.upstream_at(place);
-    let successor = site.start_upstream(leaving.service).await?;
+    let successor = site.start_upstream(leaving.service, &site.next_version()).await?;
     site.replace(place, successor);
     if gives_notice {
         site.write_entry(&leaving, "draining");
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,8 @@
 //! * [`BadPartOptions`], [`BadPartReport`], [`PartReport`], [`SoundCalls`] — its size and result.
 //! * [`run_limits`] — lets upstreams name limits, and counts what they get.
 //! * [`LimitOptions`], [`LimitReport`] — its size and result.
+//! * [`run_versions`] — streams on engines of several software versions.
+//! * [`VersionOptions`], [`VersionReport`] — its size and result.
 //! * [`Kind`] — the kind of a request.
 
 mod call;
@@ -29,6 +31,7 @@
 mod run;
 mod site;
 mod timing;
+mod versions;
 
 pub use call::Kind;
 pub use checks::Violation;
@@ -39,3 +42,4 @@
 pub use limits::{LimitOptions, LimitReport, run_limits};
 pub use options::SoakOptions;
 pub use run::{SoakError, SoakReport, soak};
+pub use versions::{VersionOptions, VersionReport, run_versions};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,8 +7,8 @@
 
 use comfreymast_net::Spawner;
 use comfreymast_soak::{
-    BadPartOptions, CrashOptions, Kind, LimitOptions, SoakError, SoakOptions, run_bad_parts,
-    run_crashes, run_limits, soak,
+    BadPartOptions, CrashOptions, Kind, LimitOptions, SoakError, SoakOptions, VersionOptions,
+    run_bad_parts, run_crashes, run_limits, run_versions, soak,
 };
 use flags::ComfreymastSoak;
 
@@ -45,6 +45,9 @@
     if let Some(per_s) = flags.limit_per_s {
         return play_limits(flags, options, per_s);
     }
+    if let Some(versions) = flags.versions {
+        return play_versions(flags, options, versions);
+    }
     if let Some(bad_parts) = flags.bad_parts {
         return play_bad_parts(flags, options, bad_parts);
     }
@@ -91,6 +94,21 @@
     Ok(report.is_within_limits() && report.violations.is_empty())
 }
 
+/// Lets engines of several versions break streams off; true when each went on at its version.
+fn play_versions(
+    flags: &ComfreymastSoak,
+    fleet: SoakOptions,
+    versions: usize,
+) -> Result<bool, SoakError> {
+    let seed = fleet.seed;
+    let mut options = VersionOptions::new(fleet);
+    options.fleet.versions = versions;
+    options.kill_interval_ms = flags.kill_interval_ms;
+    let report = Spawner::run(THREADS, async |spawner| run_versions(&spawner, &options).await)?;
+    println!("seed {seed}: {report:?}");
+    Ok(report.keeps_versions() && report.goes_on())
+}
+
 /// Sends requests with parts that crash upstreams; true when all were stopped in time and all else
 /// held.
 fn play_bad_parts(
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -15,6 +15,8 @@
     pub plain_upstreams: usize,
     /// Number of callers per daemon.
     pub callers: usize,
+    /// Number of software versions that upstreams have at the start.
+    pub versions: usize,
     /// Also checks guarantees with a time limit, which needs a machine that is not busy.
     pub checks_times: bool,
     /// The folder for settings and logs.
@@ -32,6 +34,7 @@
             engines: 4,
             plain_upstreams: 3,
             callers: 6,
+            versions: 1,
             checks_times: false,
             folder,
         }
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -40,6 +40,7 @@
     /// The only path from daemons to the upstream.
     pub(crate) link: Link,
     pub(crate) service: &'static str,
+    pub(crate) version: String,
     pub(crate) started_unix_ms: u64,
 }
 
@@ -59,6 +60,8 @@
     version: AtomicU64,
     /// The number of the next entry of an upstream.
     sequence: AtomicU64,
+    /// The number of the next version that a release brings.
+    next_version: AtomicU64,
 }
 
 impl Site {
@@ -91,11 +94,13 @@
             all_upstreams: Mutex::default(),
             version: AtomicU64::new(0),
             sequence: AtomicU64::new(1),
+            next_version: AtomicU64::new(options.versions as u64 + 1),
         });
         site.publish();
         for index in 0..options.engines + options.plain_upstreams {
             let service = if index < options.engines { "engines" } else { "plain" };
-            let placed = site.start_upstream(service).await?;
+            let version = 1 + index % options.versions;
+            let placed = site.start_upstream(service, &format!("v{version}")).await?;
             site.places().push(placed);
         }
         for daemon in &site.daemons {
@@ -128,23 +133,31 @@
         self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// A version that no upstream has had.
+    pub(crate) fn next_version(&self) -> String {
+        format!("v{}", self.next_version.fetch_add(1, Ordering::AcqRel))
+    }
+
     /// Starts an upstream and registers it in the store.
     pub(crate) async fn start_upstream(
         &self,
         service: &'static str,
+        version: &str,
     ) -> Result<PlacedUpstream, ProofError> {
         let number = self.all_upstreams().len();
         let upstream = PlatformUpstream::start(&self.spawner, &format!("u-{number}")).await?;
         upstream.update_behaviour(|behaviour| {
             behaviour.events = EVENTS;
             behaviour.event_ms = EVENT_MS;
+            behaviour.version = version.to_owned();
         });
         let link = Link::start(&self.spawner, upstream.addr).await?;
         let mut all = self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner);
         all.push(upstream.clone());
         drop(all);
         let started_unix_ms = self.recorder.now_ms();
-        let placed = PlacedUpstream { upstream, link, service, started_unix_ms };
+        let version = version.to_owned();
+        let placed = PlacedUpstream { upstream, link, service, version, started_unix_ms };
         self.write_entry(&placed, "ready");
         Ok(placed)
     }
@@ -175,6 +188,7 @@
             data_centre: "z0",
             slots: SLOTS,
             state,
+            version: &placed.version,
             started_unix_ms: placed.started_unix_ms,
             sequence: self.sequence.fetch_add(1, Ordering::AcqRel),
         };
