A stream goes on in its answer only at the version that began it

Class: a property that an earlier choice fixed is no input of a later one.

Change: placement takes what a generation needs of its engine, the version among it; once an event was delivered only its version may go on, and a copy goes to the same version only. Where none is left the answer is cut, so that its caller can take it up; a generation on an engine that leaves stays there to its end. An entry whose version changes under its name is another start.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`placement`] — which engine takes a generation, given what all daemons run.
 //! * [`evacuation`] — how a running generation leaves an engine that is shutting down.
 //! * [`move_steps`] — the next request to that engine after each of its answers.
+//! * [`software_version`] — at which versions of upstreams a stream may run.
 //! * [`suspension`] — whether the VM was suspended.
 //! * [`upstream_choice`] — which upstream of a plain service gets a request.
 //! * [`upstream_limit`] — how many requests an upstream gets that names a limit for all daemons.
@@ -49,6 +50,7 @@
 pub mod retry;
 pub mod routing;
 mod sliding_count;
+pub mod software_version;
 pub mod suspension;
 pub mod upstream_choice;
 pub mod upstream_end;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -102,11 +102,13 @@
     }
 }
 
-/// True when both records describe the same start of an upstream at the same address.
+/// True when both records describe the same start of an upstream at the same address. An upstream may
+/// start again under its name with another software version.
 fn is_same_start(known: &UpstreamRecord, record: &UpstreamRecord) -> bool {
     known.addr == record.addr
         && known.service == record.service
         && known.started_unix_ms == record.started_unix_ms
+        && (record.version.is_none() || known.version == record.version)
         && (record.is_leaving || !known.is_leaving)
 }
 
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -6,7 +6,7 @@
 use comfreymast_platform::CopyLocation;
 
 use super::mover::MoveOutcome;
-use super::placement::place;
+use super::placement::{PlacementNeed, place};
 use super::relay::{Relay, Source};
 use super::reservation::Reservation;
 use crate::answer::{EventStream, StreamStep};
@@ -86,16 +86,15 @@
             }
             let options = PlacementOptions::default();
             let need_tokens = self.need_tokens();
-            let target = place(
-                &self.dispatch,
-                &self.service,
-                &self.spec,
-                need_tokens,
-                &options,
-                &self.dispatch.settings.load().data_centre,
-                &tried,
-            )?
-            .upstream;
+            let need = PlacementNeed {
+                service: &self.service,
+                spec: &self.spec,
+                version: &self.version,
+                tokens: need_tokens,
+                near: &self.dispatch.settings.load().data_centre,
+                excluded: &tried,
+            };
+            let target = place(&self.dispatch, &need, &options)?.upstream;
             tried.push(target.record.name.clone());
             let reservation = Reservation::new(&target, self.key, need_tokens);
             let sent_ms = self.dispatch.clock.now_ms();
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -5,13 +5,14 @@
 use comfreymast_decide::evacuation::{EvacuationOptions, turn_wait_ms};
 use comfreymast_decide::move_steps::{CopyOutcome, MoveProgress, MoveStep, StayReason};
 use comfreymast_decide::placement::PlacementOptions;
+use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::EngineSpec;
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
 use comfreymast_platform::{
     CopyLocation, GenerationCopy, MoveError, decode_move_reply, move_request,
 };
 
-use super::placement::place;
+use super::placement::{PlacementNeed, place};
 use super::reservation::Reservation;
 use crate::dispatch::Dispatch;
 use crate::upstream_state::UpstreamState;
@@ -172,17 +173,25 @@
         CopyLocation { addr: self.source.record.addr, handle }
     }
 
-    /// Chooses a target, preferably near the source, since copies between data centres take longer.
+    /// Chooses a target of the same software version, preferably near the source, since copies between
+    /// data centres take longer.
     fn choose_target(&self, tried: &[Upstream]) -> Option<Arc<UpstreamState>> {
+        let version = VersionNeed::Only(self.source.record.version.clone());
+        let need = PlacementNeed {
+            service: &self.service,
+            spec: &self.spec,
+            version: &version,
+            tokens: self.need_tokens,
+            near: &self.source.record.data_centre,
+            excluded: tried,
+        };
         let options = PlacementOptions {
             memory_share: MOVE_MEMORY_SHARE,
             far_cost: MOVE_FAR_COST,
             prefill_cost: MOVE_PREFILL_COST,
             ..PlacementOptions::default()
         };
-        let near = &self.source.record.data_centre;
-        place(&self.dispatch, &self.service, &self.spec, self.need_tokens, &options, near, tried)
-            .map(|placed| placed.upstream)
+        place(&self.dispatch, &need, &options).map(|placed| placed.upstream)
     }
 
     async fn copy(
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -3,6 +3,7 @@
 
 use comfreymast_base::{DataCentre, Service, Upstream};
 use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine, has_room};
+use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::EngineSpec;
 
 use crate::dispatch::Dispatch;
@@ -13,24 +14,38 @@
 /// The failure rate that is assumed for an engine that could not be reached recently.
 const SUSPECT_FAILURE_RATE: f64 = 1.0;
 
-/// Chooses an engine of `service` for a generation that will hold `need_tokens`: none of
-/// `excluded`, and preferably one in the data centre `near`.
+/// What a generation needs of its engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlacementNeed<'a> {
+    /// The service whose engines may run it.
+    pub(crate) service: &'a Service,
+    /// What these engines are.
+    pub(crate) spec: &'a EngineSpec,
+    /// The software versions that may run it.
+    pub(crate) version: &'a VersionNeed,
+    /// The memory it will hold.
+    pub(crate) tokens: u64,
+    /// The data centre that is preferred.
+    pub(crate) near: &'a DataCentre,
+    /// The engines that may not run it.
+    pub(crate) excluded: &'a [Upstream],
+}
+
+/// Chooses an engine for a generation.
 pub(crate) fn place(
     dispatch: &Dispatch,
-    service: &Service,
-    spec: &EngineSpec,
-    need_tokens: u64,
+    need: &PlacementNeed<'_>,
     options: &PlacementOptions,
-    near: &DataCentre,
-    excluded: &[Upstream],
 ) -> Option<Placement> {
+    let PlacementNeed { service, spec, tokens: need_tokens, near, .. } = *need;
     dispatch.apply_peer_updates();
     let upstreams = dispatch.directory.load();
-    let mut candidates: Vec<_> = upstreams
-        .of_service(service)
-        .iter()
-        .filter(|engine| !engine.is_leaving() && !excluded.contains(&engine.record.name))
-        .collect();
+    let is_eligible = |engine: &&Arc<UpstreamState>| {
+        !engine.is_leaving()
+            && !need.excluded.contains(&engine.record.name)
+            && need.version.allows(engine.record.version.as_ref())
+    };
+    let mut candidates: Vec<_> = upstreams.of_service(service).iter().filter(is_eligible).collect();
     retain_within_limits(dispatch, &mut candidates);
     let now_ms = dispatch.clock.now_ms();
     let views: Vec<_> = candidates
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -6,6 +6,7 @@
 use comfreymast_base::Service;
 use comfreymast_decide::answer_end::{AnswerEnd, BreakReason};
 use comfreymast_decide::evacuation::RunView;
+use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
 use comfreymast_net::{BodyError, BodyFraming, OwnedConnection, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
@@ -39,6 +40,8 @@
     pub(super) started_unix_ms: u64,
     pub(super) chunks: Sender<Chunk>,
     pub(super) last_event: Option<u64>,
+    /// The software versions at which the stream may go on.
+    pub(super) version: VersionNeed,
     pub(super) events: u64,
     pub(super) may_move: bool,
     /// Upstreams that ran or may have run the request, over all of this attempt of its caller.
@@ -95,6 +98,7 @@
             started_unix_ms: dispatch.clock.unix_ms(),
             chunks,
             last_event: call.head.last_event,
+            version: VersionNeed::Any,
             events: 0,
             // A resumable stream needs no move: it is short, or is resumed after its last event.
             may_move: spec.can_move && call.route.retry_policy == RetryPolicy::Once,
@@ -272,6 +276,9 @@
         if is_repeated {
             return Ok(());
         }
+        if self.version == VersionNeed::Any {
+            self.version = VersionNeed::Only(self.upstream.record.version.clone());
+        }
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let now_ms = self.dispatch.clock.now_ms();
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -4,13 +4,14 @@
 use async_channel::bounded;
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::placement::PlacementOptions;
+use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
 use comfreymast_net::{Body, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 
-use super::placement::{Placement, place};
+use super::placement::{Placement, PlacementNeed, place};
 use super::relay::{Relay, Source};
 use super::relay_body::RelayBody;
 use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
@@ -196,16 +197,15 @@
             PlacementOptions::default()
         };
         loop {
-            let near = &self.dispatch.settings.load().data_centre;
-            let found = place(
-                self.dispatch,
-                self.service,
-                self.spec,
-                need_tokens,
-                &options,
-                near,
-                &self.tried,
-            );
+            let need = PlacementNeed {
+                service: self.service,
+                spec: self.spec,
+                version: &VersionNeed::Any,
+                tokens: need_tokens,
+                near: &self.dispatch.settings.load().data_centre,
+                excluded: &self.tried,
+            };
+            let found = place(self.dispatch, &need, &options);
             if let Some(placed) = found {
                 self.room_ms = self.call.age_ms(&self.dispatch.clock);
                 self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -19,6 +19,7 @@
     sleep_ms, within,
 };
 use comfreymast_platform::{KeyedRecord, VmSettings};
+use http_body_util::BodyExt;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde_json::Value;
 use tempfile::TempDir;
@@ -101,18 +102,29 @@
 
     /// Writes the entry of an upstream to the store.
     pub(crate) fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
-        self.announce_at(&upstream.name, upstream.addr, service, state);
+        let version = upstream.behaviour().version;
+        self.write_entry((&upstream.name, upstream.addr), service, state, &version);
     }
 
     /// Writes the entry of an upstream at `addr` to the store.
     pub(crate) fn announce_at(&self, name: &str, addr: SocketAddr, service: &str, state: &str) {
+        self.write_entry((name, addr), service, state, "v1");
+    }
+
+    fn write_entry(
+        &self,
+        (name, addr): (&str, SocketAddr),
+        service: &str,
+        state: &str,
+        version: &str,
+    ) {
         let entry = UpstreamEntry {
             addr,
             service,
             data_centre: "z1",
             slots: SLOTS,
             state,
-            version: "v1",
+            version,
             started_unix_ms: STARTED_UNIX_MS,
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
@@ -325,3 +337,15 @@
     }
     .document()
 }
+
+/// The bytes of an answer that arrive, whether it is whole or not.
+pub(crate) async fn read_what_arrives(response: Response<ReceivedBody>) -> Vec<u8> {
+    let mut body = response.into_body();
+    let mut bytes = Vec::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    bytes
+}
