A stream is taken up only at the version that began it

Cause: Resumes was not read, and no daemon but the one that began a stream knew its version, so a try was placed like a new stream.

Change: before a caller gets the first event of a resumable stream, its daemon tells eight others, chosen by rendezvous hashing of organisation and attempt, at which version it began; in a small fleet these are all. Who does not know it asks them, for a quarter of a second at most. If nobody knows, the stream goes on only if the service has had a single version for as long as a stream may last; else it is refused with 503 at once, with a time to come back only if some daemon did not reply. So is one of a version that has no upstream left.

Ways weighed: the store for each stream (at 11,000 requests a second more writes than it takes), all daemons of a large fleet (bytes), asking all on demand only (the one that knows is often the one that was killed).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,8 @@
 //! * [`evacuation`] — how a running generation leaves an engine that is shutting down.
 //! * [`move_steps`] — the next request to that engine after each of its answers.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
+//! * [`stream_origins`] — which software version began a stream.
+//! * [`version_history`] — the software versions that a service had.
 //! * [`suspension`] — whether the VM was suspended.
 //! * [`upstream_choice`] — which upstream of a plain service gets a request.
 //! * [`upstream_limit`] — how many requests an upstream gets that names a limit for all daemons.
@@ -51,7 +53,9 @@
 pub mod routing;
 mod sliding_count;
 pub mod software_version;
+pub mod stream_origins;
 pub mod suspension;
 pub mod upstream_choice;
 pub mod upstream_end;
 pub mod upstream_limit;
+pub mod version_history;
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -70,6 +70,9 @@
     /// The request crashes upstreams.
     #[display("crashes upstreams")]
     Quarantined,
+    /// The stream was begun at a software version that is not known, or of which no upstream is left.
+    #[display("version of the stream")]
+    Version,
     /// The call timed out before it could be sent.
     #[display("time is up")]
     TimedOut,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,7 +2,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
-use comfreymast_base::{Clock, Service, Upstream};
+use comfreymast_base::{Clock, Service, SoftwareVersion, Upstream};
+use comfreymast_decide::version_history::VersionHistory;
 use comfreymast_fleet::UpstreamRecord;
 
 use crate::upstream_state::UpstreamState;
@@ -42,13 +43,14 @@
 pub(crate) struct Directory {
     clock: Clock,
     upstreams: ArcSwap<Upstreams>,
-    write_lock: Mutex<()>,
+    /// The software versions that services had. Locked for each change.
+    histories: Mutex<HashMap<Service, VersionHistory>>,
 }
 
 impl Directory {
     /// A directory without upstreams.
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, upstreams: ArcSwap::default(), write_lock: Mutex::new(()) }
+        Self { clock, upstreams: ArcSwap::default(), histories: Mutex::default() }
     }
 
     /// The current upstreams.
@@ -94,14 +96,43 @@
         });
     }
 
+    /// The only software version that a service has had in the last `span_ms`, upstreams that state none
+    /// counting as one. `None` if there were several, or if this daemon has not run for so long.
+    pub(crate) fn only_version(
+        &self,
+        service: &Service,
+        span_ms: u64,
+    ) -> Option<Option<SoftwareVersion>> {
+        let now_ms = self.clock.now_ms();
+        let since_ms = now_ms.checked_sub(span_ms)?;
+        let mut histories = self.histories.lock().unwrap_or_else(PoisonError::into_inner);
+        record_versions(&mut histories, &self.upstreams.load(), now_ms);
+        histories.get(service)?.only_version(since_ms).cloned()
+    }
+
     fn update(&self, change: impl FnOnce(&mut HashMap<Upstream, Arc<UpstreamState>>, u64)) {
-        let _guard = self.write_lock.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut by_name = self.upstreams.load().by_name.clone();
-        change(&mut by_name, self.clock.now_ms());
+        let mut histories = self.histories.lock().unwrap_or_else(PoisonError::into_inner);
+        let now_ms = self.clock.now_ms();
+        let known = self.upstreams.load();
+        // What is about to go has been there until now.
+        record_versions(&mut histories, &known, now_ms);
+        let mut by_name = known.by_name.clone();
+        change(&mut by_name, now_ms);
         self.upstreams.store(Arc::new(Upstreams::new(by_name)));
     }
 }
 
+fn record_versions(
+    histories: &mut HashMap<Service, VersionHistory>,
+    upstreams: &Upstreams,
+    now_ms: u64,
+) {
+    for (service, states) in &upstreams.by_service {
+        let versions = states.iter().map(|state| state.record.version.clone());
+        histories.entry(service.clone()).or_default().record(versions, now_ms);
+    }
+}
+
 /// True when both records describe the same start of an upstream at the same address. An upstream may
 /// start again under its name with another software version.
 fn is_same_start(known: &UpstreamRecord, record: &UpstreamRecord) -> bool {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -19,6 +19,7 @@
 use crate::outbox::Outbox;
 use crate::peers::Peers;
 use crate::quarantine::QuarantineState;
+use crate::stream_origin::OriginState;
 
 /// The share of the retry budget that is used; the rest covers delayed updates of other daemons.
 const USED_SHARE: f64 = 0.75;
@@ -50,6 +51,8 @@
     pub(crate) outbox: Outbox,
     /// The requests that are suspected of crashing upstreams.
     pub(crate) quarantine: QuarantineState,
+    /// Which software versions began streams.
+    pub(crate) origins: OriginState,
     /// Notified when the store has come back from an older copy.
     store_return: Event,
     /// Notified when the next heartbeat to peers is to be sent early.
@@ -78,6 +81,7 @@
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
             outbox: Outbox::new(spawner.clone()),
             quarantine: QuarantineState::new(),
+            origins: OriginState::default(),
             spawner,
             clock,
             options,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,9 +14,10 @@
 use crate::fleet_sum::generation_use;
 use crate::followed_topic::FollowedTopic;
 use crate::lag_monitor::LagMonitor;
-use crate::outbox::Origin;
+use crate::outbox::{Destination, Origin};
 use crate::quarantine;
 use crate::roster::Links;
+use crate::stream_origin;
 use crate::topic_positions::TopicPositions;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
@@ -87,6 +88,15 @@
             Some(news::Body::Exoneration(exoneration)) => {
                 quarantine::handle_exoneration(&self.dispatch, exoneration)
             }
+            Some(news::Body::StreamOrigin(origin)) => {
+                stream_origin::handle_origin(&self.dispatch, &origin)
+            }
+            Some(news::Body::OriginQuery(query)) => {
+                stream_origin::handle_query(&self.dispatch, addr, &query)
+            }
+            Some(news::Body::OriginReply(reply)) => {
+                stream_origin::handle_reply(&self.dispatch, &reply)
+            }
             None => {}
         }
     }
@@ -155,7 +165,14 @@
 
     /// Sends the messages of the outbox for as long as the daemon runs.
     pub(crate) async fn push_messages(self: Arc<Self>) {
-        while let Some((body, origin)) = self.dispatch.outbox.next().await {
+        while let Some((body, destination)) = self.dispatch.outbox.next().await {
+            let origin = match destination {
+                Destination::Peer(addr) => {
+                    self.send(body, &[addr]).await;
+                    continue;
+                }
+                Destination::Links(origin) => origin,
+            };
             let links = self.dispatch.peers.links();
             // In a full mesh, the daemon that a message comes from has sent it to all others.
             let is_known_here = origin == Origin::OwnDataCentre;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -21,6 +21,7 @@
 use crate::dispatch::Dispatch;
 use crate::quarantine::{LastProgress, record_begun_answer, record_success, report_if_ended};
 use crate::send::{Outstanding, Sent};
+use crate::stream_origin::record_origin;
 use crate::upstream_state::UpstreamState;
 
 /// How long the upstream of a finished stream without framing is watched. Its caller has all events
@@ -276,8 +277,8 @@
         if is_repeated {
             return Ok(());
         }
-        if self.version == VersionNeed::Any {
-            self.version = VersionNeed::Only(self.upstream.record.version.clone());
+        if self.events == 0 {
+            self.record_version();
         }
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
@@ -293,6 +294,15 @@
         Ok(())
     }
 
+    /// Ties the stream to the version of its first event, before its caller gets that.
+    fn record_version(&mut self) {
+        let version = self.upstream.record.version.clone();
+        if self.call.route.retry_policy == RetryPolicy::Resumable {
+            record_origin(&self.dispatch, &self.call, version.clone());
+        }
+        self.version = VersionNeed::Only(version);
+    }
+
     async fn send(&self, bytes: Bytes) -> Result<(), Interruption> {
         self.chunks.send(Ok(bytes)).await.map_err(|_| Interruption::CallerDisconnected)
     }
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -21,6 +21,7 @@
 use crate::dispatch::Dispatch;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::stream_origin::needed_version;
 use crate::upstream_state::UpstreamState;
 
 /// The most chunks of a stream that are buffered for a slow reader.
@@ -45,10 +46,12 @@
 ) -> Result<Response<Body>, CallError> {
     let spec = engine_spec(dispatch, service);
     let shape = call.head.prompt.clone().unwrap_or_default();
+    let version = needed_version(dispatch, call, service).await?;
     let mut start = StreamStart {
         dispatch,
         call,
         service,
+        version: &version,
         spec: &spec,
         shape: &shape,
         tried: Vec::new(),
@@ -72,6 +75,7 @@
     let mut relay =
         Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
     relay.runs += earlier_runs;
+    relay.version = version;
     let events = EventStream::new(body);
     let source = Source { events, connection, answer, _outstanding: outstanding };
     let task = dispatch.spawner.spawn(relay.run(source));
@@ -113,6 +117,7 @@
     service: &'a Service,
     spec: &'a EngineSpec,
     shape: &'a PromptShape,
+    version: &'a VersionNeed,
     tried: Vec<Upstream>,
     /// Failed sends that reached an upstream.
     sends: u32,
@@ -200,7 +205,7 @@
             let need = PlacementNeed {
                 service: self.service,
                 spec: self.spec,
-                version: &VersionNeed::Any,
+                version: self.version,
                 tokens: need_tokens,
                 near: &self.dispatch.settings.load().data_centre,
                 excluded: &self.tried,
@@ -211,6 +216,10 @@
                 self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
                 return Ok(placed);
             }
+            if !self.has_upstream_of_version() {
+                // None of another version will do, however long it waits.
+                return Err(self.refused(Refusal::Version, None));
+            }
             if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
                 return Err(self.refusal(Refusal::Full, FULL_RETRY_MS));
             }
@@ -218,6 +227,15 @@
         }
     }
 
+    /// True unless the stream needs a version of which no upstream takes requests.
+    fn has_upstream_of_version(&self) -> bool {
+        let upstreams = self.dispatch.directory.load();
+        *self.version == VersionNeed::Any
+            || upstreams.of_service(self.service).iter().any(|upstream| {
+                !upstream.is_leaving() && self.version.allows(upstream.record.version.as_ref())
+            })
+    }
+
     /// Allows another send after a failed one, or returns the error for the caller.
     fn check_resend(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod send;
 mod server;
 mod settings_watch;
+mod stream_origin;
 mod suspension_watch;
 mod topic_handlers;
 mod topic_positions;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -59,6 +59,8 @@
     pub(crate) broken_answers: Family<BreakLabels, Counter>,
     /// Requests during which their upstream ended.
     pub(crate) upstream_ends: Counter,
+    /// Streams that were not taken up, as the version that began them is not known.
+    pub(crate) unknown_origins: Counter,
     /// Sends that were withheld, as their request may crash upstreams.
     pub(crate) quarantine_refusals: Counter,
     /// Times that an upstream was passed over, as its named limit was used up.
@@ -114,6 +116,12 @@
             "Sends withheld, as their request may crash upstreams",
             quarantine_refusals.clone(),
         );
+        let unknown_origins = Counter::default();
+        registry.register(
+            "gateway_unknown_origins",
+            "Streams that were not taken up, as the software version that began them is not known",
+            unknown_origins.clone(),
+        );
         let limit_skips = Counter::default();
         registry.register(
             "gateway_limit_skips",
@@ -145,6 +153,7 @@
             broken_answers,
             upstream_ends,
             quarantine_refusals,
+            unknown_origins,
             limit_skips,
             store_returns,
             store_era,
--- a/crates/gateway/src/outbox.rs
+++ b/crates/gateway/src/outbox.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use async_channel::{Receiver, Sender};
 use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_wire::news::news;
@@ -31,13 +33,22 @@
     }
 }
 
+/// Whom a message is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Destination {
+    /// Those links whose daemons may not know what came from there.
+    Links(Origin),
+    /// One daemon.
+    Peer(SocketAddr),
+}
+
 /// Messages that are sent to peers at once instead of with the next heartbeat.
 #[derive(Clone, Debug)]
 pub(crate) struct Outbox {
     spawner: Spawner,
     // Boxed, since a bounded channel allocates all its slots at once.
-    sender: Sender<Box<(news::Body, Origin)>>,
-    queued: Receiver<Box<(news::Body, Origin)>>,
+    sender: Sender<Box<(news::Body, Destination)>>,
+    queued: Receiver<Box<(news::Body, Destination)>>,
 }
 
 impl Outbox {
@@ -64,13 +75,22 @@
 
     /// Sends a message once, to the peers that may not know it yet.
     pub(crate) fn pass_on(&self, body: news::Body, origin: Origin) {
-        if self.sender.try_send(Box::new((body, origin))).is_err() {
+        self.push(body, Destination::Links(origin));
+    }
+
+    /// Sends a message once to one daemon.
+    pub(crate) fn send_to(&self, addr: SocketAddr, body: news::Body) {
+        self.push(body, Destination::Peer(addr));
+    }
+
+    fn push(&self, body: news::Body, destination: Destination) {
+        if self.sender.try_send(Box::new((body, destination))).is_err() {
             log::warn!(target: "comfreymast", code = 1507; "message to peers dropped");
         }
     }
 
     /// The next message to send. Messages are never all sent, so this does not end.
-    pub(crate) async fn next(&self) -> Option<(news::Body, Origin)> {
+    pub(crate) async fn next(&self) -> Option<(news::Body, Destination)> {
         self.queued.recv().await.ok().map(|message| *message)
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 
 use comfreymast_base::{Clock, StorePosition};
 use comfreymast_decide::links::Member;
+use comfreymast_decide::stream_origins::OriginKey;
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
 use crate::departed_traffic::DepartedTraffic;
@@ -90,6 +91,11 @@
         self.table().roster.sample(round, count)
     }
 
+    /// Where the record of a stream is kept, besides here: `count` other daemons.
+    pub(crate) fn holders(&self, key: &OriginKey, count: usize) -> Vec<SocketAddr> {
+        self.table().roster.holders(key, count)
+    }
+
     /// Where this daemon sends its heartbeats and summaries.
     pub(crate) fn links(&self) -> Links {
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,6 +3,7 @@
 
 use comfreymast_base::{DaemonName, DataCentre};
 use comfreymast_decide::links::{LinkOptions, Member, links};
+use comfreymast_decide::stream_origins::{OriginKey, holders};
 use comfreymast_wire::news;
 
 /// How long a member or seed is kept after it was last reported.
@@ -64,6 +65,13 @@
         members.map(|(name, entry)| to_message(name, entry)).collect()
     }
 
+    /// The addresses of the `count` members that keep the record of a stream.
+    pub(crate) fn holders(&self, key: &OriginKey, count: usize) -> Vec<SocketAddr> {
+        let names = self.members.keys().map(DaemonName::as_str);
+        let chosen = holders(key, names, count).into_iter();
+        chosen.filter_map(|name| Some(self.members.get(&DaemonName::from(name))?.addr)).collect()
+    }
+
     /// Where the daemon `me` sends its heartbeats and summaries.
     pub(crate) fn links(&self, me: &Member) -> Links {
         let mut members = vec![me.clone()];
--- /dev/null
+++ b/crates/gateway/src/stream_origin/mod.rs
@@ -0,0 +1,15 @@
+//! Which software version began a stream that its caller takes up again.
+//!
+//! * [`record_origin`] — remembers it here and tells a few daemons, before the caller gets an event.
+//! * [`needed_version`] — the versions at which a request may run, asking those daemons if need be.
+//! * [`handle_origin`], [`handle_query`], [`handle_reply`] — messages of peers about it.
+//! * [`OriginState`] — what this daemon knows.
+
+mod lookup;
+mod messages;
+mod need;
+mod state;
+
+pub(crate) use messages::{handle_origin, handle_query, handle_reply, record_origin};
+pub(crate) use need::needed_version;
+pub(crate) use state::OriginState;
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -2,10 +2,13 @@
 
 mod support;
 
-use comfreymast_fakes::platform_documents::event_versions;
+use std::collections::BTreeSet;
+
+use comfreymast_fakes::platform_documents::{CallerRequest, event_versions};
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
-use comfreymast_net::{Spawner, collect};
-use hyper::StatusCode;
+use comfreymast_gateway::GatewayOptions;
+use comfreymast_net::{Body, Spawner, collect};
+use hyper::{Request, StatusCode};
 use support::{Gateway, TestEnv, event_ids, generation, run_test, wait_for};
 
 const EVENTS: u64 = 20;
@@ -40,6 +43,14 @@
         gateway.wait_ready(&self.env.spawner).await;
         gateway
     }
+
+    /// A daemon that starts now and knows `first`.
+    async fn gateway_after(&self, name: &str, first: &Gateway) -> Gateway {
+        let options = GatewayOptions::default();
+        let gateway = self.env.gateway_at(name, self.env.store_addr, options, &[first]).await;
+        gateway.wait_ready(&self.env.spawner).await;
+        gateway
+    }
 }
 
 /// What arrived of a stream, whole or not.
@@ -103,3 +114,105 @@
         }
     });
 }
+
+/// A request that takes up the stream of `attempt` after its third event.
+fn take_up(id: &str, attempt: &str) -> Request<Body> {
+    let request = CallerRequest {
+        id,
+        tokens: Some((100, 80)),
+        resumes: Some((attempt, 3)),
+        ..CallerRequest::default()
+    };
+    request.request("POST", "/caption/x", "body")
+}
+
+/// Begins streams at a daemon and leaves them. Returns the attempts with the versions that began them.
+async fn begin_streams(spawner: &Spawner, gateway: &Gateway) -> Vec<(String, String)> {
+    let mut begun = Vec::new();
+    for number in 0..8 {
+        let id = format!("begun-{number}");
+        let body = read(spawner, gateway, "/caption/x", &id).await;
+        begun.push((id, event_versions(&body).into_iter().next().expect("an event")));
+    }
+    begun
+}
+
+#[test]
+fn a_stream_is_taken_up_at_its_version_by_daemons_that_did_not_begin_it() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, &["v1", "v2", "v1", "v2"]).await;
+        let first = fleet.gateway("d0").await;
+        let begun = begin_streams(&spawner, &first).await;
+        let versions: BTreeSet<_> = begun.iter().map(|(_, version)| version.clone()).collect();
+        assert_eq!(versions.len(), 2, "streams of both versions");
+        // It starts after the streams, so it has to ask.
+        let second = fleet.gateway_after("d1", &first).await;
+        for (attempt, version) in &begun {
+            let id = format!("taken-{attempt}");
+            wait_for("a taken up stream", async || {
+                let (_connection, response) = second.open(&spawner, take_up(&id, attempt)).await;
+                let is_ok = response.status() == StatusCode::OK;
+                let body = support::read_what_arrives(response).await;
+                if is_ok {
+                    assert_eq!(event_versions(&body), BTreeSet::from([version.clone()]));
+                    assert_eq!(event_ids(&body), (4..=EVENTS).collect::<Vec<_>>());
+                }
+                is_ok
+            })
+            .await;
+        }
+    });
+}
+
+#[test]
+fn a_stream_whose_version_is_unknown_is_refused_and_runs_nowhere() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, &["v1", "v2"]).await;
+        let gateway = fleet.gateway("d0").await;
+        let answer = gateway.call(&spawner, take_up("id-1", "unknown")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(!answer.headers.contains_key("retry-after"), "coming back changes nothing");
+        let runs: usize = fleet.engines.iter().map(|engine| engine.runs().len()).sum();
+        assert_eq!(runs, 0);
+    });
+}
+
+#[test]
+fn a_stream_of_a_version_that_is_gone_is_refused_at_once() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, &["v1", "v2"]).await;
+        let gateway = fleet.gateway("d0").await;
+        let begun = begin_streams(&spawner, &gateway).await;
+        let (attempt, version) = &begun[0];
+        let gone = fleet.engines.iter().find(|engine| engine.behaviour().version == *version);
+        fleet.env.announce(gone.expect("an engine"), "engines", "draining");
+        wait_for("refusal", async || {
+            let answer = gateway.call(&spawner, take_up("id-1", attempt)).await;
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+                && !answer.headers.contains_key("retry-after")
+        })
+        .await;
+    });
+}
+
+#[test]
+fn a_stream_of_an_unknown_attempt_goes_on_if_its_service_had_only_one_version_all_the_while() {
+    const TIMEOUT_MS: u64 = 500;
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, &["v1", "v1"]).await;
+        fleet.env.publish(2, |configuration| {
+            for route in configuration["routes"].as_array_mut().expect("routes") {
+                route["timeoutMs"] = TIMEOUT_MS.into();
+            }
+        });
+        let gateway = fleet.gateway("d0").await;
+        // A daemon that has just started does not know which versions there were.
+        let answer = gateway.call(&spawner, take_up("id-0", "unknown")).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        wait_for("a taken up stream", async || {
+            let answer = gateway.call(&spawner, take_up("id-1", "unknown")).await;
+            answer.status == StatusCode::OK
+        })
+        .await;
+    });
+}
