Use a new upstream beside ones that answer within a millisecond

Traced: latencies are whole milliseconds, so their moving average falls to almost nothing, and the cost of a known upstream with it, while one of unknown latency keeps a cost of one. Ruled out: eras (the entry had arrived; its request was what was missing) and load (it fails alone).

Change: latencies below a millisecond count as one, as they do in the mean that they are compared with.

--- a/crates/decide/src/upstream_choice.rs
+++ b/crates/decide/src/upstream_choice.rs
@@ -35,7 +35,8 @@
 }
 
 fn cost(upstream: &UpstreamView, usual_ms: f64) -> f64 {
-    let slowness = if upstream.latency_ms > 0.0 { upstream.latency_ms / usual_ms } else { 1.0 };
+    let is_known = upstream.latency_ms > 0.0;
+    let slowness = if is_known { upstream.latency_ms.max(MIN_LATENCY_MS) / usual_ms } else { 1.0 };
     let queue = f64::from(upstream.outstanding + 1) * slowness;
     let far = if upstream.is_near { 0.0 } else { FAR_COST };
     let suspect = if upstream.is_suspect { SUSPECT_COST } else { 0.0 };
--- a/crates/decide/tests/upstream_choice.rs
+++ b/crates/decide/tests/upstream_choice.rs
@@ -33,3 +33,12 @@
     assert!(choose(&[suspect, suspect]).is_some());
     assert_eq!(choose(&[]), None);
 }
+
+/// Answers within less than a millisecond average to almost nothing.
+#[test]
+fn an_upstream_of_unknown_latency_is_used_beside_one_that_answers_at_once() {
+    let fast = UpstreamView { latency_ms: 0.001, ..upstream() };
+    let unknown = UpstreamView { latency_ms: 0.0, ..upstream() };
+    let noise = |index| if index == 0 { 0.1 } else { 0.0 };
+    assert_eq!(choose_upstream(&[fast, unknown], noise), Some(1));
+}
