An upstream whose answer says that it leaves gets nothing more

Only its entry in the store counted: with the entry ready all the while, one of four upstreams got 20 of 120 requests after its first answer had said so.

Change: any head of an answer, and of an engine's report, marks the upstream as leaving, like its entry does: nothing new is sent there, idle connections are closed, generations move away.

Its two tests failed before; now one request, and each generation is whole.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -29,6 +29,10 @@
 pub struct UpstreamBehaviour {
     /// Refuses requests with 503 and `x-not-executed`.
     pub refuses: bool,
+    /// The value of `retry-after` in its refusals.
+    pub retry_after: Option<String>,
+    /// Says in all its answers that it is leaving.
+    pub says_leaving: bool,
     /// Runs requests and aborts their connections without an answer.
     pub loses_answers: bool,
     /// Runs requests and never answers.
@@ -69,6 +73,8 @@
     fn default() -> Self {
         Self {
             refuses: false,
+            retry_after: None,
+            says_leaving: false,
             loses_answers: false,
             hangs: false,
             status: StatusCode::OK,
@@ -253,10 +259,11 @@
         let Ok(body) = collect(body, MAX_BODY_BYTES).await else {
             return answer_with(StatusCode::BAD_REQUEST, full(""));
         };
-        let named_limit = {
+        let (named_limit, says_leaving, retry_after) = {
             let mut state = self.state();
             state.arrivals_unix_ms.push(Clock::system().unix_ms());
-            state.behaviour.named_limit.clone()
+            let behaviour = &state.behaviour;
+            (behaviour.named_limit.clone(), behaviour.says_leaving, behaviour.retry_after.clone())
         };
         let mut response = match head.uri.path() {
             "/-/kv-move" => self.copy(&body),
@@ -266,6 +273,14 @@
         if let Some(limit) = named_limit {
             set(&mut response, "server-limit", &limit);
         }
+        if says_leaving {
+            set(&mut response, "server-leaving", "1");
+        }
+        if let Some(seconds) = retry_after
+            && response.status() == StatusCode::SERVICE_UNAVAILABLE
+        {
+            set(&mut response, "retry-after", &seconds);
+        }
         response
     }
 
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
-use comfreymast_platform::{EngineReport, decode_report, report_request};
+use comfreymast_platform::{EngineReport, decode_report, is_leaving, report_request};
 
 use crate::dispatch::Dispatch;
 use crate::followed_topic::FollowedTopic;
@@ -74,6 +74,9 @@
     };
     engine.limit.record_send(dispatch.clock.now_ms());
     let response = connection.send(report_request(addr)).await.ok()?;
+    if is_leaving(response.headers()) {
+        engine.record_leaving_answer(dispatch.clock.now_ms());
+    }
     let bytes = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
     let idle_ms = dispatch.options.idle_connection_ms;
     engine.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -146,6 +146,7 @@
         return Err(SendFailure::Lost("answer of another request"));
     }
     let (name, now_ms) = (&upstream.record.name, dispatch.clock.now_ms());
+    upstream.record_head(&answer, now_ms);
     upstream.limit.record_answer(name, answer.named_rate, started_ms, now_ms);
     if answer.is_not_run {
         return Err(SendFailure::NotRun("upstream refused"));
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -5,6 +5,7 @@
 use comfreymast_base::SoftwareVersion;
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::UpstreamRecord;
+use comfreymast_platform::ResponseHead;
 
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
@@ -147,6 +148,22 @@
         *self.others_generations.lock().unwrap_or_else(PoisonError::into_inner) = generations;
     }
 
+    /// Records what the head of an answer says of the upstream itself.
+    pub(crate) fn record_head(&self, answer: &ResponseHead, now_ms: u64) {
+        if answer.is_leaving {
+            self.record_leaving_answer(now_ms);
+        }
+    }
+
+    /// Marks the upstream as leaving, as one of its answers says, whatever its entry says.
+    pub(crate) fn record_leaving_answer(&self, now_ms: u64) {
+        if self.mark_leaving(now_ms) {
+            self.pool.clear();
+            log::info!(target: "comfreymast", code = 1302, upstream = self.record.name.as_str(),
+                reason = "answer"; "upstream is leaving");
+        }
+    }
+
     /// When this start of the upstream became known.
     pub(crate) fn first_seen_ms(&self) -> u64 {
         self.first_seen_ms
--- /dev/null
+++ b/crates/gateway/tests/upstream_headers.rs
@@ -0,0 +1,94 @@
+//! Tests that upstreams which say by header that they leave are left alone.
+
+mod support;
+
+use comfreymast_fakes::platform_upstream::{PlatformUpstream, UpstreamBehaviour};
+use comfreymast_net::Spawner;
+use hyper::StatusCode;
+use support::{Gateway, TestEnv, call, event_ids, generation, run_test};
+
+const CALLS: usize = 120;
+
+/// Upstreams of both services, and a daemon.
+struct Fleet {
+    _env: TestEnv,
+    plain: Vec<PlatformUpstream>,
+    engines: Vec<PlatformUpstream>,
+    gateway: Gateway,
+}
+
+impl Fleet {
+    async fn new(spawner: &Spawner, count: usize) -> Self {
+        let env = TestEnv::new(spawner).await;
+        env.publish(1, |_| ());
+        let (mut plain, mut engines) = (Vec::new(), Vec::new());
+        for number in 0..count {
+            plain.push(env.upstream(&format!("u{number}"), "plain").await);
+            engines.push(env.upstream(&format!("e{number}"), "engines").await);
+        }
+        let gateway = env.gateway("d0").await;
+        gateway.wait_ready(spawner).await;
+        Self { _env: env, plain, engines, gateway }
+    }
+
+    /// Sends plain requests and streams in turn; returns those that were not served.
+    async fn call_all(&self, spawner: &Spawner) -> Vec<StatusCode> {
+        let mut unserved = Vec::new();
+        for number in 0..CALLS {
+            let id = format!("id-{number}");
+            let answer = if number.is_multiple_of(2) {
+                self.gateway.call(spawner, call("POST", "/safe/x", &id)).await
+            } else {
+                self.gateway.call(spawner, generation("/caption/x", &id)).await
+            };
+            if answer.status != StatusCode::OK {
+                unserved.push(answer.status);
+            }
+        }
+        unserved
+    }
+
+    fn change_first(&self, change: impl Fn(&mut UpstreamBehaviour)) {
+        self.plain[0].update_behaviour(&change);
+        self.engines[0].update_behaviour(&change);
+    }
+
+    fn assert_left_alone(&self, tolerated: usize) {
+        for first in [&self.plain[0], &self.engines[0]] {
+            let arrivals = first.arrivals_unix_ms().len();
+            assert!((1..=tolerated).contains(&arrivals), "{}: {arrivals} requests", first.name);
+        }
+    }
+}
+
+#[test]
+fn an_upstream_whose_answer_says_that_it_leaves_gets_nothing_more() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 4).await;
+        fleet.change_first(|behaviour| behaviour.says_leaving = true);
+        assert!(fleet.call_all(&spawner).await.is_empty());
+        // Its entry says that it is ready all the while.
+        fleet.assert_left_alone(1);
+    });
+}
+
+#[test]
+fn a_generation_moves_off_an_engine_whose_answer_says_that_it_leaves() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 1).await;
+        let _other = fleet._env.upstream("e1", "engines").await;
+        fleet.engines[0].update_behaviour(|behaviour| {
+            behaviour.says_leaving = true;
+            behaviour.event_ms = 20;
+        });
+        let mut moves = 0;
+        for number in 0..4 {
+            let id = format!("id-{number}");
+            let answer = fleet.gateway.call(&spawner, generation("/report/x", &id)).await;
+            assert_eq!(event_ids(&answer.body), (1..=20).collect::<Vec<_>>());
+            moves += usize::from(answer.headers["x-server-signature"] == "signed-by-e0");
+        }
+        assert_eq!(moves, 1, "one stream began there");
+        assert_eq!(_other.runs().len(), 4, "that one went on elsewhere");
+    });
+}
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -39,6 +39,8 @@
     pub keep_alive_s: Option<u64>,
     /// The limit on requests from all daemons that the upstream names, if it does.
     pub named_rate: NamedRate,
+    /// True when the upstream says that it is leaving.
+    pub is_leaving: bool,
     /// True when the upstream closes the connection after this response.
     pub closes_connection: bool,
 }
@@ -57,6 +59,7 @@
             is_encoded: headers.contains_key(CONTENT_ENCODING),
             keep_alive_s: keep_alive_s(headers),
             named_rate: NamedRate::decode(headers),
+            is_leaving: is_leaving(headers),
             closes_connection: headers.get_all(CONNECTION).iter().any(|value| {
                 value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
             }),
@@ -74,6 +77,12 @@
     }
 }
 
+/// True if the headers of any answer say that its upstream is leaving.
+#[must_use]
+pub fn is_leaving(headers: &HeaderMap) -> bool {
+    headers.get(names::SERVER_LEAVING).is_some_and(|value| value.as_bytes().trim_ascii() != b"0")
+}
+
 fn keep_alive_s(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
     let mut fields = value.split(',').filter_map(|field| field.trim().split_once('='));
