Send nothing to an upstream that says when to come back until then

The header was not read: one of four upstreams that refuse with 30 s got a request of each daemon again and again, its retries used up the fleet's budget, and callers got 503 although three others were idle.

Change: the time is kept for this start of the upstream. If all upstreams of a service pause, callers are refused at once with the time until the first takes requests again; a stream waits if that is within the time that it may wait. A fraction, 0 and a huge number are taken (an hour at most), a date, a negative or an unreadable value is logged once. A shorter pause does not end a longer.

--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -58,6 +58,9 @@
     /// The upstreams take no more requests now, by the limits that they name.
     #[display("limits of upstreams")]
     Limited,
+    /// The upstreams turned requests away and said when to come back.
+    #[display("upstreams pause")]
+    Paused,
     /// No engine has room.
     #[display("engines full")]
     Full,
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -46,8 +46,9 @@
             && need.version.allows(engine.record.version.as_ref())
     };
     let mut candidates: Vec<_> = upstreams.of_service(service).iter().filter(is_eligible).collect();
-    retain_within_limits(dispatch, &mut candidates);
     let now_ms = dispatch.clock.now_ms();
+    candidates.retain(|engine| engine.pause_left_ms(now_ms) == 0);
+    retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> = candidates
         .iter()
         .map(|engine| {
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -19,6 +19,7 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::pause::shortest_pause_ms;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::stream_origin::needed_version;
@@ -216,10 +217,17 @@
                 self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
                 return Ok(placed);
             }
-            if !self.has_upstream_of_version() {
+            if *self.version != VersionNeed::Any && self.usable_upstreams().is_empty() {
                 // None of another version will do, however long it waits.
                 return Err(self.refused(Refusal::Version, None));
             }
+            let now_ms = self.dispatch.clock.now_ms();
+            let pause_ms = shortest_pause_ms(self.usable_upstreams().iter(), now_ms);
+            if let Some(pause_ms) =
+                pause_ms.filter(|ms| self.call.age_ms(&self.dispatch.clock) + ms >= wait_ms)
+            {
+                return Err(self.refusal(Refusal::Paused, pause_ms));
+            }
             if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
                 return Err(self.refusal(Refusal::Full, FULL_RETRY_MS));
             }
@@ -227,13 +235,14 @@
         }
     }
 
-    /// True unless the stream needs a version of which no upstream takes requests.
-    fn has_upstream_of_version(&self) -> bool {
+    /// The upstreams that may run the stream once they have room.
+    fn usable_upstreams(&self) -> Vec<Arc<UpstreamState>> {
         let upstreams = self.dispatch.directory.load();
-        *self.version == VersionNeed::Any
-            || upstreams.of_service(self.service).iter().any(|upstream| {
-                !upstream.is_leaving() && self.version.allows(upstream.record.version.as_ref())
-            })
+        let of_service = upstreams.of_service(self.service).iter();
+        let usable = of_service.filter(|upstream| {
+            !upstream.is_leaving() && self.version.allows(upstream.record.version.as_ref())
+        });
+        usable.cloned().collect()
     }
 
     /// Allows another send after a failed one, or returns the error for the caller.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod named_limit;
 mod options;
 mod outbox;
+mod pause;
 mod peers;
 mod plain;
 mod pool;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -11,6 +11,7 @@
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
 use crate::named_limit::{retain_within_limits, usual_wait_ms};
+use crate::pause::shortest_pause_ms;
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, send};
 use crate::upstream_state::UpstreamState;
@@ -38,6 +39,10 @@
                 let wait_ms = usual_wait_ms(dispatch.directory.load().of_service(service));
                 return give_up(failed, runs, Refusal::Limited, wait_ms);
             }
+            Err(Refusal::Paused) => {
+                let wait_ms = pause_ms(dispatch, service);
+                return give_up(failed, runs, Refusal::Paused, wait_ms);
+            }
             Err(reason) => return give_up(failed, runs, reason, None),
         };
         if call.remaining_ms(&dispatch.clock) == 0 {
@@ -145,6 +150,13 @@
     if may_retry_send { left_ms / 2 } else { left_ms }
 }
 
+/// The time until an upstream of `service` takes requests again, if they all want none now.
+fn pause_ms(dispatch: &Dispatch, service: &Service) -> Option<u64> {
+    let upstreams = dispatch.directory.load();
+    let live = upstreams.of_service(service).iter().filter(|upstream| !upstream.is_leaving());
+    shortest_pause_ms(live, dispatch.clock.now_ms())
+}
+
 /// Chooses the upstream for the next attempt, none of those already `tried`.
 fn choose(
     dispatch: &Dispatch,
@@ -161,6 +173,10 @@
     if candidates.is_empty() {
         return Err(Refusal::NoUpstream);
     }
+    candidates.retain(|upstream| upstream.pause_left_ms(now_ms) == 0);
+    if candidates.is_empty() {
+        return Err(Refusal::Paused);
+    }
     retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> =
         candidates.iter().map(|upstream| view(dispatch, upstream, now_ms)).collect();
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -5,7 +5,7 @@
 use comfreymast_base::SoftwareVersion;
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_fleet::UpstreamRecord;
-use comfreymast_platform::ResponseHead;
+use comfreymast_platform::{Pause, ResponseHead};
 
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
@@ -42,6 +42,9 @@
     /// True once a later start of the upstream has registered.
     has_restarted: AtomicBool,
     first_seen_ms: u64,
+    /// Until when it wants no requests from this daemon.
+    paused_until_ms: AtomicU64,
+    has_named_invalid_pause: AtomicBool,
     /// The limit that it names for all daemons together.
     pub(crate) limit: NamedLimit,
     outcomes: Mutex<Outcomes>,
@@ -76,6 +79,8 @@
             leaving_since_ms: AtomicU64::new(0),
             has_restarted: AtomicBool::new(false),
             first_seen_ms: now_ms,
+            paused_until_ms: AtomicU64::new(0),
+            has_named_invalid_pause: AtomicBool::new(false),
             limit: NamedLimit::default(),
             outcomes: Mutex::default(),
         }
@@ -153,6 +158,17 @@
         if answer.is_leaving {
             self.record_leaving_answer(now_ms);
         }
+        match answer.pause {
+            Pause::Absent => {}
+            Pause::Ms(pause_ms) => self.pause(pause_ms, now_ms),
+            Pause::Invalid => {
+                if !self.has_named_invalid_pause.swap(true, Ordering::AcqRel) {
+                    log::warn!(target: "comfreymast", code = 1313,
+                        upstream = self.record.name.as_str();
+                        "upstream named a pause that is no time");
+                }
+            }
+        }
     }
 
     /// Marks the upstream as leaving, as one of its answers says, whatever its entry says.
@@ -164,6 +180,21 @@
         }
     }
 
+    /// Sends nothing more for `pause_ms`. A shorter pause does not end a longer one.
+    fn pause(&self, pause_ms: u64, now_ms: u64) {
+        let until_ms = now_ms.saturating_add(pause_ms);
+        let before_ms = self.paused_until_ms.fetch_max(until_ms, Ordering::AcqRel);
+        if before_ms <= now_ms && pause_ms > 0 {
+            log::info!(target: "comfreymast", code = 1312, upstream = self.record.name.as_str(),
+                pause_ms; "upstream wants no requests for a while");
+        }
+    }
+
+    /// How much longer it wants no requests from this daemon; 0 if it takes them.
+    pub(crate) fn pause_left_ms(&self, now_ms: u64) -> u64 {
+        self.paused_until_ms.load(Ordering::Acquire).saturating_sub(now_ms)
+    }
+
     /// When this start of the upstream became known.
     pub(crate) fn first_seen_ms(&self) -> u64 {
         self.first_seen_ms
--- a/crates/gateway/tests/upstream_headers.rs
+++ b/crates/gateway/tests/upstream_headers.rs
@@ -1,12 +1,14 @@
-//! Tests that upstreams which say by header that they leave are left alone.
+//! Tests that upstreams which say by header that they leave, or when to come back, are left alone.
 
 mod support;
 
 use comfreymast_fakes::platform_upstream::{PlatformUpstream, UpstreamBehaviour};
-use comfreymast_net::Spawner;
+use comfreymast_net::{Spawner, sleep_ms};
 use hyper::StatusCode;
 use support::{Gateway, TestEnv, call, event_ids, generation, run_test};
 
+/// What may still be under way to an upstream when its answer arrives, by the platform's rule.
+const TOLERATED_ARRIVALS: usize = 2;
 const CALLS: usize = 120;
 
 /// Upstreams of both services, and a daemon.
@@ -92,3 +94,62 @@
         assert_eq!(_other.runs().len(), 4, "that one went on elsewhere");
     });
 }
+
+#[test]
+fn an_upstream_that_says_when_to_come_back_gets_nothing_until_then() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 4).await;
+        fleet.change_first(|behaviour| {
+            behaviour.refuses = true;
+            behaviour.retry_after = Some("30".to_owned());
+        });
+        let unserved = fleet.call_all(&spawner).await;
+        assert!(unserved.is_empty(), "other upstreams take requests: {unserved:?}");
+        fleet.assert_left_alone(TOLERATED_ARRIVALS);
+    });
+}
+
+#[test]
+fn a_pause_ends_at_its_time_and_callers_get_what_is_left_of_it() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 1).await;
+        let upstream = &fleet.plain[0];
+        upstream.update_behaviour(|behaviour| {
+            behaviour.refuses = true;
+            behaviour.retry_after = Some("0.6".to_owned());
+        });
+        let refused = fleet.gateway.call(&spawner, call("POST", "/safe/x", "id-0")).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        upstream.update_behaviour(|behaviour| behaviour.refuses = false);
+        // All upstreams of the service pause, so callers get the time that is left.
+        let refused = fleet.gateway.call(&spawner, call("POST", "/safe/x", "id-1")).await;
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after: f64 =
+            refused.headers["retry-after"].to_str().expect("text").parse().expect("seconds");
+        assert!((0.0..=0.6).contains(&retry_after), "{retry_after}");
+        assert_eq!(upstream.arrivals_unix_ms().len(), 1);
+        sleep_ms((retry_after * 1_000.0) as u64 + 20).await;
+        let served = fleet.gateway.call(&spawner, call("POST", "/safe/x", "id-2")).await;
+        assert_eq!(served.status, StatusCode::OK);
+    });
+}
+
+#[test]
+fn a_stream_is_refused_at_once_if_all_engines_pause_for_longer_than_it_may_wait() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 2).await;
+        for engine in &fleet.engines {
+            engine.update_behaviour(|behaviour| {
+                behaviour.refuses = true;
+                behaviour.retry_after = Some("20".to_owned());
+            });
+        }
+        for number in 0..10 {
+            let id = format!("id-{number}");
+            let refused = fleet.gateway.call(&spawner, generation("/caption/x", &id)).await;
+            assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let arrivals = fleet.engines.iter().map(|engine| engine.arrivals_unix_ms().len());
+        assert!(arrivals.max() <= Some(TOLERATED_ARRIVALS));
+    });
+}
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -1,4 +1,6 @@
-use hyper::header::{CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, TRANSFER_ENCODING};
+use hyper::header::{
+    CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, RETRY_AFTER, TRANSFER_ENCODING,
+};
 use hyper::http::response::Parts;
 use hyper::{StatusCode, Version};
 
@@ -23,6 +25,36 @@
     }
 }
 
+/// How long an upstream that turned a request away wants nothing more from this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pause {
+    /// It names no time, or did not turn the request away.
+    Absent,
+    /// It names something that is no number of seconds, such as a date.
+    Invalid,
+    /// This long.
+    Ms(u64),
+}
+
+/// The longest pause that is taken as it is.
+const MAX_PAUSE_MS: u64 = 3_600_000;
+
+impl Pause {
+    fn decode(status: StatusCode, headers: &HeaderMap) -> Self {
+        const MS_PER_S: f64 = 1_000.0;
+        let Some(value) =
+            headers.get(RETRY_AFTER).filter(|_| status == StatusCode::SERVICE_UNAVAILABLE)
+        else {
+            return Self::Absent;
+        };
+        let seconds = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+        let seconds = seconds.filter(|seconds| !seconds.is_nan() && *seconds >= 0.0);
+        seconds.map_or(Self::Invalid, |seconds| {
+            Self::Ms(((seconds * MS_PER_S) as u64).min(MAX_PAUSE_MS))
+        })
+    }
+}
+
 /// The decoded head of an upstream's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
@@ -41,6 +73,8 @@
     pub named_rate: NamedRate,
     /// True when the upstream says that it is leaving.
     pub is_leaving: bool,
+    /// How long the upstream wants nothing more from this daemon.
+    pub pause: Pause,
     /// True when the upstream closes the connection after this response.
     pub closes_connection: bool,
 }
@@ -60,6 +94,7 @@
             keep_alive_s: keep_alive_s(headers),
             named_rate: NamedRate::decode(headers),
             is_leaving: is_leaving(headers),
+            pause: Pause::decode(head.status, headers),
             closes_connection: headers.get_all(CONNECTION).iter().any(|value| {
                 value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
             }),
