Soaks beside each other do not run each other's requests

Change: names of upstreams carry a tag of their soak, so an upstream turns away what is meant for another.

--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -60,6 +60,8 @@
     version: AtomicU64,
     /// The number of the next entry of an upstream.
     sequence: AtomicU64,
+    /// Tells the upstreams of this soak from those of others.
+    tag: u32,
     /// The number of the next version that a release brings.
     next_version: AtomicU64,
 }
@@ -94,6 +96,7 @@
             all_upstreams: Mutex::default(),
             version: AtomicU64::new(0),
             sequence: AtomicU64::new(1),
+            tag: rand::random(),
             next_version: AtomicU64::new(options.versions as u64 + 1),
         });
         site.publish();
@@ -133,6 +136,13 @@
         self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// A name that no upstream has had, here or in another soak on this machine. Its daemons may still
+    /// send to a port that is given to this one, and an upstream runs what names it.
+    fn next_name(&self) -> String {
+        let number = self.all_upstreams().len();
+        format!("u-{:x}-{number}", self.tag)
+    }
+
     /// A version that no upstream has had.
     pub(crate) fn next_version(&self) -> String {
         format!("v{}", self.next_version.fetch_add(1, Ordering::AcqRel))
@@ -144,8 +154,7 @@
         service: &'static str,
         version: &str,
     ) -> Result<PlacedUpstream, ProofError> {
-        let number = self.all_upstreams().len();
-        let upstream = PlatformUpstream::start(&self.spawner, &format!("u-{number}")).await?;
+        let upstream = PlatformUpstream::start(&self.spawner, &self.next_name()).await?;
         upstream.update_behaviour(|behaviour| {
             behaviour.events = EVENTS;
             behaviour.event_ms = EVENT_MS;
@@ -167,8 +176,7 @@
         &self,
         ended: &PlacedUpstream,
     ) -> Result<PlacedUpstream, ProofError> {
-        let number = self.all_upstreams().len();
-        let upstream = PlatformUpstream::start(&self.spawner, &format!("u-{number}")).await?;
+        let upstream = PlatformUpstream::start(&self.spawner, &self.next_name()).await?;
         let behaviour = ended.upstream.behaviour();
         upstream.update_behaviour(|new| *new = behaviour);
         self.all_upstreams.lock().unwrap_or_else(PoisonError::into_inner).push(upstream.clone());
