Soak: pollers of equal requests beside culprits; known red

Plain stand-ins may take a while to answer, so that pollers' requests are under way when their upstream ends, as in the users' fleets.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -39,6 +39,8 @@
     pub hangs: bool,
     /// The status of its answers.
     pub status: StatusCode,
+    /// How long a plain request runs before its answer.
+    pub answer_ms: u64,
     /// Number of events of a generation.
     pub events: u64,
     /// Interval between two events.
@@ -78,6 +80,7 @@
             loses_answers: false,
             hangs: false,
             status: StatusCode::OK,
+            answer_ms: 0,
             events: 20,
             event_ms: 5,
             breaks_after: None,
@@ -324,6 +327,7 @@
             let crashing_part = crashing_part.map(str::to_owned);
             self.clone().stream(&id, after_event.unwrap_or(0), behaviour.clone(), crashing_part)
         } else {
+            sleep_ms(behaviour.answer_ms).await;
             full(format!("answer of {}", self.name))
         };
         let mut response = answer_with(behaviour.status, body);
--- a/crates/soak/src/crash/options.rs
+++ b/crates/soak/src/crash/options.rs
@@ -28,6 +28,8 @@
     pub kills_all_daemons: bool,
     /// Plain upstreams answer each request with a failure of their own.
     pub plain_fails: bool,
+    /// How long plain requests run that crash nothing.
+    pub answer_ms: u64,
     /// The store refuses all calls once the daemons serve.
     pub is_store_down: bool,
     /// The kind of each request that is sent again and again like culprits but crashes nothing.
@@ -51,6 +53,7 @@
             kills_all_upstreams: false,
             kills_all_daemons: false,
             plain_fails: false,
+            answer_ms: 0,
             is_store_down: false,
             harmless: Vec::new(),
         }
--- a/crates/soak/src/crash/run.rs
+++ b/crates/soak/src/crash/run.rs
@@ -51,6 +51,9 @@
     if options.is_store_down {
         site.set_store_faults(LogFaults { down: true, ..LogFaults::default() });
     }
+    for upstream in site.all_upstreams() {
+        upstream.update_behaviour(|behaviour| behaviour.answer_ms = options.answer_ms);
+    }
     // Closing this channel stops all callers.
     let (stop_sender, stop) = async_channel::bounded::<()>(1);
     let crashing = start_upstreams(site, options);
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -36,6 +36,8 @@
         optional --harmless-ms harmless_ms: u64
         /// With --crashes: how many requests are sent as often but crash nothing; default 0.
         optional --harmless harmless: usize
+        /// With --crashes: how long plain requests run that crash nothing.
+        optional --answer-ms answer_ms: u64
         /// With --crashes: this many parts of prompts crash upstreams, instead of equal requests.
         optional --bad-parts bad_parts: usize
         /// With --bad-parts: the requests may run once.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -157,6 +157,7 @@
     options.closes_accepted = flags.closes_accepted;
     options.harmless_ms = flags.harmless_ms.unwrap_or(options.harmless_ms);
     options.harmless = vec![Kind::Safe; flags.harmless.unwrap_or(0)];
+    options.answer_ms = flags.answer_ms.unwrap_or(0);
     options.port_delay_ms = flags.port_delay_ms.unwrap_or(options.port_delay_ms);
     options.restart_ms = flags.restart_ms.unwrap_or(options.restart_ms);
     let report = Spawner::run(THREADS, async |spawner| run_crashes(&spawner, &options).await)?;
--- a/crates/soak/tests/crashes.rs
+++ b/crates/soak/tests/crashes.rs
@@ -129,3 +129,14 @@
     options.closes_accepted = true;
     assert_stopped(&run_with(&options));
 }
+
+/// Pollers send equal requests all the time, so each upstream that ends runs some of them.
+#[test]
+fn equal_requests_are_not_refused_beside_culprits_that_end_a_whole_service() {
+    let folder = TempDir::new().expect("a folder");
+    let fleet = SoakOptions::new(1, folder.path().to_owned()).duration_ms(DURATION_MS).daemons(3);
+    let mut options = CrashOptions::whole_service(fleet, vec![Kind::Safe; 2]);
+    options.harmless = vec![Kind::Safe; 8];
+    options.answer_ms = 15;
+    assert_stopped(&run_with(&options));
+}
