--- a/crates/gateway/tests/upstream_headers.rs
+++ b/crates/gateway/tests/upstream_headers.rs
@@ -5,7 +5,7 @@
 use comfreymast_fakes::platform_upstream::{PlatformUpstream, UpstreamBehaviour};
 use comfreymast_net::{Spawner, sleep_ms};
 use hyper::StatusCode;
-use support::{Gateway, TestEnv, call, event_ids, generation, run_test};
+use support::{Gateway, TestEnv, call, event_ids, generation, run_test, wait_for};
 
 /// What may still be under way to an upstream when its answer arrives, by the platform's rule.
 const TOLERATED_ARRIVALS: usize = 2;
@@ -13,7 +13,7 @@
 
 /// Upstreams of both services, and a daemon.
 struct Fleet {
-    _env: TestEnv,
+    env: TestEnv,
     plain: Vec<PlatformUpstream>,
     engines: Vec<PlatformUpstream>,
     gateway: Gateway,
@@ -30,7 +30,26 @@
         }
         let gateway = env.gateway("d0").await;
         gateway.wait_ready(spawner).await;
-        Self { _env: env, plain, engines, gateway }
+        Self { env, plain, engines, gateway }
+    }
+
+    /// Sends a plain request and a stream to the first upstreams, which are alone until then, and adds
+    /// others once these have answered.
+    async fn reach_first(&self, spawner: &Spawner, others: usize) {
+        self.gateway.call(spawner, call("POST", "/safe/x", "first")).await;
+        self.gateway.call(spawner, generation("/caption/x", "first")).await;
+        for number in 1..=others {
+            self.env.upstream(&format!("u{number}"), "plain").await;
+            self.env.upstream(&format!("e{number}"), "engines").await;
+        }
+        for (path, is_stream) in [("/safe/x", false), ("/caption/x", true)] {
+            wait_for("others", async || {
+                let request =
+                    if is_stream { generation(path, "id") } else { call("POST", path, "id") };
+                self.gateway.call(spawner, request).await.status == StatusCode::OK
+            })
+            .await;
+        }
     }
 
     /// Sends plain requests and streams in turn; returns those that were not served.
@@ -66,8 +85,9 @@
 #[test]
 fn an_upstream_whose_answer_says_that_it_leaves_gets_nothing_more() {
     run_test(async |spawner| {
-        let fleet = Fleet::new(&spawner, 4).await;
+        let fleet = Fleet::new(&spawner, 1).await;
         fleet.change_first(|behaviour| behaviour.says_leaving = true);
+        fleet.reach_first(&spawner, 3).await;
         assert!(fleet.call_all(&spawner).await.is_empty());
         // Its entry says that it is ready all the while.
         fleet.assert_left_alone(1);
@@ -78,7 +98,7 @@
 fn a_generation_moves_off_an_engine_whose_answer_says_that_it_leaves() {
     run_test(async |spawner| {
         let fleet = Fleet::new(&spawner, 1).await;
-        let _other = fleet._env.upstream("e1", "engines").await;
+        let _other = fleet.env.upstream("e1", "engines").await;
         fleet.engines[0].update_behaviour(|behaviour| {
             behaviour.says_leaving = true;
             behaviour.event_ms = 20;
@@ -98,11 +118,12 @@
 #[test]
 fn an_upstream_that_says_when_to_come_back_gets_nothing_until_then() {
     run_test(async |spawner| {
-        let fleet = Fleet::new(&spawner, 4).await;
+        let fleet = Fleet::new(&spawner, 1).await;
         fleet.change_first(|behaviour| {
             behaviour.refuses = true;
             behaviour.retry_after = Some("30".to_owned());
         });
+        fleet.reach_first(&spawner, 3).await;
         let unserved = fleet.call_all(&spawner).await;
         assert!(unserved.is_empty(), "other upstreams take requests: {unserved:?}");
         fleet.assert_left_alone(TOLERATED_ARRIVALS);
