--- /dev/null
+++ b/crates/gateway/tests/lost_links.rs
@@ -0,0 +1,240 @@
+//! Tests that callers of daemons which have lost their links to all upstreams are served, while other
+//! daemons reach these.
+
+mod support;
+
+use comfreymast_base::Clock;
+use comfreymast_fakes::platform_upstream::PlatformUpstream;
+use comfreymast_gateway::GatewayOptions;
+use comfreymast_net::{Body, Spawner, sleep_ms};
+use comfreymast_proof::{Direction, Link};
+use hyper::{Request, StatusCode};
+use support::{Gateway, TestEnv, call, event_ids, generation, run_test, wait_for};
+
+const DAEMONS: usize = 4;
+/// The platform's rule holds from this long after a cut began.
+const CONTACT_MS: u64 = 3_000;
+/// The platform's rule: callers' first tries at the cut daemons are served this often at least, measured
+/// by those at the others.
+const SERVED_SHARE: f64 = 2.0 / 3.0;
+const COUNTED_CALLS: usize = 30;
+const CALL_PAUSE_MS: u64 = 40;
+const EVENTS: u64 = 20;
+/// How long callers wait.
+const CALL_LIMIT_MS: u64 = 3_500;
+
+/// What a cut does to the links of a daemon.
+#[derive(Clone, Copy, Debug)]
+enum Cut {
+    /// All connections go silent; new ones are accepted and stay silent.
+    Silent,
+    /// All connections are closed and new ones refused.
+    Closed,
+    /// New connections are refused; those that are open go on.
+    PortClosed,
+}
+
+/// Daemons with links of their own to the same upstreams.
+struct Fleet {
+    gateways: Vec<Gateway>,
+    /// The links of each daemon.
+    links: Vec<Vec<Link>>,
+    upstreams: Vec<PlatformUpstream>,
+    _envs: Vec<TestEnv>,
+}
+
+impl Fleet {
+    /// Each daemon has a store of its own, which announces its own links as the upstreams' addresses.
+    async fn new(spawner: &Spawner) -> Self {
+        let mut upstreams = Vec::new();
+        for (service, count) in [("plain", 4), ("engines", 5)] {
+            for number in 0..count {
+                let name = format!("{service}-{number}");
+                upstreams.push(PlatformUpstream::start(spawner, &name).await.expect("a port"));
+            }
+        }
+        let (mut envs, mut links) = (Vec::new(), Vec::new());
+        for _ in 0..DAEMONS {
+            let env = TestEnv::new(spawner).await;
+            env.publish(1, |_| ());
+            let mut own = Vec::new();
+            for upstream in &upstreams {
+                let link = Link::start(spawner, upstream.addr).await.expect("a port");
+                let (service, _) = upstream.name.split_once('-').expect("a service");
+                env.announce_at(&upstream.name, link.addr, service, "ready");
+                own.push(link);
+            }
+            envs.push(env);
+            links.push(own);
+        }
+        let mut gateways: Vec<Gateway> = Vec::new();
+        for (number, env) in envs.iter().enumerate() {
+            let seeds: Vec<_> = gateways.iter().collect();
+            let options = GatewayOptions::default();
+            let name = format!("d{number}");
+            gateways.push(env.gateway_at(&name, env.store_addr, options, &seeds).await);
+        }
+        for gateway in &gateways {
+            gateway.wait_ready(spawner).await;
+        }
+        let fleet = Self { gateways, links, upstreams, _envs: envs };
+        fleet.wait_peers(spawner).await;
+        fleet
+    }
+
+    /// Waits until each daemon has heard all others.
+    async fn wait_peers(&self, spawner: &Spawner) {
+        const HEARTBEATS_MS: u64 = 600;
+        for gateway in &self.gateways {
+            let served = gateway.call(spawner, call("POST", "/safe/x", "first")).await;
+            assert_eq!(served.status, StatusCode::OK);
+        }
+        sleep_ms(HEARTBEATS_MS).await;
+    }
+
+    fn cut(&self, daemon: usize, cut: Cut) {
+        for link in &self.links[daemon] {
+            match cut {
+                Cut::Silent => {
+                    link.silence_all(Direction::ToTarget);
+                    link.silence_all(Direction::FromTarget);
+                }
+                Cut::Closed => link.close(),
+                Cut::PortClosed => link.close_port(),
+            }
+        }
+    }
+
+    fn mend(&self, daemon: usize) {
+        for link in &self.links[daemon] {
+            link.reopen();
+            link.restore();
+        }
+    }
+
+    /// The share of `count` calls that the daemon serves whole and in time.
+    async fn served_share(
+        &self,
+        spawner: &Spawner,
+        daemon: usize,
+        count: usize,
+        request: impl Fn(&str) -> Request<Body>,
+    ) -> f64 {
+        let addr = self.gateways[daemon].addresses.callers;
+        let (done, outcomes) = async_channel::unbounded();
+        for number in 0..count {
+            let request = request(&format!("d{daemon}-{number}"));
+            let (inner, done) = (spawner.clone(), done.clone());
+            spawner.detach(async move {
+                let answer =
+                    comfreymast_net::call(&inner, addr, request, CALL_LIMIT_MS, 1 << 20).await;
+                let is_served = answer.is_ok_and(|answer| {
+                    let is_whole = event_ids(answer.body()).len() as u64 == EVENTS
+                        || answer.body().starts_with(b"answer of");
+                    answer.status() == StatusCode::OK && is_whole
+                });
+                done.send(is_served).await.expect("somebody who counts");
+            });
+            sleep_ms(CALL_PAUSE_MS).await;
+        }
+        let mut served = 0;
+        for _ in 0..count {
+            served += usize::from(outcomes.recv().await.expect("an outcome"));
+        }
+        served as f64 / count as f64
+    }
+
+    /// Lets callers keep on calling a daemon for `for_ms`, whatever they get.
+    fn call_for(
+        &self,
+        spawner: &Spawner,
+        daemon: usize,
+        for_ms: u64,
+        request: impl Fn(&str) -> Request<Body> + Send + 'static,
+    ) {
+        let addr = self.gateways[daemon].addresses.callers;
+        let inner = spawner.clone();
+        spawner.detach(async move {
+            let clock = Clock::system();
+            let mut number = 0;
+            while clock.now_ms() < for_ms {
+                number += 1;
+                let request = request(&format!("before-{number}"));
+                let spawner = inner.clone();
+                inner.detach(async move {
+                    // What happens before the rule holds is not counted.
+                    let _ = comfreymast_net::call(&spawner, addr, request, CALL_LIMIT_MS, 1 << 20)
+                        .await;
+                });
+                sleep_ms(2 * CALL_PAUSE_MS).await;
+            }
+        });
+    }
+}
+
+/// Cuts the first `cut_count` daemons and checks that their callers are served like those of the last.
+async fn check_served(
+    spawner: &Spawner,
+    cut: Cut,
+    cut_count: usize,
+    request: impl Fn(&str) -> Request<Body> + Clone + Send + 'static,
+) {
+    let fleet = Fleet::new(spawner).await;
+    for daemon in 0..DAEMONS {
+        fleet.served_share(spawner, daemon, 4, &request).await;
+    }
+    for daemon in 0..cut_count {
+        fleet.cut(daemon, cut);
+        fleet.call_for(spawner, daemon, CONTACT_MS, request.clone());
+    }
+    sleep_ms(CONTACT_MS).await;
+    let elsewhere = fleet.served_share(spawner, DAEMONS - 1, COUNTED_CALLS, &request).await;
+    for daemon in 0..cut_count {
+        let served = fleet.served_share(spawner, daemon, COUNTED_CALLS, &request).await;
+        assert!(served >= SERVED_SHARE * elsewhere, "{cut:?}: {served} of {elsewhere}");
+    }
+    fleet.mend(0);
+    wait_for("a link that is used again", async || {
+        let runs = |fleet: &Fleet| fleet.links[0].iter().map(Link::accepted).sum::<u64>();
+        let before = runs(&fleet);
+        let answer = fleet.gateways[0].call(spawner, request("after")).await;
+        answer.status == StatusCode::OK && runs(&fleet) > before
+    })
+    .await;
+    assert!(fleet.upstreams.iter().any(|upstream| !upstream.runs().is_empty()));
+}
+
+#[test]
+fn plain_requests_at_daemons_whose_links_go_silent_are_served() {
+    run_test(async |spawner| {
+        check_served(&spawner, Cut::Silent, 2, |id| call("POST", "/safe/x", id)).await;
+    });
+}
+
+#[test]
+fn plain_requests_at_daemons_whose_links_are_closed_are_served() {
+    run_test(async |spawner| {
+        check_served(&spawner, Cut::Closed, 2, |id| call("POST", "/safe/x", id)).await;
+    });
+}
+
+#[test]
+fn requests_that_may_run_once_are_served_at_all_daemons_but_one_without_links() {
+    run_test(async |spawner| {
+        check_served(&spawner, Cut::Closed, DAEMONS - 1, |id| call("POST", "/plain/x", id)).await;
+    });
+}
+
+#[test]
+fn streams_at_daemons_whose_links_go_silent_are_served() {
+    run_test(async |spawner| {
+        check_served(&spawner, Cut::Silent, 2, |id| generation("/caption/x", id)).await;
+    });
+}
+
+#[test]
+fn streams_at_daemons_whose_new_connections_are_refused_are_served() {
+    run_test(async |spawner| {
+        check_served(&spawner, Cut::PortClosed, 2, |id| generation("/report/x", id)).await;
+    });
+}
--- a/crates/proof/src/link.rs
+++ b/crates/proof/src/link.rs
@@ -47,6 +47,8 @@
     port_delay_ms: AtomicU64,
     /// True if connections that are accepted in that time are closed at once.
     closes_accepted: AtomicBool,
+    /// True if connections that were open before the close go on.
+    keeps_open: AtomicBool,
     /// Where new connections lead; `None` before the start.
     target: Mutex<Option<SocketAddr>>,
 }
@@ -87,7 +89,9 @@
                     }
                     // Otherwise nobody who saw a connection end can connect again.
                     drop(listener);
-                    self.cut_open();
+                    if !self.state.keeps_open.load(Ordering::Acquire) {
+                        self.cut_open();
+                    }
                     self.state.wait_until_closed(false).await;
                     listener = self.rebind().await;
                 }
@@ -138,8 +142,15 @@
         self.close_connections_first(port_delay_ms);
     }
 
-    /// Opens the port again after [`Link::close`].
+    /// Refuses new connections; those that are open go on.
+    pub fn close_port(&self) {
+        self.state.keeps_open.store(true, Ordering::Release);
+        self.close();
+    }
+
+    /// Opens the port again after [`Link::close`] or [`Link::close_port`].
     pub fn reopen(&self) {
+        self.state.keeps_open.store(false, Ordering::Release);
         self.state.set_closed(false);
     }
 
