Tell upstreams that are not reached from none, and from full engines

A plain request that no upstream accepted a connection for ended as "refused: no upstream", like one of a service without upstreams, and a stream as "refused: engines full", after a wait of 0.9 to 1.1 s for room that no engine was asked for.

--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -52,7 +52,10 @@
     /// No upstream of the service is known.
     #[display("no upstream")]
     NoUpstream,
-    /// Upstreams could not be reached or did not run it, and no attempt is left.
+    /// None of the upstreams that may run it could be reached.
+    #[display("upstreams not reached")]
+    Unreached,
+    /// Upstreams did not run it, and no attempt is left.
     #[display("not run by upstreams")]
     NotRun,
     /// The upstreams take no more requests now, by the limits that they name.
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -217,6 +217,9 @@
                 self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
                 return Ok(placed);
             }
+            if self.is_unreached() {
+                return Err(self.refusal(Refusal::Unreached, NOT_RUN_RETRY_MS));
+            }
             if *self.version != VersionNeed::Any && self.usable_upstreams().is_empty() {
                 // None of another version will do, however long it waits.
                 return Err(self.refused(Refusal::Version, None));
@@ -235,6 +238,14 @@
         }
     }
 
+    /// True if each upstream that may run the stream was tried and none was reached, so that waiting for
+    /// room is of no use.
+    fn is_unreached(&self) -> bool {
+        let usable = self.usable_upstreams();
+        let mut names = usable.iter().map(|upstream| &upstream.record.name);
+        self.sends == 0 && !self.tried.is_empty() && names.all(|name| self.tried.contains(name))
+    }
+
     /// The upstreams that may run the stream once they have room.
     fn usable_upstreams(&self) -> Vec<Arc<UpstreamState>> {
         let upstreams = self.dispatch.directory.load();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -43,6 +43,10 @@
                 let wait_ms = pause_ms(dispatch, service);
                 return give_up(failed, runs, Refusal::Paused, wait_ms);
             }
+            // What was tried until now received nothing.
+            Err(Refusal::NoUpstream) if sends == 0 && !tried.is_empty() => {
+                return give_up(failed, runs, Refusal::Unreached, None);
+            }
             Err(reason) => return give_up(failed, runs, reason, None),
         };
         if call.remaining_ms(&dispatch.clock) == 0 {
