A peer serves calls of a daemon that has lost its links to upstreams

What callers saw: at VMs partitioned from all upstreams nearly no first try was served (0 of 55; 4 of 62), while the other VMs served.

Cause: a daemon had one way to an upstream, its own link, and took its own view for the upstreams' state.

Ruled out: refusals of suspected requests (no such outcome in the record); the balancer alone (open connections stay, and with most of a data centre out of rotation it uses all of it).

Change: links to the upstreams of a service count as lost once two of them failed, broke off or are overdue and none was heard since; new connections are judged on their own too (decide/link_watch). Heartbeats tell. Calls then go to a peer that reaches that service (forward/, decide/forward_choice), once at most, with all that the configuration decided of them; what may have run and may run only once is not sent again. Probes of health find out when links are back.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,6 +1,8 @@
 //! Decision logic without I/O: each module takes the current time and state and returns what to do.
 //!
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
+//! * [`forward_choice`] — which daemon takes a call of one that has lost its links to upstreams.
+//! * [`link_watch`] — whether a daemon has lost its links to upstreams.
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
 //! * [`links`] — which peers a daemon keeps connections to.
 //! * [`entry_expiry`] — how long an upstream whose entry was deleted stays in use.
@@ -39,8 +41,10 @@
 pub mod evacuation;
 pub mod fairness;
 pub mod fleet_budget;
+pub mod forward_choice;
 pub mod lengths;
 pub mod limits;
+pub mod link_watch;
 pub mod links;
 pub mod list_guard;
 pub mod membership;
--- a/crates/fleet/src/service_spec.rs
+++ b/crates/fleet/src/service_spec.rs
@@ -7,6 +7,8 @@
     pub name: Service,
     /// Maximum connections that one upstream accepts, from all callers together.
     pub max_connections: u32,
+    /// Where an upstream answers health checks.
+    pub health_path: String,
     /// Set when the upstreams are model engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -3,10 +3,12 @@
 use bytes::Bytes;
 use comfreymast_base::Clock;
 use comfreymast_decide::quarantine::RequestContent;
-use comfreymast_fleet::{KeyHolder, Route};
+use comfreymast_fleet::{KeyHolder, RetryPolicy, Route};
 use comfreymast_platform::RequestHead;
 use hyper::http::request::Parts;
 
+use crate::call_error::CallError;
+
 /// One caller's request, read whole and admitted by the configuration.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -41,6 +43,20 @@
         clock.now_ms().saturating_sub(self.started_ms)
     }
 
+    /// The time limit of an attempt after `runs` earlier ones: half of what is left if another attempt may
+    /// follow, else all.
+    pub(crate) fn attempt_limit_ms(&self, clock: &Clock, runs: u32) -> u64 {
+        let left_ms = self.remaining_ms(clock);
+        let may_retry_send = self.route.retry_policy == RetryPolicy::Idempotent
+            && runs + 1 < self.route.max_attempts;
+        if may_retry_send { left_ms / 2 } else { left_ms }
+    }
+
+    /// The error for its caller once an answer was lost and no further attempt is allowed.
+    pub(crate) fn lost_answer_error(&self, clock: &Clock) -> CallError {
+        if self.remaining_ms(clock) == 0 { CallError::TimedOut } else { CallError::OutcomeUnknown }
+    }
+
     /// Its priority, 0 first: that of the organisation, else that of the route.
     pub(crate) fn priority(&self) -> u8 {
         let organisation = self.key_holder.as_ref().and_then(|holder| holder.priority);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,6 +6,7 @@
 use comfreymast_decide::version_history::VersionHistory;
 use comfreymast_fleet::UpstreamRecord;
 
+use crate::service_links::ServiceLinks;
 use crate::upstream_state::UpstreamState;
 
 /// All live upstreams, read on the request path.
@@ -26,6 +27,17 @@
         self.by_name.values()
     }
 
+    /// The services to whose upstreams this daemon has lost its links.
+    pub(crate) fn lost_services(&self) -> Vec<Service> {
+        let links = self.by_service.values().filter_map(|states| Some(&states.first()?.links));
+        links.filter(|links| links.is_lost()).map(|links| links.service.clone()).collect()
+    }
+
+    /// True while this daemon has lost its links to the upstreams of `service`.
+    pub(crate) fn has_lost_links(&self, service: &Service) -> bool {
+        self.of_service(service).first().is_some_and(|upstream| upstream.links.is_lost())
+    }
+
     fn new(by_name: HashMap<Upstream, Arc<UpstreamState>>) -> Self {
         let mut by_service: HashMap<Service, Vec<_>> = HashMap::new();
         for state in by_name.values() {
@@ -45,12 +57,18 @@
     upstreams: ArcSwap<Upstreams>,
     /// The software versions that services had. Locked for each change.
     histories: Mutex<HashMap<Service, VersionHistory>>,
+    links: Mutex<HashMap<Service, Arc<ServiceLinks>>>,
 }
 
 impl Directory {
     /// A directory without upstreams.
     pub(crate) fn new(clock: Clock) -> Self {
-        Self { clock, upstreams: ArcSwap::default(), histories: Mutex::default() }
+        Self {
+            clock,
+            upstreams: ArcSwap::default(),
+            histories: Mutex::default(),
+            links: Mutex::default(),
+        }
     }
 
     /// The current upstreams.
@@ -72,7 +90,8 @@
                     if let Some(known) = known {
                         mark_replaced(known, &record, now_ms);
                     }
-                    let state = Arc::new(UpstreamState::new(record, now_ms));
+                    let links = self.links_of(&record.service);
+                    let state = Arc::new(UpstreamState::new(record, links, now_ms));
                     log::info!(target: "comfreymast", code = 1301, upstream = name.as_str(),
                         service = state.record.service.as_str(), addr:% = state.record.addr,
                         version = state.version_text(), leaving = state.record.is_leaving;
@@ -110,6 +129,13 @@
         histories.get(service)?.only_version(since_ms).cloned()
     }
 
+    /// The links to the upstreams of a service, whichever these are.
+    fn links_of(&self, service: &Service) -> Arc<ServiceLinks> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let links = links.entry(service.clone());
+        links.or_insert_with(|| Arc::new(ServiceLinks::new(service.clone()))).clone()
+    }
+
     fn update(&self, change: impl FnOnce(&mut HashMap<Upstream, Arc<UpstreamState>>, u64)) {
         let mut histories = self.histories.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,6 +5,7 @@
 use arc_swap::ArcSwapOption;
 use comfreymast_base::{Clock, Service};
 use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_retry};
+use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_decide::links::Member;
 use comfreymast_decide::upstream_limit::FleetNews;
 use comfreymast_fleet::Configuration;
@@ -15,11 +16,13 @@
 use crate::GatewayOptions;
 use crate::answer::BufferBudget;
 use crate::directory::Directory;
+use crate::forward::ForwardPools;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::peers::Peers;
 use crate::quarantine::QuarantineState;
 use crate::stream_origin::OriginState;
+use crate::upstream_state::UpstreamState;
 
 /// The share of the retry budget that is used; the rest covers delayed updates of other daemons.
 const USED_SHARE: f64 = 0.75;
@@ -53,6 +56,10 @@
     pub(crate) quarantine: QuarantineState,
     /// Which software versions began streams.
     pub(crate) origins: OriginState,
+    /// Connections to peers that serve calls for this daemon.
+    pub(crate) forward_pools: ForwardPools,
+    /// Notified when links to upstreams are lost.
+    link_loss: Event,
     /// Notified when the store has come back from an older copy.
     store_return: Event,
     /// Notified when the next heartbeat to peers is to be sent early.
@@ -82,6 +89,8 @@
             outbox: Outbox::new(spawner.clone()),
             quarantine: QuarantineState::new(),
             origins: OriginState::default(),
+            forward_pools: ForwardPools::default(),
+            link_loss: Event::new(),
             spawner,
             clock,
             options,
@@ -108,6 +117,45 @@
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
+    /// True while this daemon has lost its links to the upstreams of `service`.
+    pub(crate) fn has_lost_links(&self, service: &Service) -> bool {
+        self.directory.load().has_lost_links(service)
+    }
+
+    /// Records that an upstream was heard on such a connection.
+    pub(crate) fn record_link_answer(&self, upstream: &UpstreamState, kind: ConnectionKind) {
+        let now_ms = self.clock.now_ms();
+        upstream.record_heard(now_ms);
+        if let Some(lost_ms) = upstream.links.record_answer(kind, now_ms) {
+            log::info!(target: "comfreymast", code = 1315,
+                service = upstream.links.service.as_str(), lost_ms,
+                upstream = upstream.record.name.as_str(); "links to upstreams are back");
+            self.notify_peers();
+        }
+    }
+
+    /// Records that an upstream was not reached, broke off before its answer, or is overdue with it.
+    pub(crate) fn record_link_failure(&self, upstream: &UpstreamState, kind: ConnectionKind) {
+        let links = &upstream.links;
+        let upstreams = self.directory.load();
+        let known = upstreams.of_service(&links.service).iter();
+        let count = known.filter(|upstream| !upstream.is_leaving()).count();
+        let now_ms = self.clock.now_ms();
+        if links.record_failure(&upstream.record.name, kind, count, now_ms) {
+            self.metrics.link_losses.inc();
+            log::warn!(target: "comfreymast", code = 1314, service = links.service.as_str(),
+                upstreams = count, upstream = upstream.record.name.as_str(), connection:? = kind;
+                "links to upstreams lost");
+            self.link_loss.notify(usize::MAX);
+            self.notify_peers();
+        }
+    }
+
+    /// Completes at the next loss of links to upstreams.
+    pub(crate) fn next_link_loss(&self) -> EventListener {
+        self.link_loss.listen()
+    }
+
     /// Requests an early heartbeat to peers, after a change in what this daemon runs.
     pub(crate) fn notify_peers(&self) {
         self.peer_notice.notify(usize::MAX);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use crate::dispatch::Dispatch;
 use crate::fleet_sum::generation_use;
 use crate::followed_topic::FollowedTopic;
+use crate::forward::{FORWARD_PATH, answer_forwarded};
 use crate::lag_monitor::LagMonitor;
 use crate::outbox::{Destination, Origin};
 use crate::quarantine;
@@ -215,6 +216,8 @@
             let told = upstream.limit.own_news(now_ms)?;
             Some(told.message(upstream.record.name.as_str().to_owned(), now_ms))
         });
+        let lost_services = directory.lost_services();
+        let calls = directory.all().map(|upstream| upstream.outstanding.load(Ordering::Acquire));
         let own = self.dispatch.peers.own_member();
         let positions = TopicPositions {
             operators: self.operators.position_if_loaded(),
@@ -230,6 +233,9 @@
             services: services.collect(),
             limits: limits.collect(),
             uptime_ms: now_ms,
+            lost_services: lost_services.iter().map(|name| name.as_str().to_owned()).collect(),
+            is_draining: self.dispatch.is_draining(),
+            calls: calls.sum(),
             members: self.dispatch.peers.sample_members(sequence, MEMBERS_PER_HEARTBEAT),
             store_answers: self.operators.store_answers() && self.upstreams.store_answers(),
             store_heard_age_ms: self.upstreams.answer_age_ms(),
@@ -277,12 +283,14 @@
         for upstream in self.dispatch.directory.load().all() {
             upstream.pool.expire(now_ms);
         }
+        self.dispatch.forward_pools.expire(now_ms);
     }
 
     /// Answers HTTP requests of peers and of metrics scrapers.
-    pub(crate) fn answer(&self, request: &Request<Incoming>) -> Response<Body> {
+    pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         match request.uri().path() {
             "/metrics" => self.dispatch.metrics.response(),
+            FORWARD_PATH => answer_forwarded(self.dispatch.clone(), request).await,
             OPERATORS_PATH => Response::new(full(self.operators.snapshot().encode_to_vec())),
             QUARANTINES_PATH => Response::new(full(self.quarantines.snapshot().encode_to_vec())),
             UPSTREAMS_PATH => Response::new(full(self.upstreams.snapshot().encode_to_vec())),
--- /dev/null
+++ b/crates/gateway/src/forward/message.rs
@@ -0,0 +1,149 @@
+use std::sync::{Arc, OnceLock};
+
+use comfreymast_base::{Organisation, Service};
+use comfreymast_fleet::{KeyHolder, RetryPolicy, Route, Target};
+use comfreymast_platform::{RequestHead, RequestHeadError};
+use comfreymast_wire::news::{self, ForwardedCall, HeaderField};
+use derive_more::{Display, Error, From};
+use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{HeaderMap, Method, Request, Uri};
+
+use crate::call::Call;
+use crate::dispatch::Dispatch;
+
+/// Why a forwarded call cannot be decoded.
+#[derive(Debug, Display, Error, From)]
+pub(super) enum ForwardedCallError {
+    /// It is no message of this kind.
+    #[display("no forwarded call: {_0}")]
+    Message(prost::DecodeError),
+    /// Its method, path or a header is malformed.
+    #[display("malformed request: {_0}")]
+    Request(hyper::http::Error),
+    /// Its head lacks what each caller's request has.
+    #[display("{_0}")]
+    Head(RequestHeadError),
+    /// It says nothing of retries, or something unknown.
+    #[display("unknown retry policy")]
+    #[from(ignore)]
+    RetryPolicy,
+}
+
+/// The message that forwards `call`. `earlier_runs` upstreams may have run it already.
+pub(super) fn encode(
+    dispatch: &Dispatch,
+    call: &Call,
+    service: &Service,
+    earlier_runs: u32,
+) -> ForwardedCall {
+    let Call { parts, route, .. } = call;
+    let headers = parts.headers.iter().filter(|(name, _)| *name != AUTHORIZATION);
+    ForwardedCall {
+        daemon: dispatch.settings.load().name.as_str().to_owned(),
+        service: service.as_str().to_owned(),
+        route: route.name.to_string(),
+        retry_policy: retry_policy_message(route.retry_policy).into(),
+        is_stream: route.is_stream,
+        max_attempts: route.max_attempts,
+        timeout_ms: route.timeout_ms,
+        target_latency_ms: route.target_latency_ms,
+        max_pause_ms: route.max_pause_ms,
+        priority: route.priority.into(),
+        key_holder: call.key_holder.as_ref().map(|holder| news::KeyHolder {
+            organisation: holder.organisation.as_str().to_owned(),
+            priority: holder.priority.map(u32::from),
+        }),
+        version: call.version,
+        age_ms: call.age_ms(&dispatch.clock),
+        left_ms: call.remaining_ms(&dispatch.clock),
+        earlier_runs,
+        method: parts.method.to_string(),
+        uri: parts.uri.to_string(),
+        headers: headers
+            .map(|(name, value)| HeaderField {
+                name: name.as_str().to_owned(),
+                value: value.as_bytes().to_vec().into(),
+            })
+            .collect(),
+        body: call.body.clone(),
+    }
+}
+
+/// The call that a peer forwards, as if it had arrived here at the time at which it arrived there.
+pub(super) fn decode(
+    dispatch: &Dispatch,
+    message: ForwardedCall,
+) -> Result<Call, ForwardedCallError> {
+    let now_ms = dispatch.clock.now_ms();
+    let parts = request_parts(&message)?;
+    let head = RequestHead::decode(&parts)?;
+    let retry_policy =
+        retry_policy(message.retry_policy()).ok_or(ForwardedCallError::RetryPolicy)?;
+    let service = Service::from(message.service.as_str());
+    let key_holder = message.key_holder.map(|holder| {
+        Arc::new(KeyHolder {
+            organisation: Organisation::from(holder.organisation.as_str()),
+            priority: holder.priority.map(priority),
+        })
+    });
+    let route = Route {
+        name: message.route.into(),
+        host: head.host.as_str().into(),
+        path_prefix: parts.uri.path().into(),
+        retry_policy,
+        is_stream: message.is_stream,
+        timeout_ms: message.timeout_ms,
+        target_latency_ms: message.target_latency_ms,
+        max_pause_ms: message.max_pause_ms,
+        priority: priority(message.priority),
+        max_attempts: message.max_attempts,
+        is_public: key_holder.is_none(),
+        targets: vec![Target { service, weight: 1 }],
+    };
+    Ok(Call {
+        head,
+        parts,
+        body: message.body,
+        route: Arc::new(route),
+        key_holder,
+        version: message.version,
+        started_ms: now_ms.saturating_sub(message.age_ms),
+        timeout_at_ms: now_ms + message.left_ms,
+        content: OnceLock::new(),
+    })
+}
+
+fn request_parts(message: &ForwardedCall) -> Result<Parts, hyper::http::Error> {
+    let mut request = Request::new(());
+    *request.method_mut() = Method::from_bytes(message.method.as_bytes())?;
+    *request.uri_mut() = message.uri.parse::<Uri>()?;
+    let mut headers = HeaderMap::with_capacity(message.headers.len());
+    for field in &message.headers {
+        let name = HeaderName::from_bytes(field.name.as_bytes())?;
+        headers.append(name, HeaderValue::from_maybe_shared(field.value.clone())?);
+    }
+    *request.headers_mut() = headers;
+    Ok(request.into_parts().0)
+}
+
+fn priority(value: u32) -> u8 {
+    u8::try_from(value).unwrap_or(u8::MAX)
+}
+
+fn retry_policy_message(policy: RetryPolicy) -> news::RetryPolicy {
+    match policy {
+        RetryPolicy::Idempotent => news::RetryPolicy::Idempotent,
+        RetryPolicy::Once => news::RetryPolicy::Once,
+        RetryPolicy::Resumable => news::RetryPolicy::Resumable,
+    }
+}
+
+fn retry_policy(message: news::RetryPolicy) -> Option<RetryPolicy> {
+    match message {
+        news::RetryPolicy::Unspecified => None,
+        news::RetryPolicy::Idempotent => Some(RetryPolicy::Idempotent),
+        news::RetryPolicy::Once => Some(RetryPolicy::Once),
+        news::RetryPolicy::Resumable => Some(RetryPolicy::Resumable),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/mod.rs
@@ -0,0 +1,25 @@
+//! Calls that another daemon sends to upstreams, since the one that accepted them has lost its links to
+//! these.
+//!
+//! * [`forward`] — has a peer serve a call.
+//! * [`answer_forwarded`] — serves a call for a peer.
+//! * [`ForwardPools`] — idle connections to peers.
+//!
+//! A call is forwarded once at most: a peer that reaches no upstream either says so, and another one is
+//! asked.
+
+mod inbound;
+mod message;
+mod outbound;
+mod pools;
+
+pub(crate) use inbound::answer_forwarded;
+pub(crate) use outbound::forward;
+pub(crate) use pools::ForwardPools;
+
+/// Where a peer takes forwarded calls.
+pub(crate) const FORWARD_PATH: &str = "/peer/forward";
+/// The header of a peer's answer that says whether it took the call. An answer without it is not one to a
+/// forwarded call.
+const TAKEN_HEADER: &str = "comfreymast-taken";
+const TAKEN: &str = "1";
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
 use crate::settings_watch::watch_settings;
-use crate::{GatewayOptions, engine_watch, request_handler, suspension_watch};
+use crate::{GatewayOptions, engine_watch, link_probe, request_handler, suspension_watch};
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
@@ -104,13 +104,14 @@
 
     // Dropped at the end of this function, which ends the tasks and servers.
     let (_ready_open, ready_stop) = async_channel::bounded::<()>(1);
-    let (_peers_open, peers_stop) = async_channel::bounded::<()>(1);
+    let (peers_open, peers_stop) = async_channel::bounded::<()>(1);
     let (_metrics_open, metrics_stop) = async_channel::bounded::<()>(1);
     let _tasks = [
         spawner.spawn(follow(spawner.clone(), operators.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), quarantines.clone(), store_addr)),
         spawner.spawn(remove_expired(dispatch.clone())),
+        spawner.spawn(link_probe::watch(dispatch.clone())),
         spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone())),
         spawner.spawn(suspension_watch::watch(
             dispatch.clone(),
@@ -125,11 +126,15 @@
         spawner.spawn(watch_settings(dispatch.clone(), settings_path, reload)),
         spawner
             .spawn(ready_server(&dispatch, &operators, &upstreams, ready_stop).run(ready_listener)),
-        spawner.spawn(peer_server(&dispatch, &exchange, peers_stop).run(peers_listener)),
     ];
+    let peer_server =
+        spawner.spawn(peer_server(&dispatch, &exchange, peers_stop).run(peers_listener));
     let (accepting, accept_stop) = async_channel::bounded::<()>(1);
     let _drain = spawner.spawn(drain(dispatch.clone(), stop, accepting));
     caller_server(&dispatch, accept_stop).run(callers_listener).await;
+    // Calls that peers have forwarded are finished too.
+    drop(peers_open);
+    peer_server.await;
     log::info!(target: "comfreymast", code = 1003; "daemon stopped");
     Ok(())
 }
@@ -192,7 +197,7 @@
     let exchange = exchange.clone();
     let answer = handler(move |request| {
         let exchange = exchange.clone();
-        async move { exchange.answer(&request) }
+        async move { exchange.answer(request).await }
     });
     Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
 }
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -11,4 +11,5 @@
 mod reservation;
 mod start;
 
+pub(crate) use relay_body::RelayBody;
 pub(crate) use start::run;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -6,6 +6,7 @@
 use comfreymast_base::Service;
 use comfreymast_decide::answer_end::{AnswerEnd, BreakReason};
 use comfreymast_decide::evacuation::RunView;
+use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
 use comfreymast_net::{BodyError, BodyFraming, OwnedConnection, sleep_ms};
@@ -134,6 +135,7 @@
                     self.log_broken(reason, source.events.unfinished_bytes());
                     drop(source);
                     self.upstream.record_lost_answer();
+                    self.dispatch.record_link_failure(&self.upstream, ConnectionKind::Kept);
                     self.report_if_ended(&self.upstream, self.progress()).await;
                     match self.resume().await {
                         Some(next) => source = next,
@@ -267,6 +269,7 @@
 
     /// Relays an event unless it was already delivered.
     pub(super) async fn deliver(&mut self, event: Event) -> Result<(), Interruption> {
+        self.dispatch.record_link_answer(&self.upstream, ConnectionKind::Kept);
         if let Some(begun_ms) = self.answer_start.record_event(self.dispatch.clock.now_ms()) {
             record_begun_answer(&self.dispatch, &self.call, begun_ms);
         }
--- a/crates/gateway/src/generation/relay_body.rs
+++ b/crates/gateway/src/generation/relay_body.rs
@@ -10,18 +10,18 @@
 use hyper::body::Frame;
 
 /// A part of a stream, or the error that aborts it.
-pub(super) type Chunk = Result<Bytes, BodyError>;
+pub(crate) type Chunk = Result<Bytes, BodyError>;
 
 /// The body that a caller reads. Dropping it cancels the relay and thereby the request at the
 /// upstream.
-pub(super) struct RelayBody {
+pub(crate) struct RelayBody {
     chunks: Pin<Box<Receiver<Chunk>>>,
     _relay: Task<()>,
 }
 
 impl RelayBody {
     /// A body of the `chunks` that `relay` sends.
-    pub(super) fn body(chunks: Receiver<Chunk>, relay: Task<()>) -> Body {
+    pub(crate) fn body(chunks: Receiver<Chunk>, relay: Task<()>) -> Body {
         BodyExt::boxed_unsync(StreamBody::new(Self { chunks: Box::pin(chunks), _relay: relay }))
     }
 }
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -23,6 +23,7 @@
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::stream_origin::needed_version;
+use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
 
 /// The most chunks of a stream that are buffered for a slow reader.
@@ -39,12 +40,14 @@
 /// The share of the target latency that a generation may wait for an engine with room.
 const WAIT_SHARE: f64 = 0.6;
 
-/// Starts a stream on an upstream of `service` and relays it.
+/// Starts a stream on an upstream of `service` and relays it. `earlier_runs` upstreams may have run it
+/// already.
 pub(crate) async fn run(
     dispatch: &Arc<Dispatch>,
     call: &Arc<Call>,
     service: &Service,
-) -> Result<Response<Body>, CallError> {
+    earlier_runs: u32,
+) -> Result<Response<Body>, Unserved> {
     let spec = engine_spec(dispatch, service);
     let shape = call.head.prompt.clone().unwrap_or_default();
     let version = needed_version(dispatch, call, service).await?;
@@ -57,7 +60,7 @@
         shape: &shape,
         tried: Vec::new(),
         sends: 0,
-        runs: 0,
+        runs: earlier_runs,
         room_ms: 0,
     };
     let Started { sent, upstream, reservation } = match start.first_answer().await? {
@@ -68,7 +71,7 @@
     let Sent { connection, mut parts, answer, body, outstanding } = sent;
     if answer.is_encoded || !answer.is_signed {
         upstream.mark_untrusted(dispatch.clock.now_ms());
-        return Err(CallError::OutcomeUnknown);
+        return Err(CallError::OutcomeUnknown.into());
     }
     ResponseHead::strip_connection(&mut parts);
     parts.headers.remove(CONTENT_LENGTH);
@@ -140,7 +143,7 @@
         Ok(())
     }
 
-    async fn first_answer(&mut self) -> Result<FirstAnswer, CallError> {
+    async fn first_answer(&mut self) -> Result<FirstAnswer, Unserved> {
         self.check_stopping()?;
         // A request that will not be sent does not wait for an engine.
         quarantine::check(self.dispatch, self.call).map_err(|reason| self.withheld(reason))?;
@@ -193,7 +196,7 @@
 
     /// Waits for an engine with room, for `WAIT_SHARE` of the target latency at most: after that,
     /// the answer would come too late to be of use.
-    async fn wait_for_room(&mut self) -> Result<Placement, CallError> {
+    async fn wait_for_room(&mut self) -> Result<Placement, Unserved> {
         let need_tokens = expected_tokens(self.shape, 0);
         let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
         let has_delayed_updates = self.dispatch.is_large_fleet.load(Ordering::Acquire);
@@ -218,21 +221,21 @@
                 return Ok(placed);
             }
             if self.is_unreached() {
-                return Err(self.refusal(Refusal::Unreached, NOT_RUN_RETRY_MS));
+                return Err(Unserved::Unreached { runs: self.runs });
             }
             if *self.version != VersionNeed::Any && self.usable_upstreams().is_empty() {
                 // None of another version will do, however long it waits.
-                return Err(self.refused(Refusal::Version, None));
+                return Err(self.refused(Refusal::Version, None).into());
             }
             let now_ms = self.dispatch.clock.now_ms();
             let pause_ms = shortest_pause_ms(self.usable_upstreams().iter(), now_ms);
             if let Some(pause_ms) =
                 pause_ms.filter(|ms| self.call.age_ms(&self.dispatch.clock) + ms >= wait_ms)
             {
-                return Err(self.refusal(Refusal::Paused, pause_ms));
+                return Err(self.refusal(Refusal::Paused, pause_ms).into());
             }
             if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
-                return Err(self.refusal(Refusal::Full, FULL_RETRY_MS));
+                return Err(self.refusal(Refusal::Full, FULL_RETRY_MS).into());
             }
             sleep_ms(ROOM_POLL_MS).await;
         }
@@ -261,7 +264,7 @@
         &mut self,
         upstream: &UpstreamState,
         failure: SendFailure,
-    ) -> Result<(), CallError> {
+    ) -> Result<(), Unserved> {
         self.tried.push(upstream.record.name.clone());
         log::info!(target: "comfreymast", code = 1401, request = &*self.call.head.id,
             upstream = upstream.record.name.as_str(), failure:?; "attempt failed");
@@ -270,7 +273,7 @@
             // The upstream received nothing, so the next send does not count as a retry.
             SendFailure::Unreached if has_time => return Ok(()),
             SendFailure::Unreached => false,
-            SendFailure::Withheld(reason) => return Err(self.withheld(reason)),
+            SendFailure::Withheld(reason) => return Err(self.withheld(reason).into()),
             SendFailure::NotRun(_) => {
                 self.sends += 1;
                 self.sends < MAX_SENDS
@@ -283,12 +286,15 @@
             }
         };
         if may_retry_send && has_time && self.dispatch.try_retry(self.service) {
+            if self.dispatch.has_lost_links(self.service) {
+                return Err(Unserved::Unreached { runs: self.runs });
+            }
             return Ok(());
         }
         if !has_time && self.runs > 0 {
-            return Err(CallError::TimedOut);
+            return Err(CallError::TimedOut.into());
         }
-        Err(self.refusal(Refusal::NotRun, NOT_RUN_RETRY_MS))
+        Err(self.refusal(Refusal::NotRun, NOT_RUN_RETRY_MS).into())
     }
 
     fn refusal(&self, reason: Refusal, retry_after_ms: u64) -> CallError {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -30,6 +30,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// What became of a call that was forwarded to a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ForwardLabels {
+    /// `answered`, `not taken` or `lost`.
+    pub(crate) outcome: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -65,6 +72,10 @@
     pub(crate) quarantine_refusals: Counter,
     /// Times that an upstream was passed over, as its named limit was used up.
     pub(crate) limit_skips: Counter,
+    /// Calls that were forwarded to peers, by what became of them.
+    pub(crate) forwards: Family<ForwardLabels, Counter>,
+    /// Times that the links to the upstreams of a service were lost.
+    pub(crate) link_losses: Counter,
     /// Returns of the store from an older copy.
     pub(crate) store_returns: Counter,
     /// The era of the store since its last return, 0 before the first.
@@ -128,6 +139,18 @@
             "Times that an upstream was passed over, as its named limit was used up",
             limit_skips.clone(),
         );
+        let forwards = Family::default();
+        registry.register(
+            "gateway_forwards",
+            "Calls forwarded to peers, by what became of them",
+            forwards.clone(),
+        );
+        let link_losses = Counter::default();
+        registry.register(
+            "gateway_link_losses",
+            "Times that the links to the upstreams of a service were lost",
+            link_losses.clone(),
+        );
         let store_returns = Counter::default();
         registry.register(
             "gateway_store_returns",
@@ -155,6 +178,8 @@
             quarantine_refusals,
             unknown_origins,
             limit_skips,
+            forwards,
+            link_losses,
             store_returns,
             store_era,
             dropped_lines,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+use comfreymast_base::Service;
 use comfreymast_base::{Clock, StorePosition};
+use comfreymast_decide::forward_choice::{PeerView, choose_peer};
 use comfreymast_decide::links::Member;
 use comfreymast_decide::stream_origins::OriginKey;
 use comfreymast_wire::news::{self, Heartbeat, Summary};
@@ -52,6 +54,34 @@
     summary: Summary,
 }
 
+impl Table {
+    /// The daemons that reach upstreams of `service`, as far as is known.
+    fn forward_candidates<'a>(
+        &'a self,
+        me: &'a Member,
+        service: &'a Service,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (SocketAddr, PeerView)> + 'a {
+        const MAX_HEARTBEAT_AGE_MS: u64 = 600;
+        let reaches = move |lost: &[String]| !lost.iter().any(|lost| lost == service.as_str());
+        let is_heard =
+            move |peer: &&Peer| now_ms.saturating_sub(peer.received_ms) < MAX_HEARTBEAT_AGE_MS;
+        let peers = self.by_name.values().filter(is_heard);
+        let peers = peers.filter(|peer| !peer.heartbeat.is_draining);
+        let peers = peers.filter(move |peer| reaches(&peer.heartbeat.lost_services));
+        let peers = peers.map(|peer| {
+            let is_near = peer.heartbeat.data_centre == me.data_centre.as_str();
+            (peer.addr, PeerView { calls: peer.heartbeat.calls, is_near })
+        });
+        let elsewhere = self.summaries.values().flat_map(|received| &received.summary.members);
+        let elsewhere = elsewhere.filter(move |member| reaches(&member.lost_services));
+        let elsewhere = elsewhere.filter_map(|member| {
+            Some((member.addr.parse().ok()?, PeerView { calls: 0, is_near: false }))
+        });
+        peers.chain(elsewhere)
+    }
+}
+
 impl Peers {
     /// An empty table for the daemon `me`, which listens at `own_addr`.
     pub(crate) fn new(clock: Clock, me: Member, own_addr: SocketAddr) -> Self {
@@ -83,9 +113,28 @@
             daemon: self.me.name.as_str().to_owned(),
             data_centre: self.me.data_centre.as_str().to_owned(),
             addr: self.own_addr.to_string(),
+            lost_services: Vec::new(),
         }
     }
 
+    /// The daemon to which a call of `service` is forwarded: one that was heard lately, reaches upstreams of
+    /// that service and is none of `asked`.
+    pub(crate) fn forward_target(
+        &self,
+        service: &Service,
+        asked: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let now_ms = self.clock.now_ms();
+        let table = self.table();
+        let candidates: Vec<_> = table
+            .forward_candidates(&self.me, service, now_ms)
+            .filter(|(addr, _)| !asked.contains(addr))
+            .collect();
+        let views: Vec<_> = candidates.iter().map(|(_, view)| *view).collect();
+        let chosen = choose_peer(&views, |_| rand::random())?;
+        candidates.get(chosen).map(|(addr, _)| *addr)
+    }
+
     /// Up to `count` known daemons, starting at another one for each `round`.
     pub(crate) fn sample_members(&self, round: u64, count: usize) -> Vec<news::Member> {
         self.table().roster.sample(round, count)
@@ -110,6 +159,7 @@
             daemon: heartbeat.daemon.clone(),
             data_centre: heartbeat.data_centre.clone(),
             addr: addr.to_string(),
+            lost_services: Vec::new(),
         };
         self.add_members(heartbeat.members.iter().filter(|member| member.daemon != sender.daemon));
         self.add_members([&sender]);
@@ -211,7 +261,10 @@
             data_centre: own.data_centre.clone(),
             made_unix_ms: self.clock.unix_ms(),
             store_heard_age_ms: own.store_heard_age_ms,
-            members: vec![self.own_member()],
+            members: vec![news::Member {
+                lost_services: own.lost_services.clone(),
+                ..self.own_member()
+            }],
             ..Summary::default()
         };
         let mut positions = TopicPositions::of(own);
@@ -229,6 +282,7 @@
                 daemon: heartbeat.daemon.clone(),
                 data_centre: heartbeat.data_centre.clone(),
                 addr: peer.addr.to_string(),
+                lost_services: heartbeat.lost_services.clone(),
             });
         }
         for services in table.departed.services() {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,6 +14,7 @@
 use crate::pause::shortest_pause_ms;
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, send};
+use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
 
 /// How often a request is sent at most; sends that reached no upstream are not counted.
@@ -22,38 +23,39 @@
 const CHOICE_NOISE: f64 = 0.2;
 
 /// Serves a call that is answered whole: sends it to upstreams of `service` until one answers or
-/// no further attempt is allowed.
+/// no further attempt is allowed. `earlier_runs` upstreams may have run it already.
 pub(crate) async fn run(
     dispatch: &Arc<Dispatch>,
     call: &Call,
     service: &Service,
-) -> Result<Response<Body>, CallError> {
+    earlier_runs: u32,
+) -> Result<Response<Body>, Unserved> {
     let mut tried: Vec<Upstream> = Vec::new();
     let mut sends = 0;
-    let mut runs = 0;
+    let mut runs = earlier_runs;
     let mut failed: Option<Response<Body>> = None;
     loop {
         let upstream = match choose(dispatch, service, &tried) {
             Ok(upstream) => upstream,
             Err(Refusal::Limited) => {
                 let wait_ms = usual_wait_ms(dispatch.directory.load().of_service(service));
-                return give_up(failed, runs, Refusal::Limited, wait_ms);
+                return Ok(give_up(failed, runs, Refusal::Limited, wait_ms)?);
             }
             Err(Refusal::Paused) => {
                 let wait_ms = pause_ms(dispatch, service);
-                return give_up(failed, runs, Refusal::Paused, wait_ms);
+                return Ok(give_up(failed, runs, Refusal::Paused, wait_ms)?);
             }
             // What was tried until now received nothing.
             Err(Refusal::NoUpstream) if sends == 0 && !tried.is_empty() => {
-                return give_up(failed, runs, Refusal::Unreached, None);
+                return Err(Unserved::Unreached { runs });
             }
-            Err(reason) => return give_up(failed, runs, reason, None),
+            Err(reason) => return Ok(give_up(failed, runs, reason, None)?),
         };
         if call.remaining_ms(&dispatch.clock) == 0 {
             return if runs > 0 {
-                Err(CallError::TimedOut)
+                Err(CallError::TimedOut.into())
             } else {
-                give_up(failed, runs, Refusal::TimedOut, None)
+                Ok(give_up(failed, runs, Refusal::TimedOut, None)?)
             };
         }
         let sent_ms = dispatch.clock.now_ms();
@@ -75,7 +77,9 @@
                 log_attempt(call, &upstream, "not run", "not reached");
                 continue;
             }
-            Err(SendFailure::Withheld(reason)) => return give_up(failed, runs, reason, None),
+            Err(SendFailure::Withheld(reason)) => {
+                return Ok(give_up(failed, runs, reason, None)?);
+            }
             Err(SendFailure::NotRun(reason)) => log_attempt(call, &upstream, "not run", reason),
             Err(SendFailure::Lost(reason)) => {
                 log_attempt(call, &upstream, "lost", reason);
@@ -83,23 +87,18 @@
                 report_if_ended(dispatch, call, &upstream, progress).await;
                 runs += 1;
                 if call.route.retry_policy != RetryPolicy::Idempotent {
-                    return Err(lost_answer_error(dispatch, call));
+                    return Err(call.lost_answer_error(&dispatch.clock).into());
                 }
             }
         }
         sends += 1;
         let may_send = sends < MAX_SENDS && runs < call.route.max_attempts;
         if !may_send || !dispatch.try_retry(service) {
-            return give_up(failed, runs, Refusal::NotRun, None);
+            return Ok(give_up(failed, runs, Refusal::NotRun, None)?);
+        }
+        if failed.is_none() && dispatch.has_lost_links(service) {
+            return Err(Unserved::Unreached { runs });
         }
-    }
-}
-
-fn lost_answer_error(dispatch: &Dispatch, call: &Call) -> CallError {
-    if call.remaining_ms(&dispatch.clock) == 0 {
-        CallError::TimedOut
-    } else {
-        CallError::OutcomeUnknown
     }
 }
 
@@ -136,7 +135,7 @@
     runs: u32,
 ) -> Result<Response<Body>, SendFailure> {
     let started_ms = dispatch.clock.now_ms();
-    let limit_ms = attempt_limit_ms(dispatch, call, runs);
+    let limit_ms = call.attempt_limit_ms(&dispatch.clock, runs);
     let options = SendOptions { limit_ms, ..SendOptions::default() };
     let sent = send(dispatch, call, upstream, &options).await?;
     let left_ms = limit_ms.saturating_sub(dispatch.clock.now_ms() - started_ms);
@@ -146,14 +145,6 @@
     Ok(response)
 }
 
-/// The time limit of an attempt: half of what is left if another attempt may follow, else all.
-fn attempt_limit_ms(dispatch: &Dispatch, call: &Call, runs: u32) -> u64 {
-    let left_ms = call.remaining_ms(&dispatch.clock);
-    let may_retry_send =
-        call.route.retry_policy == RetryPolicy::Idempotent && runs + 1 < call.route.max_attempts;
-    if may_retry_send { left_ms / 2 } else { left_ms }
-}
-
 /// The time until an upstream of `service` takes requests again, if they all want none now.
 fn pause_ms(dispatch: &Dispatch, service: &Service) -> Option<u64> {
     let upstreams = dispatch.directory.load();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -39,6 +39,11 @@
         self.idle().retain(|idle| now_ms < idle.until_ms && idle.connection.is_reusable());
     }
 
+    /// True while it holds no connection.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.idle().is_empty()
+    }
+
     fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -1,5 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
+use comfreymast_base::Service;
 use comfreymast_net::{Body, BodyError, collect, within};
 use comfreymast_platform::{RequestHead, request_id};
 use hyper::body::Incoming;
@@ -7,9 +8,11 @@
 use hyper::{Request, Response, Version};
 
 use crate::call::Call;
-use crate::call_error::CallError;
+use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::forward::forward;
 use crate::metrics::OutcomeLabels;
+use crate::unserved::Unserved;
 use crate::{generation, plain};
 
 /// Answers a caller's request.
@@ -38,11 +41,7 @@
         return CallError::NoRoute.response();
     };
     dispatch.budget.record_request(&service, dispatch.clock.now_ms());
-    let answered = if call.route.is_stream {
-        generation::run(dispatch, &call, &service).await
-    } else {
-        plain::run(dispatch, &call, &service).await
-    };
+    let answered = run(dispatch, &call, &service).await;
     let latency_ms = call.age_ms(&dispatch.clock);
     let (response, outcome) = match answered {
         Ok(response) => {
@@ -61,6 +60,50 @@
     response
 }
 
+/// Serves a call at an upstream, by a peer if this daemon reaches none.
+async fn run(
+    dispatch: &Arc<Dispatch>,
+    call: &Arc<Call>,
+    service: &Service,
+) -> Result<Response<Body>, CallError> {
+    if dispatch.has_lost_links(service)
+        && let Some(answered) = forward(dispatch, call, service, 0).await
+    {
+        return answered;
+    }
+    // Without a peer that takes it, it is tried here all the same.
+    let runs = match run_here(dispatch, call, service, 0).await {
+        Ok(response) => return Ok(response),
+        Err(Unserved::Error(error)) => return Err(error),
+        Err(Unserved::Unreached { runs }) => runs,
+    };
+    let answered = forward(dispatch, call, service, runs).await;
+    answered.unwrap_or_else(|| Err(unreached_error(runs)))
+}
+
+/// Serves a call at an upstream that this daemon reaches. `earlier_runs` upstreams may have run it
+/// already.
+pub(crate) async fn run_here(
+    dispatch: &Arc<Dispatch>,
+    call: &Arc<Call>,
+    service: &Service,
+    earlier_runs: u32,
+) -> Result<Response<Body>, Unserved> {
+    if call.route.is_stream {
+        generation::run(dispatch, call, service, earlier_runs).await
+    } else {
+        plain::run(dispatch, call, service, earlier_runs).await
+    }
+}
+
+fn unreached_error(runs: u32) -> CallError {
+    const UNREACHED_RETRY_MS: u64 = 150;
+    if runs > 0 {
+        return CallError::OutcomeUnknown;
+    }
+    CallError::Refused { reason: Refusal::Unreached, retry_after_ms: Some(UNREACHED_RETRY_MS) }
+}
+
 fn count_outcome(dispatch: &Dispatch, service: &str, outcome: &str) {
     let labels = OutcomeLabels { service: service.to_owned(), outcome: outcome.to_owned() };
     dispatch.metrics.requests.get_or_create(&labels).inc();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -99,5 +99,6 @@
         daemon: name.as_str().to_owned(),
         data_centre: entry.data_centre.as_str().to_owned(),
         addr: entry.addr.to_string(),
+        lost_services: Vec::new(),
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use comfreymast_net::{Body, OwnedConnection, ResponseBody, full, within};
+use comfreymast_decide::link_watch::ConnectionKind;
+use comfreymast_fleet::RetryPolicy;
+use comfreymast_net::{Body, OwnedConnection, ResponseBody, full};
 use comfreymast_platform::{CopyLocation, ForwardOptions, ResponseHead, upstream_headers};
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
@@ -10,6 +12,7 @@
 use crate::call::Call;
 use crate::call_error::Refusal;
 use crate::dispatch::Dispatch;
+use crate::head_wait::{HeadFailure, HeadWait};
 use crate::quarantine;
 use crate::upstream_state::UpstreamState;
 
@@ -115,29 +118,38 @@
     let outstanding = Outstanding::new(upstream);
     let started_ms = dispatch.clock.now_ms();
     upstream.limit.record_send(started_ms);
-    let mut connection = connect(dispatch, call, upstream, options.limit_ms).await?;
+    let (mut connection, mut kind) = connect(dispatch, call, upstream, options.limit_ms).await?;
     let mut request = forwarded_request(dispatch, call, upstream, options);
     let head = loop {
         let left_ms = options.limit_ms.saturating_sub(dispatch.clock.now_ms() - started_ms);
-        match within(left_ms, connection.send(request)).await {
+        let may_send_again =
+            call.route.retry_policy != RetryPolicy::Once && options.resume_from.is_none();
+        let wait = HeadWait { dispatch, upstream, kind, may_send_again };
+        match wait.run(left_ms, connection.send(request)).await {
             Ok(Ok(head)) => break head,
             Ok(Err(error)) if error.is_unsent => {
                 // The upstream closed the idle connection before the request was sent, so a new
                 // connection is safe.
                 connection = open(dispatch, upstream, left_ms).await?;
+                kind = ConnectionKind::New;
                 request = forwarded_request(dispatch, call, upstream, options);
             }
             Ok(Err(error)) => {
                 log::debug!("request {}: {error}", call.head.id);
                 upstream.record_lost_answer();
+                dispatch.record_link_failure(upstream, kind);
                 return Err(SendFailure::Lost("answer broke off"));
             }
-            Err(_) => {
+            Err(failure) => {
                 upstream.record_lost_answer();
-                return Err(SendFailure::Lost("no answer in time"));
+                return Err(SendFailure::Lost(match failure {
+                    HeadFailure::TimedOut => "no answer in time",
+                    HeadFailure::LinksLost => "links to upstreams lost",
+                }));
             }
         }
     };
+    dispatch.record_link_answer(upstream, kind);
     let (parts, body) = head.into_parts();
     let body = ResponseBody::new(&parts, body);
     let answer = ResponseHead::decode(&parts, &call.head.id);
@@ -159,14 +171,14 @@
     call: &Call,
     upstream: &Arc<UpstreamState>,
     limit_ms: u64,
-) -> Result<OwnedConnection, SendFailure> {
+) -> Result<(OwnedConnection, ConnectionKind), SendFailure> {
     let now_ms = dispatch.clock.now_ms();
-    let may_reuse = call.route.retry_policy == comfreymast_fleet::RetryPolicy::Idempotent
-        || !upstream.is_untrusted(now_ms);
+    let may_reuse =
+        call.route.retry_policy == RetryPolicy::Idempotent || !upstream.is_untrusted(now_ms);
     let pooled = may_reuse.then(|| upstream.pool.take(now_ms)).flatten();
     match pooled {
-        Some(connection) => Ok(connection),
-        None => open(dispatch, upstream, limit_ms).await,
+        Some(connection) => Ok((connection, ConnectionKind::Kept)),
+        None => Ok((open(dispatch, upstream, limit_ms).await?, ConnectionKind::New)),
     }
 }
 
@@ -182,6 +194,7 @@
             log::info!(target: "comfreymast", code = 1303, upstream = upstream.record.name.as_str(),
                 error:%; "upstream not reached");
             upstream.record_unreachable(dispatch.clock.now_ms());
+            dispatch.record_link_failure(upstream, ConnectionKind::New);
             Err(SendFailure::Unreached)
         }
     }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -1,5 +1,5 @@
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
 use comfreymast_base::SoftwareVersion;
@@ -9,6 +9,7 @@
 
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
+use crate::service_links::ServiceLinks;
 
 const FAILURE_WEIGHT: f64 = 0.15;
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -47,6 +48,9 @@
     has_named_invalid_pause: AtomicBool,
     /// The limit that it names for all daemons together.
     pub(crate) limit: NamedLimit,
+    /// This daemon's links to all upstreams of its service.
+    pub(crate) links: Arc<ServiceLinks>,
+    last_heard_ms: AtomicU64,
     outcomes: Mutex<Outcomes>,
 }
 
@@ -61,7 +65,7 @@
 
 impl UpstreamState {
     /// An upstream that was first seen at `now_ms`.
-    pub(crate) fn new(record: UpstreamRecord, now_ms: u64) -> Self {
+    pub(crate) fn new(record: UpstreamRecord, links: Arc<ServiceLinks>, now_ms: u64) -> Self {
         let (leave, leaving) = async_channel::bounded(1);
         Self {
             record,
@@ -82,6 +86,8 @@
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
             limit: NamedLimit::default(),
+            links,
+            last_heard_ms: AtomicU64::new(0),
             outcomes: Mutex::default(),
         }
     }
@@ -153,6 +159,16 @@
         *self.others_generations.lock().unwrap_or_else(PoisonError::into_inner) = generations;
     }
 
+    /// Records that an answer, or more of one, arrived.
+    pub(crate) fn record_heard(&self, now_ms: u64) {
+        self.last_heard_ms.fetch_max(now_ms, Ordering::AcqRel);
+    }
+
+    /// When an answer, or more of one, last arrived; 0 before the first.
+    pub(crate) fn last_heard_ms(&self) -> u64 {
+        self.last_heard_ms.load(Ordering::Acquire)
+    }
+
     /// Records what the head of an answer says of the upstream itself.
     pub(crate) fn record_head(&self, answer: &ResponseHead, now_ms: u64) {
         if answer.is_leaving {
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -163,6 +163,7 @@
 struct ServiceFields {
     name: String,
     max_connections: Option<u32>,
+    health_path: Option<String>,
     engine: Option<EngineFields>,
 }
 
@@ -183,9 +184,11 @@
 impl ServiceFields {
     fn into_spec(self) -> ServiceSpec {
         const DEFAULT_CONNECTIONS: u32 = 100;
+        const DEFAULT_HEALTH_PATH: &str = "/health";
         ServiceSpec {
             name: Service::from(self.name),
             max_connections: self.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
+            health_path: self.health_path.unwrap_or_else(|| DEFAULT_HEALTH_PATH.to_owned()),
             engine: self.engine.map(|engine| EngineSpec {
                 slots: engine.slots,
                 memory_tokens: engine.kv_capacity_tokens,
