An upstream that refuses a daemon without links has not ended

Equal requests, as pollers send, add up: with three cut daemons of four, 9 of 10 of them were refused as suspected of crashing upstreams.

Change: a refused connection counts as an end only if another upstream lets this daemon in. If none does, up to eight peers dial the upstream; one that is let in says that it lives, one that is refused while another upstream lets it in that it has ended. If nobody reaches any upstream, all have ended, as before.

--- a/crates/decide/src/upstream_end.rs
+++ b/crates/decide/src/upstream_end.rs
@@ -5,6 +5,9 @@
 //! for a moment longer and closes each. So it is dialled again, after pauses that double. If it is
 //! started again at once, only its new start tells. Silence tells nothing, since it may be the network's fault.
 //!
+//! A daemon whose own links are lost is refused too. So a refusal counts only if another upstream accepts a
+//! connection, here or at a peer that was refused as well ([`has_ended`]).
+//!
 //! Load pattern: a request that crashes its upstreams, sent again and again, beside resets, cuts and
 //! kills that have nothing to do with it.
 //!
@@ -112,3 +115,22 @@
         }
     }
 }
+
+/// What a peer found when it dialled an upstream that had refused this daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerFinding {
+    /// It accepted the connection.
+    Accepted,
+    /// It refused it, and another upstream accepted one.
+    Refused,
+    /// No upstream was reached, or the peer did not answer.
+    Unknown,
+}
+
+/// Whether an upstream that refused a connection has ended. If neither this daemon nor any peer reaches an
+/// upstream, all of them have.
+#[must_use]
+pub fn has_ended(reaches_another: bool, peers: &[PeerFinding]) -> bool {
+    let is_refused = peers.contains(&PeerFinding::Refused);
+    reaches_another || is_refused || !peers.contains(&PeerFinding::Accepted)
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use prost::Message;
 
 use crate::dispatch::Dispatch;
+use crate::end_witness::{DIAL_PATH, answer_dial};
 use crate::fleet_sum::generation_use;
 use crate::followed_topic::FollowedTopic;
 use crate::forward::{FORWARD_PATH, answer_forwarded};
@@ -294,7 +295,10 @@
             OPERATORS_PATH => Response::new(full(self.operators.snapshot().encode_to_vec())),
             QUARANTINES_PATH => Response::new(full(self.quarantines.snapshot().encode_to_vec())),
             UPSTREAMS_PATH => Response::new(full(self.upstreams.snapshot().encode_to_vec())),
-            _ => {
+            path => {
+                if let Some(name) = path.strip_prefix(DIAL_PATH) {
+                    return answer_dial(&self.dispatch, name).await;
+                }
                 let mut response = Response::new(empty());
                 *response.status_mut() = StatusCode::NOT_FOUND;
                 response
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod directory;
 mod dispatch;
 mod end_probe;
+mod end_witness;
 mod engine_watch;
 mod exchange;
 mod feed;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -54,6 +54,14 @@
     summary: Summary,
 }
 
+impl Peer {
+    /// True if it was heard lately.
+    fn is_heard(&self, now_ms: u64) -> bool {
+        const MAX_HEARTBEAT_AGE_MS: u64 = 600;
+        now_ms.saturating_sub(self.received_ms) < MAX_HEARTBEAT_AGE_MS
+    }
+}
+
 impl Table {
     /// The daemons that reach upstreams of `service`, as far as is known.
     fn forward_candidates<'a>(
@@ -62,11 +70,8 @@
         service: &'a Service,
         now_ms: u64,
     ) -> impl Iterator<Item = (SocketAddr, PeerView)> + 'a {
-        const MAX_HEARTBEAT_AGE_MS: u64 = 600;
         let reaches = move |lost: &[String]| !lost.iter().any(|lost| lost == service.as_str());
-        let is_heard =
-            move |peer: &&Peer| now_ms.saturating_sub(peer.received_ms) < MAX_HEARTBEAT_AGE_MS;
-        let peers = self.by_name.values().filter(is_heard);
+        let peers = self.by_name.values().filter(move |peer| peer.is_heard(now_ms));
         let peers = peers.filter(|peer| !peer.heartbeat.is_draining);
         let peers = peers.filter(move |peer| reaches(&peer.heartbeat.lost_services));
         let peers = peers.map(|peer| {
@@ -117,6 +122,18 @@
         }
     }
 
+    /// Up to `count` daemons that were heard lately, drawn at random.
+    pub(crate) fn live_addrs(&self, count: usize) -> Vec<SocketAddr> {
+        let now_ms = self.clock.now_ms();
+        let table = self.table();
+        let live = table.by_name.values().filter(|peer| peer.is_heard(now_ms));
+        let mut addrs: Vec<_> = live.map(|peer| peer.addr).collect();
+        drop(table);
+        addrs.sort_by_cached_key(|_| rand::random::<u32>());
+        addrs.truncate(count);
+        addrs
+    }
+
     /// The daemon to which a call of `service` is forwarded: one that was heard lately, reaches upstreams of
     /// that service and is none of `asked`.
     pub(crate) fn forward_target(
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -11,6 +11,7 @@
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::end_probe::EndProbe;
+use crate::end_witness::is_ended;
 use crate::upstream_state::UpstreamState;
 
 /// How far an upstream was with a request when the connection to it broke, or when it did not
@@ -86,7 +87,10 @@
                 }
                 EndStep::Watch { for_ms } => self.probe.watch(for_ms).await,
                 EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
-                EndStep::Ended => return self.report(),
+                EndStep::Ended if self.is_credible(&signs, &mut first_sign).await => {
+                    return self.report();
+                }
+                EndStep::Ended => return self.log_no_end(&signs),
                 EndStep::NotEnded => return self.log_no_end(&signs),
             };
             // What an upstream has announced explains why it refuses connections.
@@ -99,6 +103,12 @@
         }
     }
 
+    /// True unless the last sign is a refusal that tells only of this daemon's links.
+    async fn is_credible(&self, signs: &[EndSign], first_sign: &mut Option<Sender<()>>) -> bool {
+        signs.last() != Some(&EndSign::Refused)
+            || is_ended(&self.dispatch, &self.upstream, || drop(first_sign.take())).await
+    }
+
     async fn await_restart(&self, for_ms: u64) -> EndSign {
         // A timeout means that nothing has changed.
         let _ = within(for_ms, self.upstream.wait_leaving()).await;
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -21,6 +21,7 @@
 const CALL_PAUSE_MS: u64 = 40;
 const EVENTS: u64 = 20;
 const FORWARDED: &str = "comfreymast_gateway_forwards_total{outcome=\"answered\"}";
+const ENDS: &str = "comfreymast_gateway_upstream_ends_total";
 /// How long callers wait.
 const CALL_LIMIT_MS: u64 = 3_500;
 
@@ -40,6 +41,7 @@
     gateways: Vec<Gateway>,
     /// The links of each daemon.
     links: Vec<Vec<Link>>,
+    upstreams: Vec<PlatformUpstream>,
     _envs: Vec<TestEnv>,
 }
 
@@ -77,7 +79,7 @@
         for gateway in &gateways {
             gateway.wait_ready(spawner).await;
         }
-        let fleet = Self { gateways, links, _envs: envs };
+        let fleet = Self { gateways, links, upstreams, _envs: envs };
         fleet.wait_peers(spawner).await;
         fleet
     }
@@ -246,3 +248,38 @@
         check_served(&spawner, Cut::PortClosed, 2, |id| generation("/report/x", id)).await;
     });
 }
+
+#[test]
+fn equal_requests_under_way_at_daemons_without_links_accuse_nobody() {
+    const UNDER_WAY: usize = 3;
+    const ANSWER_MS: u64 = 500;
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner).await;
+        for upstream in &fleet.upstreams {
+            upstream.update_behaviour(|behaviour| behaviour.answer_ms = ANSWER_MS);
+        }
+        let poll = |id: &str| call("POST", "/safe/poll", id);
+        for daemon in 0..DAEMONS - 1 {
+            let addr = fleet.gateways[daemon].addresses.callers;
+            for number in 0..UNDER_WAY {
+                let (inner, request) = (spawner.clone(), poll(&format!("{daemon}-{number}")));
+                spawner.detach(async move {
+                    // Its answer is not what this is about.
+                    let _ =
+                        comfreymast_net::call(&inner, addr, request, CALL_LIMIT_MS, 1 << 20).await;
+                });
+            }
+        }
+        sleep_ms(ANSWER_MS / 2).await;
+        for daemon in 0..DAEMONS - 1 {
+            fleet.cut(daemon, Cut::Closed);
+        }
+        for daemon in 0..DAEMONS {
+            let served = fleet.served_share(&spawner, daemon, 10, poll).await;
+            assert!(served == 1.0, "{served} of daemon {daemon}");
+        }
+        for daemon in 0..DAEMONS {
+            assert_eq!(fleet.metric(&spawner, daemon, ENDS).await, 0, "ends seen by {daemon}");
+        }
+    });
+}
