A refusal shows an end only if no peer is let in

What is known of an upstream's start is asked once. If a peer was let in because the upstream was started again at once, its entry tells, for which the check waits on as it does for upstreams that stay open.

--- a/crates/decide/src/upstream_end.rs
+++ b/crates/decide/src/upstream_end.rs
@@ -5,8 +5,8 @@
 //! for a moment longer and closes each. So it is dialled again, after pauses that double. If it is
 //! started again at once, only its new start tells. Silence tells nothing, since it may be the network's fault.
 //!
-//! A daemon whose own links are lost is refused too. So a refusal counts only if another upstream accepts a
-//! connection, here or at a peer that was refused as well ([`has_ended`]).
+//! A daemon whose own links are lost, all or some, is refused too. So a refusal counts only if no peer is
+//! let in ([`has_ended`]).
 //!
 //! Load pattern: a request that crashes its upstreams, sent again and again, beside resets, cuts and
 //! kills that have nothing to do with it.
@@ -27,6 +27,8 @@
     Refused,
     /// It accepted a connection.
     Accepted,
+    /// It refused this daemon and accepted a peer.
+    AcceptedByPeer,
     /// It did not answer a connection attempt.
     Unanswered,
     /// An accepted connection, on which nothing was sent, was closed.
@@ -109,9 +111,10 @@
                 self.dials += 1;
                 EndStep::Dial { after_ms }
             }
-            EndSign::Closed | EndSign::StayedOpen | EndSign::Unanswered => {
-                EndStep::AwaitRestart { for_ms: self.options.restart_ms }
-            }
+            EndSign::Closed
+            | EndSign::StayedOpen
+            | EndSign::Unanswered
+            | EndSign::AcceptedByPeer => EndStep::AwaitRestart { for_ms: self.options.restart_ms },
         }
     }
 }
@@ -121,16 +124,12 @@
 pub enum PeerFinding {
     /// It accepted the connection.
     Accepted,
-    /// It refused it, and another upstream accepted one.
-    Refused,
-    /// No upstream was reached, or the peer did not answer.
-    Unknown,
+    /// It did not, or the peer did not answer.
+    NotAccepted,
 }
 
-/// Whether an upstream that refused a connection has ended. If neither this daemon nor any peer reaches an
-/// upstream, all of them have.
+/// Whether an upstream that refused a connection has ended: unless a peer is let in.
 #[must_use]
-pub fn has_ended(reaches_another: bool, peers: &[PeerFinding]) -> bool {
-    let is_refused = peers.contains(&PeerFinding::Refused);
-    reaches_another || is_refused || !peers.contains(&PeerFinding::Accepted)
+pub fn has_ended(peers: &[PeerFinding]) -> bool {
+    !peers.contains(&PeerFinding::Accepted)
 }
--- a/crates/decide/tests/upstream_end.rs
+++ b/crates/decide/tests/upstream_end.rs
@@ -1,6 +1,8 @@
 //! Whether an upstream has ended.
 
-use comfreymast_decide::upstream_end::{EndSign, EndStep, EndWatch, EndWatchOptions};
+use comfreymast_decide::upstream_end::{
+    EndSign, EndStep, EndWatch, EndWatchOptions, PeerFinding, has_ended,
+};
 use proptest::prelude::*;
 
 fn watch() -> EndWatch {
@@ -68,3 +70,10 @@
         prop_assert!(dials <= EndWatchOptions::default().max_dials);
     }
 }
+
+#[test]
+fn a_refusal_shows_an_end_unless_somebody_else_is_let_in() {
+    assert!(has_ended(&[]), "a fleet of one daemon");
+    assert!(has_ended(&[PeerFinding::NotAccepted, PeerFinding::NotAccepted]));
+    assert!(!has_ended(&[PeerFinding::NotAccepted, PeerFinding::Accepted]));
+}
--- a/crates/gateway/src/end_probe.rs
+++ b/crates/gateway/src/end_probe.rs
@@ -35,14 +35,6 @@
         }
     }
 
-    /// Keeps the open connection for later requests.
-    pub(crate) fn keep(mut self) {
-        if let Some(connection) = self.connection.take() {
-            let idle_ms = self.dispatch.options.idle_connection_ms;
-            self.upstream.pool.put(connection, self.dispatch.clock.now_ms() + idle_ms);
-        }
-    }
-
     /// Watches the open connection. One that stays open is kept for later requests.
     pub(crate) async fn watch(&mut self, for_ms: u64) -> EndSign {
         let Some(connection) = self.connection.take() else { return EndSign::Unanswered };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -127,7 +127,9 @@
         let now_ms = self.clock.now_ms();
         let table = self.table();
         let live = table.by_name.values().filter(|peer| peer.is_heard(now_ms));
-        let mut addrs: Vec<_> = live.map(|peer| peer.addr).collect();
+        let elsewhere = table.summaries.values().flat_map(|received| &received.summary.members);
+        let elsewhere = elsewhere.filter_map(|member| member.addr.parse().ok());
+        let mut addrs: Vec<_> = live.map(|peer| peer.addr).chain(elsewhere).collect();
         drop(table);
         addrs.sort_by_cached_key(|_| rand::random::<u32>());
         addrs.truncate(count);
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -87,10 +87,14 @@
                 }
                 EndStep::Watch { for_ms } => self.probe.watch(for_ms).await,
                 EndStep::AwaitRestart { for_ms } => self.await_restart(for_ms).await,
-                EndStep::Ended if self.is_credible(&signs, &mut first_sign).await => {
-                    return self.report();
+                EndStep::Ended if self.is_credible(&signs).await => return self.report(),
+                EndStep::Ended => {
+                    // If it was started again at once, that is what let a peer in.
+                    drop(first_sign.take());
+                    signs.push(EndSign::AcceptedByPeer);
+                    step = watch.after(EndSign::AcceptedByPeer);
+                    continue;
                 }
-                EndStep::Ended => return self.log_no_end(&signs),
                 EndStep::NotEnded => return self.log_no_end(&signs),
             };
             // What an upstream has announced explains why it refuses connections.
@@ -104,9 +108,8 @@
     }
 
     /// True unless the last sign is a refusal that tells only of this daemon's links.
-    async fn is_credible(&self, signs: &[EndSign], first_sign: &mut Option<Sender<()>>) -> bool {
-        signs.last() != Some(&EndSign::Refused)
-            || is_ended(&self.dispatch, &self.upstream, || drop(first_sign.take())).await
+    async fn is_credible(&self, signs: &[EndSign]) -> bool {
+        signs.last() != Some(&EndSign::Refused) || is_ended(&self.dispatch, &self.upstream).await
     }
 
     async fn await_restart(&self, for_ms: u64) -> EndSign {
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -42,6 +42,8 @@
     leaving_since_ms: AtomicU64,
     /// True once a later start of the upstream has registered.
     has_restarted: AtomicBool,
+    /// True once it is known that this start of it has ended.
+    has_ended: AtomicBool,
     first_seen_ms: u64,
     /// Until when it wants no requests from this daemon.
     paused_until_ms: AtomicU64,
@@ -82,6 +84,7 @@
             leave,
             leaving_since_ms: AtomicU64::new(0),
             has_restarted: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
             first_seen_ms: now_ms,
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
@@ -122,6 +125,16 @@
         self.has_restarted.load(Ordering::Acquire)
     }
 
+    /// Records that this start of the upstream has ended.
+    pub(crate) fn mark_ended(&self) {
+        self.has_ended.store(true, Ordering::Release);
+    }
+
+    /// True once it is known that this start of the upstream has ended.
+    pub(crate) fn is_known_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Acquire)
+    }
+
     /// True once the upstream is leaving.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.is_closed()
