--- a/crates/decide/src/link_watch.rs
+++ b/crates/decide/src/link_watch.rs
@@ -3,7 +3,7 @@
 //! An upstream that fails says nothing of the others. Links count as lost once requests to several
 //! upstreams have failed and nothing was heard from any of them since. New connections are judged on
 //! their own too, since connections that are open may live on while new ones are refused. Links that are
-//! lost stay so until an upstream answers.
+//! lost stay so until as many upstreams answer, so that one that is still reached does not hide the others.
 //!
 //! Load pattern: a VM that is partitioned from all upstreams, beside upstreams that end, pause or fall
 //! silent for a second.
@@ -15,7 +15,8 @@
 //! let mut watch = LinkWatch::new(LinkWatchOptions::default());
 //! assert!(!watch.record_failure(&Upstream::from("u1"), ConnectionKind::New, 4, 0));
 //! assert!(watch.record_failure(&Upstream::from("u2"), ConnectionKind::New, 4, 10));
-//! assert!(watch.record_answer(ConnectionKind::New), "links are back");
+//! assert!(!watch.record_answer(&Upstream::from("u3"), ConnectionKind::New, 4));
+//! assert!(watch.record_answer(&Upstream::from("u1"), ConnectionKind::New, 4), "links are back");
 //! ```
 
 use comfreymast_base::Upstream;
@@ -32,16 +33,16 @@
 /// The limits of a watch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkWatchOptions {
-    /// From how many upstreams nothing may be heard before links count as lost. All, in a service with
-    /// fewer.
-    pub min_failed: usize,
+    /// How many upstreams must fail, without any being heard, before links count as lost, and how many
+    /// must answer before they are back. All, in a service with fewer.
+    pub quorum: usize,
     /// How long a failure counts while links are not lost.
     pub memory_ms: u64,
 }
 
 impl Default for LinkWatchOptions {
     fn default() -> Self {
-        Self { min_failed: 2, memory_ms: 3_000 }
+        Self { quorum: 2, memory_ms: 3_000 }
     }
 }
 
@@ -59,6 +60,8 @@
 #[derive(Clone, Debug, Default)]
 struct Failures {
     by_upstream: Vec<(Upstream, u64)>,
+    /// Upstreams that answered since links are lost.
+    answered: Vec<Upstream>,
     is_lost: bool,
 }
 
@@ -79,7 +82,7 @@
         now_ms: u64,
     ) -> bool {
         let was_lost = self.is_lost();
-        let needed = self.options.min_failed.min(upstreams).max(1);
+        let needed = self.needed(upstreams);
         let memory_ms = self.options.memory_ms;
         self.all.record(upstream, now_ms, memory_ms, needed);
         if connection == ConnectionKind::New {
@@ -88,17 +91,27 @@
         self.is_lost() && !was_lost
     }
 
-    /// Records that an upstream was heard: it answered, or sent more of an answer. True if links that
-    /// were lost are back.
-    pub fn record_answer(&mut self, connection: ConnectionKind) -> bool {
+    /// Records that an upstream, one of `upstreams`, was heard: it answered, or sent more of an answer.
+    /// True if links that were lost are back.
+    pub fn record_answer(
+        &mut self,
+        upstream: &Upstream,
+        connection: ConnectionKind,
+        upstreams: usize,
+    ) -> bool {
         let was_lost = self.is_lost();
-        self.all = Failures::default();
+        let needed = self.needed(upstreams);
+        self.all.record_answer(upstream, needed);
         if connection == ConnectionKind::New {
-            self.new = Failures::default();
+            self.new.record_answer(upstream, needed);
         }
         was_lost && !self.is_lost()
     }
 
+    fn needed(&self, upstreams: usize) -> usize {
+        self.options.quorum.min(upstreams).max(1)
+    }
+
     /// True while links count as lost.
     #[must_use]
     pub fn is_lost(&self) -> bool {
@@ -120,4 +133,13 @@
         self.by_upstream.push((upstream.clone(), now_ms));
         self.is_lost |= self.by_upstream.len() >= needed;
     }
+
+    fn record_answer(&mut self, upstream: &Upstream, needed: usize) {
+        if self.is_lost && !self.answered.contains(upstream) {
+            self.answered.push(upstream.clone());
+        }
+        if !self.is_lost || self.answered.len() >= needed {
+            *self = Self::default();
+        }
+    }
 }
--- a/crates/decide/tests/link_watch.rs
+++ b/crates/decide/tests/link_watch.rs
@@ -27,7 +27,9 @@
     assert!(!watch.record_failure(&upstream(1), ConnectionKind::Kept, 4, 0));
     assert!(watch.record_failure(&upstream(2), ConnectionKind::Kept, 4, 5));
     assert!(!watch.record_failure(&upstream(3), ConnectionKind::Kept, 4, 6), "known already");
-    assert!(watch.record_answer(ConnectionKind::Kept));
+    assert!(!watch.record_answer(&upstream(1), ConnectionKind::Kept, 9));
+    assert!(!watch.record_answer(&upstream(1), ConnectionKind::Kept, 9), "the same one");
+    assert!(watch.record_answer(&upstream(2), ConnectionKind::Kept, 9));
     assert!(!watch.is_lost());
 }
 
@@ -36,7 +38,7 @@
     let mut watch = watch();
     for round in 0..20 {
         watch.record_failure(&upstream(round), ConnectionKind::New, 9, round as u64);
-        watch.record_answer(ConnectionKind::New);
+        watch.record_answer(&upstream(1), ConnectionKind::New, 9);
     }
     assert!(!watch.is_lost());
 }
@@ -55,15 +57,18 @@
     let mut watch = watch();
     for number in 0..2 {
         watch.record_failure(&upstream(number), ConnectionKind::New, 9, 0);
-        assert!(!watch.record_answer(ConnectionKind::Kept));
+        assert!(!watch.record_answer(&upstream(1), ConnectionKind::Kept, 9));
     }
     assert!(watch.is_lost());
-    assert!(watch.record_answer(ConnectionKind::New));
+    watch.record_answer(&upstream(1), ConnectionKind::New, 9);
+    assert!(watch.record_answer(&upstream(2), ConnectionKind::New, 9));
 }
 
 #[test]
 fn the_only_upstream_of_a_service_is_all_its_links() {
-    assert!(watch().record_failure(&upstream(1), ConnectionKind::New, 1, 0));
+    let mut watch = watch();
+    assert!(watch.record_failure(&upstream(1), ConnectionKind::New, 1, 0));
+    assert!(watch.record_answer(&upstream(1), ConnectionKind::New, 1));
 }
 
 #[test]
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -27,6 +27,11 @@
         self.by_name.get(&Upstream::from(name))
     }
 
+    /// The number of upstreams of a service that do not leave.
+    pub(crate) fn remaining_count(&self, service: &Service) -> usize {
+        self.of_service(service).iter().filter(|upstream| !upstream.is_leaving()).count()
+    }
+
     /// All upstreams.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<UpstreamState>> {
         self.by_name.values()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -126,7 +126,12 @@
     pub(crate) fn record_link_answer(&self, upstream: &UpstreamState, kind: ConnectionKind) {
         let now_ms = self.clock.now_ms();
         upstream.record_heard(now_ms);
-        if let Some(lost_ms) = upstream.links.record_answer(kind, now_ms) {
+        if !upstream.links.has_failures() {
+            return;
+        }
+        let count = self.directory.load().remaining_count(&upstream.links.service);
+        let name = &upstream.record.name;
+        if let Some(lost_ms) = upstream.links.record_answer(name, kind, count, now_ms) {
             log::info!(target: "comfreymast", code = 1315,
                 service = upstream.links.service.as_str(), lost_ms,
                 upstream = upstream.record.name.as_str(); "links to upstreams are back");
@@ -137,9 +142,7 @@
     /// Records that an upstream was not reached, broke off before its answer, or is overdue with it.
     pub(crate) fn record_link_failure(&self, upstream: &UpstreamState, kind: ConnectionKind) {
         let links = &upstream.links;
-        let upstreams = self.directory.load();
-        let known = upstreams.of_service(&links.service).iter();
-        let count = known.filter(|upstream| !upstream.is_leaving()).count();
+        let count = self.directory.load().remaining_count(&links.service);
         let now_ms = self.clock.now_ms();
         if links.record_failure(&upstream.record.name, kind, count, now_ms) {
             self.metrics.link_losses.inc();
--- a/crates/gateway/src/service_links.rs
+++ b/crates/gateway/src/service_links.rs
@@ -47,17 +47,25 @@
         is_lost_now
     }
 
-    /// Records that an upstream was heard. If that ends a loss of links, returns how long it lasted.
-    pub(crate) fn record_answer(&self, connection: ConnectionKind, now_ms: u64) -> Option<u64> {
-        if !self.has_failures.load(Ordering::Acquire) {
-            return None;
-        }
+    /// Records that an upstream, one of `upstreams`, was heard. If that ends a loss of links, returns how long it lasted.
+    pub(crate) fn record_answer(
+        &self,
+        upstream: &Upstream,
+        connection: ConnectionKind,
+        upstreams: usize,
+        now_ms: u64,
+    ) -> Option<u64> {
         let mut watch = self.watch();
-        let is_back = watch.record_answer(connection);
+        let is_back = watch.record_answer(upstream, connection, upstreams);
         self.has_failures.store(watch.has_failures(), Ordering::Release);
         is_back.then(|| now_ms.saturating_sub(self.lost_since_ms.swap(0, Ordering::AcqRel)))
     }
 
+    /// True while some failure counts, so that answers have to be recorded.
+    pub(crate) fn has_failures(&self) -> bool {
+        self.has_failures.load(Ordering::Acquire)
+    }
+
     /// True while links are lost.
     pub(crate) fn is_lost(&self) -> bool {
         self.lost_since_ms.load(Ordering::Acquire) > 0
