A request is not given up at an upstream that still answers

Change: before a request under way is given up for lost links, its own upstream is asked for its health.

--- a/crates/gateway/src/head_wait.rs
+++ b/crates/gateway/src/head_wait.rs
@@ -7,6 +7,7 @@
 use hyper::Response;
 
 use crate::dispatch::Dispatch;
+use crate::link_probe::probe;
 use crate::upstream_state::UpstreamState;
 
 /// An answer is overdue after so many times the usual latency of its upstream, within these bounds.
@@ -49,7 +50,7 @@
         within(limit_ms, future::or(answer, lost)).await.unwrap_or(Err(HeadFailure::TimedOut))
     }
 
-    /// Completes once links are surely lost, if the request may be sent again.
+    /// Completes once links are surely lost, that to this upstream too, if the request may be sent again.
     async fn wait_until_lost(&self) {
         let clock = &self.dispatch.clock;
         let sent_ms = clock.now_ms();
@@ -60,9 +61,10 @@
             let heard_ms = self.upstream.last_heard_ms().max(sent_ms);
             if now_ms.saturating_sub(heard_ms) >= overdue_ms {
                 self.dispatch.record_link_failure(self.upstream, self.kind);
-            }
-            if self.may_send_again && self.upstream.links.is_surely_lost(now_ms) {
-                return;
+                let may_be_lost = self.may_send_again && self.upstream.links.is_surely_lost(now_ms);
+                if may_be_lost && !probe(self.dispatch, self.upstream).await {
+                    return;
+                }
             }
             sleep_ms(POLL_MS).await;
         }
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -28,7 +28,11 @@
         }
         for service in &lost {
             for upstream in choose(&dispatch, service) {
-                dispatch.spawner.detach(probe(dispatch.clone(), upstream));
+                let dispatch = dispatch.clone();
+                let spawner = dispatch.spawner.clone();
+                spawner.detach(async move {
+                    probe(&dispatch, &upstream).await;
+                });
             }
         }
         // A timeout means that no further links were lost.
@@ -50,23 +54,25 @@
     candidates.into_iter().take(PROBES).cloned().collect()
 }
 
-/// Asks one upstream for its health on a new connection. Any answer says that the link is there.
-async fn probe(dispatch: Arc<Dispatch>, upstream: Arc<UpstreamState>) {
+/// Asks one upstream for its health on a new connection. True if it answers, whatever that is, since that
+/// says that the link is there.
+pub(crate) async fn probe(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
     let addr = upstream.record.addr;
     let limit_ms = dispatch.options.open_limit_ms;
     let Ok(mut connection) = OwnedConnection::open(&dispatch.spawner, addr, limit_ms).await else {
-        return;
+        return false;
     };
-    let health_path = health_path(&dispatch, &upstream.record.service);
+    let health_path = health_path(dispatch, &upstream.record.service);
     upstream.limit.record_send(dispatch.clock.now_ms());
     let sent = connection.send(request(addr, "GET", &health_path, empty()));
-    let Ok(Ok(answer)) = within(ANSWER_LIMIT_MS, sent).await else { return };
-    dispatch.record_link_answer(&upstream, ConnectionKind::New);
+    let Ok(Ok(answer)) = within(ANSWER_LIMIT_MS, sent).await else { return false };
+    dispatch.record_link_answer(upstream, ConnectionKind::New);
     let body = collect(answer.into_body(), MAX_ANSWER_BYTES);
     if let Ok(Ok(_)) = within(ANSWER_LIMIT_MS, body).await {
         let idle_ms = dispatch.options.idle_connection_ms;
         upstream.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
     }
+    true
 }
 
 fn health_path(dispatch: &Dispatch, service: &Service) -> String {
