Pauses named to reports and copies: failing tests, known red

Upstreams that answer these with 503 and a time to come back get 8 reports in 4 s and 81 orders in 3 s; two requests are tolerated in a pause.

--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -29,6 +29,8 @@
 pub struct UpstreamBehaviour {
     /// Refuses requests with 503 and `x-not-executed`.
     pub refuses: bool,
+    /// Refuses reports about itself too.
+    pub refuses_reports: bool,
     /// The value of `retry-after` in its refusals.
     pub retry_after: Option<String>,
     /// Says in all its answers that it is leaving.
@@ -75,6 +77,7 @@
     fn default() -> Self {
         Self {
             refuses: false,
+            refuses_reports: false,
             retry_after: None,
             says_leaving: false,
             loses_answers: false,
@@ -486,6 +489,9 @@
     }
 
     fn report(&self) -> Response<Body> {
+        if self.state().behaviour.refuses_reports {
+            return not_run(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let state = if self.state().behaviour.is_leaving { "draining" } else { "ready" };
         let reply = format!("{{\"state\":\"{state}\",\"leaves_ms\":900}}");
         answer_with(StatusCode::OK, full(reply))
--- a/crates/gateway/tests/upstream_headers.rs
+++ b/crates/gateway/tests/upstream_headers.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use comfreymast_fakes::log_service::LogFaults;
 use comfreymast_fakes::platform_upstream::{PlatformUpstream, UpstreamBehaviour};
 use comfreymast_net::{Spawner, sleep_ms};
 use hyper::StatusCode;
@@ -174,3 +175,58 @@
         assert!(arrivals.max() <= Some(TOLERATED_ARRIVALS));
     });
 }
+
+/// A stream that runs on the first engine, while others are there.
+async fn running_stream(spawner: &Spawner, fleet: &Fleet, path: &'static str) {
+    fleet.engines[0].update_behaviour(|behaviour| {
+        behaviour.event_ms = 100;
+        behaviour.events = 60;
+    });
+    let addr = fleet.gateway.addresses.callers;
+    let inner = spawner.clone();
+    spawner.detach(async move {
+        const LIMIT_MS: u64 = 10_000;
+        // Its events are not what this is about.
+        let _ =
+            comfreymast_net::call(&inner, addr, generation(path, "run"), LIMIT_MS, 1 << 20).await;
+    });
+    wait_for("a run", async || !fleet.engines[0].running().is_empty()).await;
+}
+
+#[test]
+fn an_engine_that_refuses_a_report_and_names_a_pause_is_not_asked_again() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 1).await;
+        running_stream(&spawner, &fleet, "/report/x").await;
+        fleet.engines[0].update_behaviour(|behaviour| {
+            behaviour.refuses_reports = true;
+            behaviour.retry_after = Some("30".to_owned());
+        });
+        let before = fleet.engines[0].arrivals_unix_ms().len();
+        // While the store is silent, engines are asked whether they leave.
+        fleet.env.set_faults(LogFaults { down: true, ..LogFaults::default() });
+        sleep_ms(4_000).await;
+        let arrivals = fleet.engines[0].arrivals_unix_ms().len() - before;
+        assert!((1..=TOLERATED_ARRIVALS).contains(&arrivals), "{arrivals} reports asked for");
+    });
+}
+
+#[test]
+fn an_engine_that_refuses_a_copy_and_names_a_pause_gets_no_further_orders() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, 1).await;
+        running_stream(&spawner, &fleet, "/report/x").await;
+        for number in 1..4 {
+            fleet.env.upstream(&format!("e{number}"), "engines").await;
+        }
+        fleet.engines[0].update_behaviour(|behaviour| {
+            behaviour.is_full = true;
+            behaviour.retry_after = Some("30".to_owned());
+        });
+        let before = fleet.engines[0].arrivals_unix_ms().len();
+        fleet.env.announce(&fleet.engines[0], "engines", "draining");
+        sleep_ms(3_000).await;
+        let arrivals = fleet.engines[0].arrivals_unix_ms().len() - before;
+        assert!((1..=TOLERATED_ARRIVALS).contains(&arrivals), "{arrivals} copies ordered");
+    });
+}
