What any answer of an upstream says of it counts, not only answers to callers' requests

Two other ways to reach an upstream in its pause are: reports, which an engine may refuse with 503 and a time to come back, were asked for 8 times in 4 s; orders for copies 81 times in 3 s.

Cause: the head of an answer was read for what it says of the upstream (pause, leave, limit) where a caller's request was sent; reports read the leave alone, copies and the probes of lost links nothing. Copies did not ask for a pause.

Change: one function records the head of any answer. A copy waits for the end of a pause, or the generation stays if its engine is likely to have ended by then. Copies count against a named limit too, as reports do.

--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::Ordering;
 
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
-use comfreymast_platform::{EngineReport, decode_report, is_leaving, report_request};
+use comfreymast_platform::{EngineReport, ResponseHead, decode_report, report_request};
 
 use crate::dispatch::Dispatch;
 use crate::followed_topic::FollowedTopic;
@@ -11,6 +11,8 @@
 const INTERVAL_MS: u64 = 250;
 const REPORT_TIMEOUT_MS: u64 = 200;
 const MAX_REPORT_BYTES: usize = 256 * 1024;
+/// Requests for reports have no identifier.
+const NO_ID: &str = "";
 /// The age that a report is assumed to have when it arrives.
 const REPORT_LAG_MS: u64 = 500;
 /// The usual time between an engine's notice and its shutdown.
@@ -73,14 +75,17 @@
         Some(connection) => connection,
         None => OwnedConnection::open(&dispatch.spawner, addr, REPORT_TIMEOUT_MS).await.ok()?,
     };
-    engine.limit.record_send(dispatch.clock.now_ms());
-    let response = connection.send(report_request(addr)).await.ok()?;
-    if is_leaving(response.headers()) {
-        engine.record_leaving_answer(dispatch.clock.now_ms());
-    }
-    let bytes = collect(response.into_body(), MAX_REPORT_BYTES).await.ok()?;
+    let sent_ms = dispatch.clock.now_ms();
+    engine.limit.record_send(sent_ms);
+    let (parts, body) = connection.send(report_request(addr)).await.ok()?.into_parts();
+    let head = ResponseHead::decode(&parts, NO_ID);
+    engine.record_head(&head, sent_ms, dispatch.clock.now_ms());
+    let bytes = collect(body, MAX_REPORT_BYTES).await.ok()?;
     let idle_ms = dispatch.options.idle_connection_ms;
     engine.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
+    if !parts.status.is_success() {
+        return None;
+    }
     match decode_report(&bytes) {
         Ok(report) => Some(report),
         Err(error) => {
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -9,7 +9,7 @@
 use comfreymast_fleet::EngineSpec;
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
 use comfreymast_platform::{
-    CopyLocation, GenerationCopy, MoveError, decode_move_reply, move_request,
+    CopyLocation, GenerationCopy, MoveError, ResponseHead, decode_move_reply, move_request,
 };
 
 use super::placement::{PlacementNeed, place};
@@ -96,6 +96,10 @@
         let options = self.options();
         let reservation = Reservation::new(&target, self.key, self.need_tokens);
         loop {
+            if !self.wait_pause().await {
+                let may_be_stopped = progress.is_last();
+                return Some(MoveOutcome::Stays { reason: "upstream pauses", may_be_stopped });
+            }
             let started_ms = self.dispatch.clock.now_ms();
             let copied = self.copy(&target, progress.is_last()).await;
             let copy_ms = self.dispatch.clock.now_ms() - started_ms;
@@ -113,6 +117,16 @@
         }
     }
 
+    /// Waits while the source wants no requests. False if it is likely to have ended by then.
+    async fn wait_pause(&self) -> bool {
+        let pause_ms = self.source.pause_left_ms(self.dispatch.clock.now_ms());
+        if self.since_notice_ms() + pause_ms >= self.options().give_up_ms {
+            return pause_ms == 0;
+        }
+        sleep_ms(pause_ms).await;
+        true
+    }
+
     /// The outcome once the generation was stopped: `copied` says where it can continue.
     fn stopped_outcome(
         &self,
@@ -201,14 +215,18 @@
     ) -> Result<GenerationCopy, MoveError> {
         let source = self.source.record.addr;
         let request = move_request(source, &self.id, target.record.addr, is_last);
+        let started_ms = self.dispatch.clock.now_ms();
+        self.source.limit.record_send(started_ms);
         let exchange = async {
             let open_ms = self.dispatch.options.open_limit_ms;
             let mut connection =
                 OwnedConnection::open(&self.dispatch.spawner, source, open_ms).await.ok()?;
             let (head, body) = connection.send(request).await.ok()?.into_parts();
+            let now_ms = self.dispatch.clock.now_ms();
+            let answer = ResponseHead::decode(&head, &self.id);
+            self.source.record_head(&answer, started_ms, now_ms);
             Some((head.status, collect(body, MAX_REPLY_BYTES).await.ok()?))
         };
-        let started_ms = self.dispatch.clock.now_ms();
         let copied = match within(COPY_LIMIT_MS, exchange).await {
             Ok(Some((status, bytes))) => decode_move_reply(status, &bytes),
             Ok(None) | Err(_) => Err(MoveError::Unanswered),
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -5,6 +5,7 @@
 use comfreymast_base::Service;
 use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_net::{OwnedConnection, collect, empty, request, within};
+use comfreymast_platform::ResponseHead;
 
 use crate::dispatch::Dispatch;
 use crate::named_limit::retain_within_limits;
@@ -13,6 +14,8 @@
 const INTERVAL_MS: u64 = 250;
 const ANSWER_LIMIT_MS: u64 = 500;
 const MAX_ANSWER_BYTES: usize = 64 * 1024;
+/// Probes have no identifier.
+const NO_ID: &str = "";
 /// How many upstreams of a service are asked in one round.
 const PROBES: usize = 2;
 
@@ -63,12 +66,18 @@
         return false;
     };
     let health_path = health_path(dispatch, &upstream.record.service);
-    upstream.limit.record_send(dispatch.clock.now_ms());
+    let sent_ms = dispatch.clock.now_ms();
+    upstream.limit.record_send(sent_ms);
     let sent = connection.send(request(addr, "GET", &health_path, empty()));
     let Ok(Ok(answer)) = within(ANSWER_LIMIT_MS, sent).await else { return false };
     dispatch.record_link_answer(upstream, ConnectionKind::New);
-    let body = collect(answer.into_body(), MAX_ANSWER_BYTES);
-    if let Ok(Ok(_)) = within(ANSWER_LIMIT_MS, body).await {
+    let (parts, body) = answer.into_parts();
+    let head = ResponseHead::decode(&parts, NO_ID);
+    upstream.record_head(&head, sent_ms, dispatch.clock.now_ms());
+    let body = collect(body, MAX_ANSWER_BYTES);
+    if let Ok(Ok(_)) = within(ANSWER_LIMIT_MS, body).await
+        && !head.closes_connection
+    {
         let idle_ms = dispatch.options.idle_connection_ms;
         upstream.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -157,9 +157,7 @@
         upstream.mark_untrusted(dispatch.clock.now_ms());
         return Err(SendFailure::Lost("answer of another request"));
     }
-    let (name, now_ms) = (&upstream.record.name, dispatch.clock.now_ms());
-    upstream.record_head(&answer, now_ms);
-    upstream.limit.record_answer(name, answer.named_rate, started_ms, now_ms);
+    upstream.record_head(&answer, started_ms, dispatch.clock.now_ms());
     if answer.is_not_run {
         return Err(SendFailure::NotRun("upstream refused"));
     }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -182,8 +182,10 @@
         self.last_heard_ms.load(Ordering::Acquire)
     }
 
-    /// Records what the head of an answer says of the upstream itself.
-    pub(crate) fn record_head(&self, answer: &ResponseHead, now_ms: u64) {
+    /// Records what the head of an answer, to whatever request, says of the upstream itself. The request
+    /// was sent at `sent_ms`.
+    pub(crate) fn record_head(&self, answer: &ResponseHead, sent_ms: u64, now_ms: u64) {
+        self.limit.record_answer(&self.record.name, answer.named_rate, sent_ms, now_ms);
         if answer.is_leaving {
             self.record_leaving_answer(now_ms);
         }
@@ -201,7 +203,7 @@
     }
 
     /// Marks the upstream as leaving, as one of its answers says, whatever its entry says.
-    pub(crate) fn record_leaving_answer(&self, now_ms: u64) {
+    fn record_leaving_answer(&self, now_ms: u64) {
         if self.mark_leaving(now_ms) {
             self.pool.clear();
             log::info!(target: "comfreymast", code = 1302, upstream = self.record.name.as_str(),
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -113,8 +113,7 @@
 }
 
 /// True if the headers of any answer say that its upstream is leaving.
-#[must_use]
-pub fn is_leaving(headers: &HeaderMap) -> bool {
+fn is_leaving(headers: &HeaderMap) -> bool {
     headers.get(names::SERVER_LEAVING).is_some_and(|value| value.as_bytes().trim_ascii() != b"0")
 }
 
