--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -20,7 +20,7 @@
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
 use crate::pause::shortest_pause_ms;
-use crate::quarantine::{LastProgress, record_success, report_if_ended, wait_for_judgement};
+use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::stream_origin::needed_version;
 use crate::unserved::Unserved;
@@ -145,10 +145,9 @@
 
     async fn first_answer(&mut self) -> Result<FirstAnswer, Unserved> {
         self.check_stopping()?;
+        // A request that will not be sent does not wait for an engine.
+        quarantine::check(self.dispatch, self.call).map_err(|reason| self.withheld(reason))?;
         loop {
-            // A request that will not be sent does not wait for an engine.
-            let judged = wait_for_judgement(self.dispatch, self.call).await;
-            judged.map_err(|reason| self.withheld(reason))?;
             let placed = self.wait_for_room().await?;
             let upstream = placed.upstream.clone();
             let need_tokens = expected_tokens(self.shape, 0);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,7 +12,7 @@
 use crate::dispatch::Dispatch;
 use crate::named_limit::{retain_within_limits, usual_wait_ms};
 use crate::pause::shortest_pause_ms;
-use crate::quarantine::{LastProgress, record_success, report_if_ended, wait_for_judgement};
+use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, send};
 use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
@@ -35,9 +35,6 @@
     let mut runs = earlier_runs;
     let mut failed: Option<Response<Body>> = None;
     loop {
-        if let Err(reason) = wait_for_judgement(dispatch, call).await {
-            return Ok(give_up(failed, runs, reason, None)?);
-        }
         let upstream = match choose(dispatch, service, &tried) {
             Ok(upstream) => upstream,
             Err(Refusal::Limited) => {
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -6,7 +6,7 @@
 //! * [`record_success`] — clears a request that has run to its end, and its parts.
 //! * [`record_begun_answer`] — clears the parts of a request that an upstream has begun to answer.
 //! * [`handle_suspicion`], [`handle_exoneration`] — apply what a peer saw.
-//! * [`check`] — refuses a quarantined request; [`wait_for_judgement`] lets one wait that is about to be judged.
+//! * [`check`] — refuses a quarantined request.
 //! * [`follow_suspects`] — applies what other daemons wrote to the store.
 //! * [`remove_expired`] — deletes old records of the store.
 //! * [`QuarantineState`] — the requests that this daemon suspects or refuses.
@@ -21,7 +21,7 @@
 mod stored;
 mod suspicion;
 
-pub(crate) use check::{check, wait_for_judgement};
+pub(crate) use check::check;
 pub(crate) use end::{LastProgress, report_if_ended};
 pub(crate) use exoneration::{handle_exoneration, record_begun_answer, record_success};
 pub(crate) use state::QuarantineState;
