--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -24,6 +24,17 @@
 const STREAM_CAPACITY: usize = 4;
 const CLOSED_POLL_MS: u64 = 10;
 
+/// An upstream that falls over when it has to turn too many requests away for lack of room, and says so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Brittleness {
+    /// The number of requests that it runs at once; none waits.
+    pub slots: usize,
+    /// The number of refusals in a second that it bears.
+    pub max_refusals_per_s: usize,
+    /// For how long it answers nothing after a fall.
+    pub down_ms: u64,
+}
+
 /// The behaviour of an upstream. Changes apply from the next request on.
 #[derive(Clone, Debug)]
 pub struct UpstreamBehaviour {
@@ -69,6 +80,8 @@
     pub crash_after_events: u64,
     /// The value of the header in all its answers that limits the requests a second it takes.
     pub named_limit: Option<String>,
+    /// Set while it is brittle.
+    pub brittleness: Option<Brittleness>,
     /// How many of the next copies are made without their answers arriving.
     pub lost_copy_answers: u32,
 }
@@ -97,6 +110,7 @@
             crashes_on_parts: Vec::new(),
             crash_after_events: 0,
             named_limit: None,
+            brittleness: None,
             lost_copy_answers: 0,
         }
     }
@@ -142,6 +156,12 @@
     behaviour: UpstreamBehaviour,
     runs: Vec<Run>,
     refused: Vec<RefusedRequest>,
+    /// Plain requests that it runs now.
+    running_plain: usize,
+    /// Refusals for lack of room within the last second, in Unix milliseconds.
+    recent_refusals_unix_ms: Vec<u64>,
+    /// When it fell over, in Unix milliseconds.
+    falls_unix_ms: Vec<u64>,
     /// When requests arrived, in Unix milliseconds.
     arrivals_unix_ms: Vec<u64>,
     /// Generations with an open stream, by the request's id.
@@ -245,6 +265,34 @@
         running.map(|(id, _)| id.clone()).collect()
     }
 
+    /// When it fell over for too many refusals, in Unix milliseconds.
+    #[must_use]
+    pub fn falls_unix_ms(&self) -> Vec<u64> {
+        self.state().falls_unix_ms.clone()
+    }
+
+    /// Takes a place of a brittle upstream, or returns its answer to a request that gets none.
+    fn take_place(&self, brittleness: Brittleness) -> Result<Place, Box<Response<Body>>> {
+        const SECOND_MS: u64 = 1_000;
+        let now_unix_ms = Clock::system().unix_ms();
+        let mut state = self.state();
+        let fell_unix_ms = state.falls_unix_ms.last().copied().unwrap_or(0);
+        if now_unix_ms < fell_unix_ms + brittleness.down_ms {
+            return Err(Box::new(crate::reply::aborted()));
+        }
+        if state.running_plain < brittleness.slots {
+            state.running_plain += 1;
+            return Ok(Place(self.clone()));
+        }
+        state.recent_refusals_unix_ms.retain(|at| now_unix_ms < at + SECOND_MS);
+        state.recent_refusals_unix_ms.push(now_unix_ms);
+        if state.recent_refusals_unix_ms.len() > brittleness.max_refusals_per_s {
+            state.recent_refusals_unix_ms.clear();
+            state.falls_unix_ms.push(now_unix_ms);
+        }
+        Err(Box::new(not_run(StatusCode::SERVICE_UNAVAILABLE)))
+    }
+
     /// Number of streams it is still sending.
     #[must_use]
     pub fn open_streams(&self) -> usize {
@@ -265,11 +313,13 @@
         let Ok(body) = collect(body, MAX_BODY_BYTES).await else {
             return answer_with(StatusCode::BAD_REQUEST, full(""));
         };
-        let (named_limit, says_leaving, retry_after) = {
+        let (named_limit, says_leaving, retry_after, brittleness) = {
             let mut state = self.state();
             state.arrivals_unix_ms.push(Clock::system().unix_ms());
             let behaviour = &state.behaviour;
-            (behaviour.named_limit.clone(), behaviour.says_leaving, behaviour.retry_after.clone())
+            let UpstreamBehaviour { named_limit, says_leaving, retry_after, brittleness, .. } =
+                behaviour.clone();
+            (named_limit, says_leaving, retry_after, brittleness)
         };
         let mut response = match head.uri.path() {
             "/-/kv-move" => self.copy(&body),
@@ -279,6 +329,9 @@
         if let Some(limit) = named_limit {
             set(&mut response, "server-limit", &limit);
         }
+        if let Some(brittleness) = brittleness {
+            set(&mut response, "server-brittle", &brittleness.max_refusals_per_s.to_string());
+        }
         if says_leaving {
             set(&mut response, "server-leaving", "1");
         }
@@ -301,6 +354,11 @@
             self.state().refused.push(RefusedRequest { id, at_unix_ms: now_unix_ms });
             return not_run(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let _place = match behaviour.brittleness.map(|brittleness| self.take_place(brittleness)) {
+            Some(Err(refusal)) => return *refusal,
+            Some(Ok(place)) => Some(place),
+            None => None,
+        };
         let after_event = header(headers, "last-event-id").and_then(|id| id.parse().ok());
         let origin = header(headers, "kv-from");
         self.state().runs.push(Run {
@@ -498,6 +556,16 @@
     }
 }
 
+/// A place of a brittle upstream, free once it is dropped.
+#[derive(Debug)]
+struct Place(PlatformUpstream);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.state().running_plain -= 1;
+    }
+}
+
 #[derive(Deserialize)]
 struct MoveRequest {
     id: String,
