Daemons share the places of brittle upstreams

Cause: nothing read the header, and each daemon sent what it had, up to the upstream's refusals.

Change: while a service's upstreams say so, a daemon has at each of them no more requests than its own share of the places, which follows from the names of the daemons. A request without a place waits a little, or is refused at once. Ends of brittle upstreams accuse no request.

Open: streams.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,6 +19,7 @@
 //! * [`placement`] — which engine takes a generation, given what all daemons run.
 //! * [`evacuation`] — how a running generation leaves an engine that is shutting down.
 //! * [`move_steps`] — the next request to that engine after each of its answers.
+//! * [`slot_share`] — how many places of a brittle upstream a daemon uses.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
 //! * [`stream_origins`] — which software version began a stream.
 //! * [`version_history`] — the software versions that a service had.
@@ -56,6 +57,7 @@
 pub mod retry;
 pub mod routing;
 mod sliding_count;
+pub mod slot_share;
 pub mod software_version;
 pub mod stream_origins;
 pub mod suspension;
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -61,6 +61,10 @@
     /// The upstreams take no more requests now, by the limits that they name.
     #[display("limits of upstreams")]
     Limited,
+    /// The upstreams would fall over if they had to turn requests away, and this daemon's places at them are
+    /// taken.
+    #[display("upstreams brittle")]
+    Brittle,
     /// The upstreams turned requests away and said when to come back.
     #[display("upstreams pause")]
     Paused,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,6 +6,7 @@
 use comfreymast_decide::version_history::VersionHistory;
 use comfreymast_fleet::UpstreamRecord;
 
+use crate::brittleness::Brittleness;
 use crate::service_links::ServiceLinks;
 use crate::upstream_state::UpstreamState;
 
@@ -27,6 +28,11 @@
         self.by_name.get(&Upstream::from(name))
     }
 
+    /// Whether the upstreams of a service are brittle; `None` without any.
+    pub(crate) fn brittleness(&self, service: &Service) -> Option<Arc<Brittleness>> {
+        self.of_service(service).first().map(|upstream| upstream.brittleness.clone())
+    }
+
     /// The number of upstreams of a service that do not leave.
     pub(crate) fn remaining_count(&self, service: &Service) -> usize {
         self.of_service(service).iter().filter(|upstream| !upstream.is_leaving()).count()
@@ -60,6 +66,21 @@
     }
 }
 
+/// What the upstreams of a service have in common, for as long as the daemon runs.
+#[derive(Clone, Debug)]
+pub(crate) struct SharedState {
+    /// This daemon's links to them.
+    pub(crate) links: Arc<ServiceLinks>,
+    /// Whether they say that they are brittle.
+    pub(crate) brittleness: Arc<Brittleness>,
+}
+
+impl SharedState {
+    fn new(service: Service) -> Self {
+        Self { links: Arc::new(ServiceLinks::new(service)), brittleness: Arc::default() }
+    }
+}
+
 /// The current upstreams; each change replaces the whole snapshot.
 #[derive(Debug)]
 pub(crate) struct Directory {
@@ -67,7 +88,7 @@
     upstreams: ArcSwap<Upstreams>,
     /// The software versions that services had. Locked for each change.
     histories: Mutex<HashMap<Service, VersionHistory>>,
-    links: Mutex<HashMap<Service, Arc<ServiceLinks>>>,
+    shared: Mutex<HashMap<Service, SharedState>>,
 }
 
 impl Directory {
@@ -77,7 +98,7 @@
             clock,
             upstreams: ArcSwap::default(),
             histories: Mutex::default(),
-            links: Mutex::default(),
+            shared: Mutex::default(),
         }
     }
 
@@ -100,8 +121,8 @@
                     if let Some(known) = known {
                         mark_replaced(known, &record, now_ms);
                     }
-                    let links = self.links_of(&record.service);
-                    let state = Arc::new(UpstreamState::new(record, links, now_ms));
+                    let shared = self.shared_state(&record.service);
+                    let state = Arc::new(UpstreamState::new(record, shared, now_ms));
                     log::info!(target: "comfreymast", code = 1301, upstream = name.as_str(),
                         service = state.record.service.as_str(), addr:% = state.record.addr,
                         version = state.version_text(), leaving = state.record.is_leaving;
@@ -139,11 +160,11 @@
         histories.get(service)?.only_version(since_ms).cloned()
     }
 
-    /// The links to the upstreams of a service, whichever these are.
-    fn links_of(&self, service: &Service) -> Arc<ServiceLinks> {
-        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        let links = links.entry(service.clone());
-        links.or_insert_with(|| Arc::new(ServiceLinks::new(service.clone()))).clone()
+    /// What the upstreams of a service share, whichever these are.
+    fn shared_state(&self, service: &Service) -> SharedState {
+        let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        let shared = shared.entry(service.clone());
+        shared.or_insert_with(|| SharedState::new(service.clone())).clone()
     }
 
     fn update(&self, change: impl FnOnce(&mut HashMap<Upstream, Arc<UpstreamState>>, u64)) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod announce;
 mod answer;
+mod brittleness;
 mod call;
 mod call_error;
 mod departed_traffic;
@@ -36,6 +37,7 @@
 mod outbox;
 mod pause;
 mod peers;
+mod places;
 mod plain;
 mod pool;
 mod quarantine;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -122,6 +122,19 @@
         }
     }
 
+    /// Calls `use_names` with the names of all daemons that are known to live, this one too.
+    pub(crate) fn with_names<T>(
+        &self,
+        use_names: impl FnOnce(&mut dyn Iterator<Item = &str>) -> T,
+    ) -> T {
+        let table = self.table();
+        let elsewhere = table.summaries.values().flat_map(|received| &received.summary.members);
+        let peers = table.by_name.keys().map(String::as_str);
+        let mut names = peers.chain(elsewhere.map(|member| member.daemon.as_str()));
+        let own = std::iter::once(self.me.name.as_str());
+        use_names(&mut own.chain(&mut names))
+    }
+
     /// Up to `count` daemons that were heard lately, drawn at random.
     pub(crate) fn live_addrs(&self, count: usize) -> Vec<SocketAddr> {
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -3,7 +3,7 @@
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::upstream_choice::{UpstreamView, choose_upstream};
 use comfreymast_fleet::RetryPolicy;
-use comfreymast_net::Body;
+use comfreymast_net::{Body, sleep_ms};
 use hyper::Response;
 
 use crate::answer::read_whole;
@@ -12,6 +12,7 @@
 use crate::dispatch::Dispatch;
 use crate::named_limit::{retain_within_limits, usual_wait_ms};
 use crate::pause::shortest_pause_ms;
+use crate::places::{free_places, own_places};
 use crate::quarantine::{LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, send};
 use crate::unserved::Unserved;
@@ -21,6 +22,7 @@
 const MAX_SENDS: u32 = 4;
 const REFUSED_RETRY_MS: u64 = 150;
 const CHOICE_NOISE: f64 = 0.2;
+const PLACE_POLL_MS: u64 = 5;
 
 /// Serves a call that is answered whole: sends it to upstreams of `service` until one answers or
 /// no further attempt is allowed. `earlier_runs` upstreams may have run it already.
@@ -34,6 +36,8 @@
     let mut sends = 0;
     let mut runs = earlier_runs;
     let mut failed: Option<Response<Body>> = None;
+    let brittleness = dispatch.directory.load().brittleness(service);
+    let mut waiting = None;
     loop {
         let upstream = match choose(dispatch, service, &tried) {
             Ok(upstream) => upstream,
@@ -45,6 +49,18 @@
                 let wait_ms = pause_ms(dispatch, service);
                 return Ok(give_up(failed, runs, Refusal::Paused, wait_ms)?);
             }
+            Err(Refusal::Brittle) => {
+                let waits = waiting.is_some()
+                    || brittleness.as_ref().is_some_and(|brittleness| {
+                        waiting = brittleness.wait(own_places(dispatch, service));
+                        waiting.is_some()
+                    });
+                if !waits || call.age_ms(&dispatch.clock) >= place_wait_ms(call) {
+                    return Ok(give_up(failed, runs, Refusal::Brittle, None)?);
+                }
+                sleep_ms(PLACE_POLL_MS).await;
+                continue;
+            }
             // What was tried until now received nothing.
             Err(Refusal::NoUpstream) if sends == 0 && !tried.is_empty() => {
                 return Err(Unserved::Unreached { runs });
@@ -145,6 +161,13 @@
     Ok(response)
 }
 
+/// How old a call may become that waits for a place at brittle upstreams: later, its answer would come too
+/// late to be of use.
+fn place_wait_ms(call: &Call) -> u64 {
+    const WAIT_SHARE: f64 = 0.5;
+    (call.route.target_latency_ms as f64 * WAIT_SHARE) as u64
+}
+
 /// The time until an upstream of `service` takes requests again, if they all want none now.
 fn pause_ms(dispatch: &Dispatch, service: &Service) -> Option<u64> {
     let upstreams = dispatch.directory.load();
@@ -172,6 +195,10 @@
     if candidates.is_empty() {
         return Err(Refusal::Paused);
     }
+    candidates.retain(|upstream| free_places(dispatch, upstream, now_ms) > 0);
+    if candidates.is_empty() {
+        return Err(Refusal::Brittle);
+    }
     retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> =
         candidates.iter().map(|upstream| view(dispatch, upstream, now_ms)).collect();
--- a/crates/gateway/src/quarantine/end.rs
+++ b/crates/gateway/src/quarantine/end.rs
@@ -39,6 +39,10 @@
     if upstream.is_leaving() && !upstream.has_restarted() {
         return;
     }
+    if upstream.brittleness.is_brittle(dispatch.clock.now_ms()) {
+        // What it had to turn away may have ended it.
+        return;
+    }
     let mut content = content(call).clone();
     let mut shared_parts = call.head.shared_parts.clone();
     if progress.is_past_start {
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -7,6 +7,8 @@
 use comfreymast_fleet::UpstreamRecord;
 use comfreymast_platform::{Pause, ResponseHead};
 
+use crate::brittleness::Brittleness;
+use crate::directory::SharedState;
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
 use crate::service_links::ServiceLinks;
@@ -52,6 +54,10 @@
     pub(crate) limit: NamedLimit,
     /// This daemon's links to all upstreams of its service.
     pub(crate) links: Arc<ServiceLinks>,
+    /// Whether the upstreams of its service are brittle.
+    pub(crate) brittleness: Arc<Brittleness>,
+    /// The places of it that this daemon uses meanwhile, and until when that is known.
+    own_slots: Mutex<(u32, u64)>,
     last_heard_ms: AtomicU64,
     outcomes: Mutex<Outcomes>,
 }
@@ -67,7 +73,7 @@
 
 impl UpstreamState {
     /// An upstream that was first seen at `now_ms`.
-    pub(crate) fn new(record: UpstreamRecord, links: Arc<ServiceLinks>, now_ms: u64) -> Self {
+    pub(crate) fn new(record: UpstreamRecord, shared: SharedState, now_ms: u64) -> Self {
         let (leave, leaving) = async_channel::bounded(1);
         Self {
             record,
@@ -89,7 +95,9 @@
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
             limit: NamedLimit::default(),
-            links,
+            links: shared.links,
+            brittleness: shared.brittleness,
+            own_slots: Mutex::default(),
             last_heard_ms: AtomicU64::new(0),
             outcomes: Mutex::default(),
         }
@@ -186,6 +194,11 @@
     /// was sent at `sent_ms`.
     pub(crate) fn record_head(&self, answer: &ResponseHead, sent_ms: u64, now_ms: u64) {
         self.limit.record_answer(&self.record.name, answer.named_rate, sent_ms, now_ms);
+        if self.brittleness.record_answer(answer.is_brittle, now_ms) {
+            log::info!(target: "comfreymast", code = 1316, upstream = self.record.name.as_str(),
+                service = self.record.service.as_str(), is_brittle = answer.is_brittle;
+                "brittleness of upstreams began or ended");
+        }
         if answer.is_leaving {
             self.record_leaving_answer(now_ms);
         }
@@ -202,6 +215,16 @@
         }
     }
 
+    /// The places of it that this daemon uses while it is brittle. `count` finds that anew, now and then.
+    pub(crate) fn own_slots(&self, now_ms: u64, count: impl FnOnce() -> u32) -> u32 {
+        const TTL_MS: u64 = 300;
+        let mut own_slots = self.own_slots.lock().unwrap_or_else(PoisonError::into_inner);
+        if now_ms >= own_slots.1 {
+            *own_slots = (count(), now_ms + TTL_MS);
+        }
+        own_slots.0
+    }
+
     /// Marks the upstream as leaving, as one of its answers says, whatever its entry says.
     fn record_leaving_answer(&self, now_ms: u64) {
         if self.mark_leaving(now_ms) {
--- a/crates/gateway/tests/brittle_upstreams.rs
+++ b/crates/gateway/tests/brittle_upstreams.rs
@@ -125,6 +125,7 @@
         let served = fleet.overload(&spawner).await;
         let falls = fleet.falls(brittle_unix_ms);
         let allowed = ALLOWED_FALLS + ALLOWED_FALLS_EACH * UPSTREAMS as f64;
+        println!("{falls} falls, {served} served");
         assert!(falls as f64 <= allowed, "{falls} falls, {served} served");
     });
 }
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -12,6 +12,8 @@
 pub(crate) const NOT_EXECUTED: &str = "x-not-executed";
 /// The requests a second that an upstream in need takes from all daemons together.
 pub(crate) const SERVER_LIMIT: &str = "server-limit";
+/// Set on all answers of an upstream that falls over when it has to turn away too many requests.
+pub(crate) const SERVER_BRITTLE: &str = "server-brittle";
 /// Set on all answers of an upstream that is leaving.
 pub(crate) const SERVER_LEAVING: &str = "server-leaving";
 /// The upstream's signature, which shows that a response comes from an upstream.
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -73,6 +73,8 @@
     pub named_rate: NamedRate,
     /// True when the upstream says that it is leaving.
     pub is_leaving: bool,
+    /// True when the upstream says that it falls over if it has to turn too many requests away.
+    pub is_brittle: bool,
     /// How long the upstream wants nothing more from this daemon.
     pub pause: Pause,
     /// True when the upstream closes the connection after this response.
@@ -94,6 +96,7 @@
             keep_alive_s: keep_alive_s(headers),
             named_rate: NamedRate::decode(headers),
             is_leaving: is_leaving(headers),
+            is_brittle: headers.contains_key(names::SERVER_BRITTLE),
             pause: Pause::decode(head.status, headers),
             closes_connection: headers.get_all(CONNECTION).iter().any(|value| {
                 value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
