--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -12,6 +12,7 @@
 use support::{Gateway, TestEnv, call, event_ids, generation, run_test, wait_for};
 
 const DAEMONS: usize = 4;
+const MANY_DAEMONS: usize = 9;
 const PLAIN: usize = 4;
 const ENGINES: usize = 5;
 /// The platform's rule holds from this long after a cut began.
@@ -49,7 +50,7 @@
 
 impl Fleet {
     /// Each daemon has a store of its own, which announces its own links as the upstreams' addresses.
-    async fn new(spawner: &Spawner) -> Self {
+    async fn new(spawner: &Spawner, daemons: usize) -> Self {
         let mut upstreams = Vec::new();
         for (service, count) in [("plain", PLAIN), ("engines", ENGINES)] {
             for number in 0..count {
@@ -58,7 +59,7 @@
             }
         }
         let (mut envs, mut links) = (Vec::new(), Vec::new());
-        for _ in 0..DAEMONS {
+        for _ in 0..daemons {
             let env = TestEnv::new(spawner).await;
             env.publish(1, |_| ());
             let mut own = Vec::new();
@@ -204,25 +205,27 @@
     request: impl Fn(&str) -> Request<Body> + Clone + Send + 'static,
 ) {
     let cut = |fleet: &Fleet, daemon| fleet.cut(daemon, cut);
-    check_served_after(spawner, cut, cut_count, request).await;
+    let fleet = Fleet::new(spawner, DAEMONS).await;
+    check_served_after(spawner, &fleet, cut, cut_count, request).await;
 }
 
 async fn check_served_after(
     spawner: &Spawner,
+    fleet: &Fleet,
     cut: impl Fn(&Fleet, usize),
     cut_count: usize,
     request: impl Fn(&str) -> Request<Body> + Clone + Send + 'static,
 ) {
-    let fleet = Fleet::new(spawner).await;
-    for daemon in 0..DAEMONS {
+    let daemons = fleet.gateways.len();
+    for daemon in 0..daemons {
         fleet.served_share(spawner, daemon, 4, &request).await;
     }
     for daemon in 0..cut_count {
-        cut(&fleet, daemon);
+        cut(fleet, daemon);
         fleet.call_for(spawner, daemon, CONTACT_MS, request.clone());
     }
     sleep_ms(CONTACT_MS).await;
-    let elsewhere = fleet.served_share(spawner, DAEMONS - 1, COUNTED_CALLS, &request).await;
+    let elsewhere = fleet.served_share(spawner, daemons - 1, COUNTED_CALLS, &request).await;
     for daemon in 0..cut_count {
         let served = fleet.served_share(spawner, daemon, COUNTED_CALLS, &request).await;
         assert!(served >= SERVED_SHARE * elsewhere, "{served} of {elsewhere}");
@@ -276,7 +279,7 @@
 async fn check_nobody_is_accused(spawner: &Spawner, cut: impl Fn(&Fleet, usize)) {
     const UNDER_WAY: usize = 3;
     const ANSWER_MS: u64 = 500;
-    let fleet = Fleet::new(spawner).await;
+    let fleet = Fleet::new(spawner, DAEMONS).await;
     for upstream in &fleet.upstreams {
         upstream.update_behaviour(|behaviour| behaviour.answer_ms = ANSWER_MS);
     }
@@ -323,6 +326,53 @@
 fn streams_at_daemons_with_one_link_left_are_served() {
     run_test(async |spawner| {
         let cut = |fleet: &Fleet, daemon| fleet.cut_most(daemon, Cut::Silent);
-        check_served_after(&spawner, cut, 2, |id| generation("/caption/x", id)).await;
+        let fleet = Fleet::new(&spawner, DAEMONS).await;
+        check_served_after(&spawner, &fleet, cut, 2, |id| generation("/caption/x", id)).await;
+    });
+}
+
+#[test]
+fn requests_at_eight_of_nine_daemons_without_links_are_served() {
+    run_test(async |spawner| {
+        let cut = |fleet: &Fleet, daemon| fleet.cut(daemon, Cut::Silent);
+        let fleet = Fleet::new(&spawner, MANY_DAEMONS).await;
+        let request = |id: &str| call("POST", "/safe/x", id);
+        check_served_after(&spawner, &fleet, cut, MANY_DAEMONS - 1, request).await;
+    });
+}
+
+/// A sound upstream may be silent for a second; nothing may be lost for it, nor anybody condemned.
+#[test]
+fn upstreams_that_fall_silent_for_a_second_lose_nothing() {
+    const SILENT_MS: u64 = 1_000;
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, DAEMONS).await;
+        let (inner, links) = (spawner.clone(), fleet.links.clone());
+        spawner.detach(async move {
+            for round in 0..PLAIN {
+                for own in &links {
+                    // A third of the upstreams at a time.
+                    let silent: Vec<_> = own.iter().skip(round).step_by(3).cloned().collect();
+                    silent.iter().for_each(|link| link.delay(SILENT_MS));
+                    inner.detach(async move {
+                        sleep_ms(SILENT_MS).await;
+                        silent.iter().for_each(|link| link.delay(0));
+                    });
+                }
+                sleep_ms(SILENT_MS + SILENT_MS / 5).await;
+            }
+        });
+        for (path, is_stream) in [("/safe/x", false), ("/plain/x", false), ("/report/x", true)] {
+            for daemon in 0..DAEMONS {
+                let request = |id: &str| {
+                    if is_stream { generation(path, id) } else { call("POST", path, id) }
+                };
+                let served = fleet.served_share(&spawner, daemon, 10, request).await;
+                assert!(served == 1.0, "{served} of {path} at daemon {daemon}");
+            }
+        }
+        for daemon in 0..DAEMONS {
+            assert_eq!(fleet.metric(&spawner, daemon, ENDS).await, 0, "ends seen by {daemon}");
+        }
     });
 }
