A peer goes on with the streams of a daemon that has lost its links

What callers saw: streams under way at VMs that lose their links broke off, at once where connections are closed, after some 3 s where they hang. A resumption was tried at each upstream, each time out of the fleet's retry budget.

Change: a stream that may be resumed is given up early once its upstream is overdue and does not answer a probe, and is forwarded with its own attempt and last event; the events that a peer returns follow in the same answer. The version that began it is known to the peer as for a caller's later try. A send that reaches no upstream takes nothing from the budget.

--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -2,7 +2,7 @@
 
 use comfreymast_base::{Organisation, Service};
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route, Target};
-use comfreymast_platform::{RequestHead, RequestHeadError};
+use comfreymast_platform::{RequestHead, RequestHeadError, set_resumption};
 use comfreymast_wire::news::{self, ForwardedCall, HeaderField};
 use derive_more::{Display, Error, From};
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
@@ -30,15 +30,28 @@
     RetryPolicy,
 }
 
-/// The message that forwards `call`. `earlier_runs` upstreams may have run it already.
-pub(super) fn encode(
-    dispatch: &Dispatch,
-    call: &Call,
-    service: &Service,
-    earlier_runs: u32,
-) -> ForwardedCall {
+/// A call, and what a peer needs to know beyond it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outgoing<'a> {
+    /// The call.
+    pub(crate) call: &'a Call,
+    /// The service whose upstreams may run it.
+    pub(crate) service: &'a Service,
+    /// Upstreams that may have run it already.
+    pub(crate) earlier_runs: u32,
+    /// The last event that its caller has of a stream that broke off here.
+    pub(crate) last_event: Option<u64>,
+}
+
+/// The message that forwards a call.
+pub(super) fn encode(dispatch: &Dispatch, outgoing: &Outgoing<'_>) -> ForwardedCall {
+    let Outgoing { call, service, earlier_runs, last_event } = *outgoing;
     let Call { parts, route, .. } = call;
-    let headers = parts.headers.iter().filter(|(name, _)| *name != AUTHORIZATION);
+    let mut headers = parts.headers.clone();
+    headers.remove(AUTHORIZATION);
+    if let Some(last_event) = last_event {
+        set_resumption(&mut headers, &call.head.id, last_event);
+    }
     ForwardedCall {
         daemon: dispatch.settings.load().name.as_str().to_owned(),
         service: service.as_str().to_owned(),
@@ -61,6 +74,7 @@
         method: parts.method.to_string(),
         uri: parts.uri.to_string(),
         headers: headers
+            .iter()
             .map(|(name, value)| HeaderField {
                 name: name.as_str().to_owned(),
                 value: value.as_bytes().to_vec().into(),
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -2,6 +2,7 @@
 //! these.
 //!
 //! * [`forward`] — has a peer serve a call.
+//! * [`ask`] — has a peer go on with a call, and returns its answer.
 //! * [`answer_forwarded`] — serves a call for a peer.
 //! * [`ForwardPools`] — idle connections to peers.
 //!
@@ -14,7 +15,8 @@
 mod pools;
 
 pub(crate) use inbound::answer_forwarded;
-pub(crate) use outbound::forward;
+pub(crate) use message::Outgoing;
+pub(crate) use outbound::{ask, forward};
 pub(crate) use pools::ForwardPools;
 
 /// Where a peer takes forwarded calls.
--- a/crates/gateway/src/forward/outbound.rs
+++ b/crates/gateway/src/forward/outbound.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use async_channel::bounded;
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use comfreymast_base::{EndMark, Service};
 use comfreymast_fleet::RetryPolicy;
 use comfreymast_net::{
@@ -11,10 +11,12 @@
 use comfreymast_platform::ResponseHead;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
+use hyper::http::response::Parts;
 use prost::Message;
 
-use super::message::encode;
+use super::message::{Outgoing, encode};
 use super::{FORWARD_PATH, TAKEN_HEADER};
+use crate::answer::EventStream;
 use crate::call::Call;
 use crate::call_error::CallError;
 use crate::dispatch::Dispatch;
@@ -42,54 +44,72 @@
     dispatch: &Arc<Dispatch>,
     call: &Arc<Call>,
     service: &Service,
-    mut runs: u32,
+    runs: u32,
 ) -> Option<Result<Response<Body>, CallError>> {
+    let mut outgoing = Outgoing { call, service, earlier_runs: runs, last_event: None };
     let mut asked = Vec::new();
+    loop {
+        let failure = match ask(dispatch, &outgoing, &mut asked).await? {
+            Ok(answer) if call.route.is_stream => return Some(Ok(answer.pass_on())),
+            Ok(answer) => match answer.read_whole().await {
+                Some(response) => return Some(Ok(response)),
+                None => "answer broke off",
+            },
+            Err(reason) => reason,
+        };
+        log::debug!("request {}: a peer lost it: {failure}", call.head.id);
+        outgoing.earlier_runs += 1;
+        if !may_send_again(dispatch, &outgoing) {
+            return Some(Err(call.lost_answer_error(&dispatch.clock)));
+        }
+    }
+}
+
+/// Asks peers, none of those already `asked`, until one takes a call: its answer, or why that was lost. `None`
+/// if none takes it.
+pub(crate) async fn ask(
+    dispatch: &Arc<Dispatch>,
+    outgoing: &Outgoing<'_>,
+    asked: &mut Vec<SocketAddr>,
+) -> Option<Result<PeerAnswer, &'static str>> {
+    let call = outgoing.call;
     while asked.len() < MAX_PEERS && call.remaining_ms(&dispatch.clock) > 0 {
-        let addr = dispatch.peers.forward_target(service, &asked)?;
+        let addr = dispatch.peers.forward_target(outgoing.service, asked)?;
         asked.push(addr);
-        let failure = match send_to(dispatch, call, service, runs, addr).await {
-            Ok(response) => {
+        match send_to(dispatch, outgoing, addr).await {
+            Ok(answer) => {
                 log_forwarded(dispatch, call, addr, "answered", "");
-                return Some(Ok(response));
+                return Some(Ok(answer));
             }
-            Err(failure) => failure,
-        };
-        match failure {
-            ForwardFailure::NotTaken(reason) => {
+            Err(ForwardFailure::NotTaken(reason)) => {
                 log_forwarded(dispatch, call, addr, "not taken", reason);
             }
-            ForwardFailure::Lost(reason) => {
+            Err(ForwardFailure::Lost(reason)) => {
                 log_forwarded(dispatch, call, addr, "lost", reason);
-                runs += 1;
-                if !may_send_again(dispatch, call, service, runs) {
-                    return Some(Err(call.lost_answer_error(&dispatch.clock)));
-                }
+                return Some(Err(reason));
             }
         }
     }
     None
 }
 
-fn may_send_again(dispatch: &Dispatch, call: &Call, service: &Service, runs: u32) -> bool {
-    call.route.retry_policy == RetryPolicy::Idempotent
-        && runs < call.route.max_attempts
-        && dispatch.try_retry(service)
+fn may_send_again(dispatch: &Dispatch, outgoing: &Outgoing<'_>) -> bool {
+    let route = &outgoing.call.route;
+    route.retry_policy == RetryPolicy::Idempotent
+        && outgoing.earlier_runs < route.max_attempts
+        && dispatch.try_retry(outgoing.service)
 }
 
 async fn send_to(
     dispatch: &Arc<Dispatch>,
-    call: &Arc<Call>,
-    service: &Service,
-    runs: u32,
+    outgoing: &Outgoing<'_>,
     addr: SocketAddr,
-) -> Result<Response<Body>, ForwardFailure> {
-    const LOST: ForwardFailure = ForwardFailure::Lost("answer broke off");
+) -> Result<PeerAnswer, ForwardFailure> {
     let pool = dispatch.forward_pools.of(addr);
-    let limit_ms = call.attempt_limit_ms(&dispatch.clock, runs);
+    let limit_ms = outgoing.call.attempt_limit_ms(&dispatch.clock, outgoing.earlier_runs);
     let until_ms = dispatch.clock.now_ms() + limit_ms;
     let left_ms = || until_ms.saturating_sub(dispatch.clock.now_ms());
-    let message = || encode(dispatch, call, service, runs).encode_to_vec();
+    let message = || encode(dispatch, outgoing).encode_to_vec();
     let mut connection = match pool.take(dispatch.clock.now_ms()) {
         Some(connection) => connection,
         None => open(dispatch, addr, left_ms()).await?,
@@ -101,25 +121,17 @@
             Ok(Err(error)) if error.is_unsent => {
                 connection = open(dispatch, addr, left_ms()).await?;
             }
-            Ok(Err(_)) => return Err(LOST),
+            Ok(Err(_)) => return Err(ForwardFailure::Lost("answer broke off")),
             Err(_) => return Err(ForwardFailure::Lost("no answer in time")),
         }
     };
     let (mut parts, body) = head.into_parts();
-    let mut body = ResponseBody::new(&parts, body);
+    let body = ResponseBody::new(&parts, body);
     if parts.headers.remove(TAKEN_HEADER).is_none() {
         return Err(ForwardFailure::NotTaken("peer did not take it"));
     }
     ResponseHead::strip_connection(&mut parts);
-    let source = PeerAnswer { dispatch: dispatch.clone(), pool, connection };
-    if call.route.is_stream {
-        parts.headers.remove(CONTENT_LENGTH);
-        return Ok(Response::from_parts(parts, source.pass_on(body)));
-    }
-    let read = read_whole(dispatch, &mut body);
-    let bytes = within(left_ms(), read).await.ok().flatten().ok_or(LOST)?;
-    source.return_to_pool();
-    Ok(Response::from_parts(parts, full(bytes)))
+    Ok(PeerAnswer { dispatch: dispatch.clone(), pool, connection, parts, body, until_ms })
 }
 
 async fn open(
@@ -132,42 +144,32 @@
     opened.map_err(|_| ForwardFailure::NotTaken("peer not reached"))
 }
 
-/// The body, or `None` if it is not whole or too long.
-async fn read_whole(dispatch: &Dispatch, body: &mut ResponseBody) -> Option<bytes::Bytes> {
-    let mut share = dispatch.answer_buffers.share();
-    let mut bytes = BytesMut::new();
-    loop {
-        match body.next().await {
-            BodyStep::Data(data) => {
-                if bytes.len() + data.len() > MAX_ANSWER_BYTES || !share.grow(data.len()) {
-                    return None;
-                }
-                bytes.extend_from_slice(&data);
-            }
-            BodyStep::End(EndMark::Framed) => return Some(share.keep_with(bytes.freeze())),
-            BodyStep::End(_) => return None,
-        }
-    }
-}
-
-/// The connection on which a peer's answer arrives.
-struct PeerAnswer {
+/// The answer of a peer that took a call.
+#[derive(Debug)]
+pub(crate) struct PeerAnswer {
     dispatch: Arc<Dispatch>,
     pool: Arc<Pool>,
     connection: OwnedConnection,
+    /// Its head, as it is for the caller.
+    pub(crate) parts: Parts,
+    body: ResponseBody,
+    /// When it has to be whole, if it is no stream.
+    until_ms: u64,
 }
 
 impl PeerAnswer {
-    /// Passes the body on as it arrives. One that breaks off is aborted, so that it does not look
+    /// Passes the answer on as it arrives. One that breaks off is aborted, so that it does not look
     /// complete.
-    fn pass_on(self, mut body: ResponseBody) -> Body {
+    fn pass_on(mut self) -> Response<Body> {
+        self.parts.headers.remove(CONTENT_LENGTH);
+        let parts = self.parts.clone();
         let (chunks, unread) = bounded(UNREAD_CHUNKS);
         let spawner = self.dispatch.spawner.clone();
         let task = spawner.spawn(async move {
             loop {
-                let chunk = match body.next().await {
+                let chunk = match self.body.next().await {
                     BodyStep::Data(bytes) => Ok(bytes),
-                    BodyStep::End(EndMark::Framed) => return self.return_to_pool(),
+                    BodyStep::End(EndMark::Framed) => break,
                     BodyStep::End(_) => Err(BodyError::Aborted),
                 };
                 let is_end = chunk.is_err();
@@ -175,16 +177,49 @@
                     return;
                 }
             }
+            let Self { dispatch, pool, connection, .. } = self;
+            return_to_pool(&dispatch, &pool, connection);
         });
-        RelayBody::body(unread, task)
+        Response::from_parts(parts, RelayBody::body(unread, task))
+    }
+
+    /// Reads the answer; `None` if it is not whole in time, or too long.
+    async fn read_whole(self) -> Option<Response<Body>> {
+        let Self { dispatch, pool, connection, parts, mut body, until_ms } = self;
+        let left_ms = until_ms.saturating_sub(dispatch.clock.now_ms());
+        let bytes = within(left_ms, read_body(&dispatch, &mut body)).await.ok().flatten()?;
+        return_to_pool(&dispatch, &pool, connection);
+        Some(Response::from_parts(parts, full(bytes)))
     }
 
-    fn return_to_pool(self) {
-        let Self { dispatch, pool, connection } = self;
-        pool.put(connection, dispatch.clock.now_ms() + dispatch.options.idle_connection_ms);
+    /// The events of a stream, and the connection on which they arrive.
+    pub(crate) fn into_events(self) -> (EventStream, OwnedConnection) {
+        (EventStream::new(self.body), self.connection)
+    }
+}
+
+/// The body, or `None` if it is not whole or too long.
+async fn read_body(dispatch: &Dispatch, body: &mut ResponseBody) -> Option<Bytes> {
+    let mut share = dispatch.answer_buffers.share();
+    let mut bytes = BytesMut::new();
+    loop {
+        match body.next().await {
+            BodyStep::Data(data) => {
+                if bytes.len() + data.len() > MAX_ANSWER_BYTES || !share.grow(data.len()) {
+                    return None;
+                }
+                bytes.extend_from_slice(&data);
+            }
+            BodyStep::End(EndMark::Framed) => return Some(share.keep_with(bytes.freeze())),
+            BodyStep::End(_) => return None,
+        }
     }
 }
 
+fn return_to_pool(dispatch: &Dispatch, pool: &Pool, connection: OwnedConnection) {
+    pool.put(connection, dispatch.clock.now_ms() + dispatch.options.idle_connection_ms);
+}
+
 fn log_forwarded(
     dispatch: &Dispatch,
     call: &Call,
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -80,8 +80,13 @@
     pub(super) async fn resume(&mut self) -> Option<Source> {
         let mut tried = vec![self.upstream.record.name.clone()];
         let is_resumable = self.call.route.retry_policy == RetryPolicy::Resumable;
+        let mut is_counted = false;
         while is_resumable && self.runs < self.call.route.max_attempts {
-            if !self.dispatch.try_retry(&self.service) {
+            if self.dispatch.has_lost_links(&self.service) {
+                return None;
+            }
+            // A send that reached no upstream is none.
+            if !is_counted && !self.dispatch.try_retry(&self.service) {
                 return None;
             }
             let options = PlacementOptions::default();
@@ -107,6 +112,7 @@
                 }
                 Err(failure) => {
                     self.record_not_continued(&target, failure, sent_ms).await;
+                    is_counted = failure == SendFailure::Unreached;
                     if matches!(failure, SendFailure::Lost(_)) {
                         self.runs += 1;
                     }
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer_start;
 mod continuation;
+mod hand_over;
 mod mover;
 mod placement;
 mod relay;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -20,6 +20,7 @@
 use crate::answer::{Event, EventStream, StreamStep, check_end};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
+use crate::head_wait::HeadWait;
 use crate::quarantine::{LastProgress, record_begun_answer, record_success, report_if_ended};
 use crate::send::{Outstanding, Sent};
 use crate::stream_origin::record_origin;
@@ -72,6 +73,7 @@
     Stream(StreamStep),
     Leaving,
     Moved(MoveOutcome),
+    LinksLost,
     TimedOut,
 }
 
@@ -139,6 +141,12 @@
                     self.report_if_ended(&self.upstream, self.progress()).await;
                     match self.resume().await {
                         Some(next) => source = next,
+                        None if self.may_be_handed_over() => {
+                            return match self.hand_over().await {
+                                Some(()) => self.log_end("done by a peer"),
+                                None => self.abort("broke off").await,
+                            };
+                        }
                         None => return self.abort("broke off").await,
                     }
                 }
@@ -148,12 +156,27 @@
         }
     }
 
+    /// True if the stream may be resumed, but not from here.
+    fn may_be_handed_over(&self) -> bool {
+        self.call.route.retry_policy == RetryPolicy::Resumable
+            && self.runs < self.call.route.max_attempts
+            && self.dispatch.has_lost_links(&self.service)
+    }
+
     /// Relays from one upstream until the stream ends or is interrupted there.
     async fn relay(&mut self, source: &mut Source) -> Result<(), Interruption> {
         let mut mover: Option<Task<MoveOutcome>> = None;
         let upstream = self.upstream.clone();
         let left_ms = self.call.remaining_ms(&self.dispatch.clock);
         let mut timeout = std::pin::pin!(sleep_ms(left_ms));
+        let may_resume = self.call.route.retry_policy == RetryPolicy::Resumable;
+        let dispatch = self.dispatch.clone();
+        let wait = HeadWait {
+            dispatch: &dispatch,
+            upstream: &upstream,
+            kind: ConnectionKind::Kept,
+            may_send_again: true,
+        };
         loop {
             let wants_move = self.may_move && mover.is_none() && self.events > 0;
             let step = {
@@ -176,8 +199,16 @@
                     timeout.as_mut().await;
                     Step::TimedOut
                 };
+                let lost = async {
+                    if !may_resume {
+                        future::pending::<()>().await;
+                    }
+                    wait.wait_until_lost().await;
+                    Step::LinksLost
+                };
+                let moved_or_lost = future::or(moved, future::or(leaving, lost));
                 // The timeout comes first: parts may arrive without a pause.
-                future::or(timeout, future::or(part, future::or(moved, leaving))).await
+                future::or(timeout, future::or(part, moved_or_lost)).await
             };
             match step {
                 Step::Stream(StreamStep::Event(event)) => self.deliver(event).await?,
@@ -208,6 +239,9 @@
                     self.dispatch.notify_peers();
                 }
                 Step::Moved(moved) => return Err(Interruption::Moved(moved)),
+                Step::LinksLost => {
+                    return Err(Interruption::Broken(BreakReason::ConnectionFailed));
+                }
                 Step::TimedOut => return Err(Interruption::TimedOut),
             }
         }
--- a/crates/gateway/src/head_wait.rs
+++ b/crates/gateway/src/head_wait.rs
@@ -51,7 +51,7 @@
     }
 
     /// Completes once links are surely lost, that to this upstream too, if the request may be sent again.
-    async fn wait_until_lost(&self) {
+    pub(crate) async fn wait_until_lost(&self) {
         let clock = &self.dispatch.clock;
         let sent_ms = clock.now_ms();
         let overdue_ms = self.overdue_ms();
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -376,3 +376,44 @@
         }
     });
 }
+
+/// Streams that run at daemons when these lose their links reach their callers whole.
+async fn check_streams_go_on(spawner: &Spawner, cut: Cut) {
+    const EVENT_MS: u64 = 100;
+    const STREAMS: usize = 4;
+    let fleet = Fleet::new(spawner, DAEMONS).await;
+    for upstream in &fleet.upstreams {
+        upstream.update_behaviour(|behaviour| behaviour.event_ms = EVENT_MS);
+    }
+    let (done, outcomes) = async_channel::unbounded();
+    for daemon in 0..2 {
+        for number in 0..STREAMS {
+            let addr = fleet.gateways[daemon].addresses.callers;
+            let request = generation("/caption/x", &format!("{daemon}-{number}"));
+            let (inner, done) = (spawner.clone(), done.clone());
+            spawner.detach(async move {
+                const LIMIT_MS: u64 = 10_000;
+                let answer = comfreymast_net::call(&inner, addr, request, LIMIT_MS, 1 << 20).await;
+                let events = answer.map(|answer| event_ids(answer.body())).unwrap_or_default();
+                done.send(events).await.expect("somebody who counts");
+            });
+        }
+    }
+    sleep_ms(EVENTS * EVENT_MS / 4).await;
+    fleet.cut(0, cut);
+    fleet.cut(1, cut);
+    for _ in 0..2 * STREAMS {
+        let events = outcomes.recv().await.expect("an outcome");
+        assert_eq!(events, (1..=EVENTS).collect::<Vec<_>>(), "{cut:?}");
+    }
+}
+
+#[test]
+fn streams_under_way_when_links_are_closed_go_on_over_a_peer() {
+    run_test(async |spawner| check_streams_go_on(&spawner, Cut::Closed).await);
+}
+
+#[test]
+fn streams_under_way_when_links_go_silent_go_on_over_a_peer() {
+    run_test(async |spawner| check_streams_go_on(&spawner, Cut::Silent).await);
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -35,7 +35,7 @@
 pub use log_client::{LogClient, LogEntry, LogError, LogPage};
 pub use request_head::{
     CopyLocation, ForwardOptions, PromptPart, PromptShape, RequestHead, RequestHeadError, Resumes,
-    request_id, upstream_headers,
+    request_id, set_resumption, upstream_headers,
 };
 pub use response_head::{NamedRate, Pause, ResponseHead};
 pub use settings::{SettingsError, VmSettings, settings_path};
--- a/crates/platform/src/request_head.rs
+++ b/crates/platform/src/request_head.rs
@@ -245,6 +245,12 @@
     headers
 }
 
+/// Makes the headers of a caller's request those of one that takes its own stream up after `last_event`.
+pub fn set_resumption(headers: &mut HeaderMap, id: &str, last_event: u64) {
+    set_header(headers, names::RESUMES, id);
+    set_header(headers, names::LAST_EVENT_ID, &last_event.to_string());
+}
+
 fn is_dropped(name: &HeaderName) -> bool {
     let standard = [
         AUTHORIZATION,
