A call whose answer a peer lost is not run again as if it had not

What callers saw: nothing yet; read in the change. A call that may run again, whose answer a peer lost, was tried at this daemon's own links without counting that run if no further peer was there, so on one more upstream than its route allows. And if no peer took a call, the same peers were asked once more.

Change: what may have run ends with that if no further peer takes it; peers are asked once. Ruled out: calls that may run once, which end at the first lost answer.

Measured: tests/lost_links.rs, requests.rs and attempts.rs pass; no test of its own, which needs a peer that loses an answer while it is the only one.

--- a/crates/gateway/src/forward/outbound.rs
+++ b/crates/gateway/src/forward/outbound.rs
@@ -49,7 +49,11 @@
     let mut outgoing = Outgoing { call, service, earlier_runs: runs, last_event: None };
     let mut asked = Vec::new();
     loop {
-        let failure = match ask(dispatch, &outgoing, &mut asked).await? {
+        let Some(asked) = ask(dispatch, &outgoing, &mut asked).await else {
+            let may_have_run = outgoing.earlier_runs > runs;
+            return may_have_run.then(|| Err(call.lost_answer_error(&dispatch.clock)));
+        };
+        let failure = match asked {
             Ok(answer) if call.route.is_stream => return Some(Ok(answer.pass_on())),
             Ok(answer) => match answer.read_whole().await {
                 Some(response) => return Some(Ok(response)),
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -66,15 +66,15 @@
     call: &Arc<Call>,
     service: &Service,
 ) -> Result<Response<Body>, CallError> {
-    if dispatch.has_lost_links(service)
-        && let Some(answered) = forward(dispatch, call, service, 0).await
-    {
+    let has_lost_links = dispatch.has_lost_links(service);
+    if has_lost_links && let Some(answered) = forward(dispatch, call, service, 0).await {
         return answered;
     }
     // Without a peer that takes it, it is tried here all the same.
     let runs = match run_here(dispatch, call, service, 0).await {
         Ok(response) => return Ok(response),
         Err(Unserved::Error(error)) => return Err(error),
+        Err(Unserved::Unreached { runs }) if has_lost_links => return Err(unreached_error(runs)),
         Err(Unserved::Unreached { runs }) => runs,
     };
     let answered = forward(dispatch, call, service, runs).await;
