Soak: a configuration is recorded before it is written

So the check was wrong, not a daemon: no run had a version that was not published.

Change: recorded before the write. As strict: the set of versions is the same, and the time from which an older one counts as out of date is a moment earlier.

--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -116,13 +116,14 @@
     /// upstreams see it.
     pub(crate) fn publish(&self) {
         let version = self.version.fetch_add(VERSION_STEP, Ordering::AcqRel) + VERSION_STEP;
+        // Recorded first, since checks run meanwhile, and upstreams may see it as soon as it is written.
+        let at_ms = self.recorder.now_ms();
+        self.recorder.events().published.push(Published { version, at_ms });
         self.write(
             OPERATORS_TOPIC,
             CONFIGURATION_KEY,
             configuration(version).to_string().as_bytes(),
         );
-        let at_ms = self.recorder.now_ms();
-        self.recorder.events().published.push(Published { version, at_ms });
     }
 
     /// The current upstream at a place.
