Streams go on after all daemons have restarted at once, at their own version

Callers saw: after all daemons had ended and started again, no stream that was taken up went on (503, 40 of 40), also where the service had one version all the while. And where a time limit had been shortened meanwhile, a stream of a version that had left went on at another one.

Cause: which versions a service had, and who began which stream, was kept by the daemons alone. A new daemon trusted what it had seen in the route's current time limit and refused until then; the limit of before, under which the stream began, was no input.

Ruled out: peers' replies (none outlives the daemons), the history of the upstreams' topic (its records may be deleted at any time and carry no time), any mark in the answer (callers send only the attempt back).

Change: a version is recorded in the store before the first stream at it begins, and removed when no stream of it can be taken up; a mark with the store's era says that none is missing, and the longest time in which a stream may be taken up. While a service has several versions, each daemon appends the origins of its own streams, spaced by the size of the fleet. A take-up that no daemon knows reads both.

software_versions.rs: a daemon that has just started now knows which versions there were, if daemons have recorded them from the start; the test of one that does not plays a daemon that recorded none. Its checks are unchanged.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -22,7 +22,8 @@
 //! * [`slot_share`] — how many places of a brittle upstream a daemon uses.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
 //! * [`stream_origins`] — which software version began a stream.
-//! * [`version_history`] — the software versions that a service had.
+//! * [`version_history`] — the software versions that services had.
+//! * [`version_records`] — what the store keeps of them.
 //! * [`suspension`] — whether the VM was suspended.
 //! * [`upstream_choice`] — which upstream of a plain service gets a request.
 //! * [`upstream_limit`] — how many requests an upstream gets that names a limit for all daemons.
@@ -65,3 +66,4 @@
 pub mod upstream_end;
 pub mod upstream_limit;
 pub mod version_history;
+pub mod version_records;
--- a/crates/fleet/src/route_table.rs
+++ b/crates/fleet/src/route_table.rs
@@ -27,6 +27,11 @@
         ends.map(|(index, _)| &path[..=index]).find_map(|prefix| prefixes.get(prefix))
     }
 
+    /// All routes.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.by_host.values().flat_map(HashMap::values)
+    }
+
     /// The number of routes.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -31,7 +31,7 @@
     const PAUSE_MS: u64 = 500;
     let settings = dispatch.settings.load_full();
     let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
-    let own = dispatch.peers.own_member().encode_to_vec();
+    let own = Member { records_versions: true, ..dispatch.peers.own_member() }.encode_to_vec();
     loop {
         let put = client.put(Topic::Daemons, settings.name.as_str(), &own).await;
         let newest = match put {
@@ -44,6 +44,8 @@
                 let members: Vec<_> =
                     values.filter_map(|value| Member::decode(value).ok()).collect();
                 dispatch.peers.add_members(&members);
+                let do_all_record = members.iter().all(|member| member.records_versions);
+                dispatch.version_records.record_announced(do_all_record);
                 return;
             }
             Err(error) => {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
 use comfreymast_base::{Clock, Service, SoftwareVersion, Upstream};
-use comfreymast_decide::version_history::VersionHistory;
+use comfreymast_decide::version_history::{ServiceVersion, ServiceVersions};
 use comfreymast_fleet::UpstreamRecord;
 
 use crate::brittleness::Brittleness;
@@ -87,7 +87,7 @@
     clock: Clock,
     upstreams: ArcSwap<Upstreams>,
     /// The software versions that services had. Locked for each change.
-    histories: Mutex<HashMap<Service, VersionHistory>>,
+    versions: Mutex<ServiceVersions>,
     shared: Mutex<HashMap<Service, SharedState>>,
 }
 
@@ -95,10 +95,10 @@
     /// A directory without upstreams.
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
-            clock,
             upstreams: ArcSwap::default(),
-            histories: Mutex::default(),
+            versions: Mutex::new(ServiceVersions::new(clock.now_ms())),
             shared: Mutex::default(),
+            clock,
         }
     }
 
@@ -147,17 +147,36 @@
     }
 
     /// The only software version that a service has had in the last `span_ms`, upstreams that state none
-    /// counting as one. `None` if there were several, or if this daemon has not run for so long.
+    /// counting as one. `None` if there were several, or if it is not known.
     pub(crate) fn only_version(
         &self,
         service: &Service,
         span_ms: u64,
     ) -> Option<Option<SoftwareVersion>> {
+        self.with_versions(|versions, now_ms| {
+            versions.only_version(service, span_ms, now_ms).cloned()
+        })
+    }
+
+    /// Calls `use_versions` with the software versions that services have had, and the time.
+    pub(crate) fn with_versions<T>(
+        &self,
+        use_versions: impl FnOnce(&mut ServiceVersions, u64) -> T,
+    ) -> T {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = self.clock.now_ms();
-        let since_ms = now_ms.checked_sub(span_ms)?;
-        let mut histories = self.histories.lock().unwrap_or_else(PoisonError::into_inner);
-        record_versions(&mut histories, &self.upstreams.load(), now_ms);
-        histories.get(service)?.only_version(since_ms).cloned()
+        record_versions(&mut versions, &self.upstreams.load(), now_ms);
+        use_versions(&mut versions, now_ms)
+    }
+
+    /// The software versions that services have now.
+    pub(crate) fn present_versions(&self) -> BTreeSet<ServiceVersion> {
+        let upstreams = self.upstreams.load();
+        let versions = upstreams.all().map(|state| ServiceVersion {
+            service: state.record.service.clone(),
+            version: state.record.version.clone(),
+        });
+        versions.collect()
     }
 
     /// What the upstreams of a service share, whichever these are.
@@ -168,25 +187,21 @@
     }
 
     fn update(&self, change: impl FnOnce(&mut HashMap<Upstream, Arc<UpstreamState>>, u64)) {
-        let mut histories = self.histories.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = self.clock.now_ms();
         let known = self.upstreams.load();
         // What is about to go has been there until now.
-        record_versions(&mut histories, &known, now_ms);
+        record_versions(&mut versions, &known, now_ms);
         let mut by_name = known.by_name.clone();
         change(&mut by_name, now_ms);
         self.upstreams.store(Arc::new(Upstreams::new(by_name)));
     }
 }
 
-fn record_versions(
-    histories: &mut HashMap<Service, VersionHistory>,
-    upstreams: &Upstreams,
-    now_ms: u64,
-) {
+fn record_versions(known: &mut ServiceVersions, upstreams: &Upstreams, now_ms: u64) {
     for (service, states) in &upstreams.by_service {
         let versions = states.iter().map(|state| state.record.version.clone());
-        histories.entry(service.clone()).or_default().record(versions, now_ms);
+        known.record(service, versions, now_ms);
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -23,6 +23,7 @@
 use crate::quarantine::QuarantineState;
 use crate::stream_origin::OriginState;
 use crate::upstream_state::UpstreamState;
+use crate::version_records::VersionRecordState;
 
 /// The share of the retry budget that is used; the rest covers delayed updates of other daemons.
 const USED_SHARE: f64 = 0.75;
@@ -56,6 +57,8 @@
     pub(crate) quarantine: QuarantineState,
     /// Which software versions began streams.
     pub(crate) origins: OriginState,
+    /// What the store has of the software versions of services.
+    pub(crate) version_records: VersionRecordState,
     /// Connections to peers that serve calls for this daemon.
     pub(crate) forward_pools: ForwardPools,
     /// Notified when links to upstreams are lost.
@@ -88,7 +91,8 @@
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
             outbox: Outbox::new(spawner.clone()),
             quarantine: QuarantineState::new(),
-            origins: OriginState::default(),
+            origins: OriginState::new(clock.clone()),
+            version_records: VersionRecordState::new(clock.clone()),
             forward_pools: ForwardPools::default(),
             link_loss: Event::new(),
             spawner,
@@ -114,6 +118,7 @@
         }
         log::info!(target: "comfreymast", code = 1203, version = configuration.version,
             previous = known, routes = configuration.routes.len(); "configuration in force");
+        self.version_records.apply_configuration(&configuration);
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
@@ -200,6 +205,7 @@
     pub(crate) fn record_store_return(&self, era: u64) {
         self.metrics.store_returns.inc();
         self.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+        self.version_records.forget_stored();
         self.store_return.notify(usize::MAX);
     }
 
@@ -208,6 +214,16 @@
         self.store_return.listen()
     }
 
+    /// True if this daemon is one of the few that read the store often, for all.
+    pub(crate) fn is_store_reader(&self) -> bool {
+        let readers = if self.is_large_fleet.load(Ordering::Acquire) {
+            self.options.store_readers_per_data_centre
+        } else {
+            self.options.store_readers
+        };
+        self.peers.readers_before() < readers
+    }
+
     /// Records that no daemon can read from the store.
     pub(crate) fn record_store_silence(&self) {
         self.store_silent_ms.store(self.clock.now_ms().max(1), Ordering::Release);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -259,13 +259,7 @@
     /// while peers keep them up to date. It is harmless when daemons disagree on who is first.
     fn update_store_wait(&self, links: &Links) {
         let options = &self.dispatch.options;
-        let readers = if links.is_large {
-            options.store_readers_per_data_centre
-        } else {
-            options.store_readers
-        };
-        let is_reader = self.dispatch.peers.readers_before() < readers;
-        let wait_ms = match (is_reader, links.is_large) {
+        let wait_ms = match (self.dispatch.is_store_reader(), links.is_large) {
             (true, _) => options.reader_wait_ms,
             (false, false) => options.store_wait_ms,
             (false, true) => FollowedTopic::NOT_READING_MS,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -39,7 +39,7 @@
                         position:% = followed.position(); "store answers again");
                 }
             }
-            Some(Err(StoreError::Deleted | StoreError::OtherEra { .. })) => {
+            Some(Err(StoreError::Deleted { .. } | StoreError::OtherEra { .. })) => {
                 must_reload = true;
                 reloads += 1;
                 // A reload that does not help is not repeated at once.
--- a/crates/gateway/src/followed_topic.rs
+++ b/crates/gateway/src/followed_topic.rs
@@ -234,7 +234,7 @@
             Topic::Operators => news::Topic::Operators,
             Topic::Upstreams => news::Topic::Upstreams,
             Topic::Quarantines => news::Topic::Quarantines,
-            Topic::Daemons => return,
+            Topic::Daemons | Topic::Versions => return,
         };
         if next.era == from.era && next > from {
             let delta = TopicDelta {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,10 @@
 use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
 use crate::settings_watch::watch_settings;
-use crate::{GatewayOptions, engine_watch, link_probe, request_handler, suspension_watch};
+use crate::{
+    GatewayOptions, engine_watch, link_probe, request_handler, stream_origin, suspension_watch,
+    version_records,
+};
 
 /// Why a gateway did not start.
 #[derive(Debug, Display, Error)]
@@ -111,6 +114,8 @@
         spawner.spawn(follow(spawner.clone(), upstreams.clone(), store_addr)),
         spawner.spawn(follow(spawner.clone(), quarantines.clone(), store_addr)),
         spawner.spawn(remove_expired(dispatch.clone())),
+        spawner.spawn(version_records::keep(dispatch.clone())),
+        spawner.spawn(stream_origin::keep_stored(dispatch.clone())),
         spawner.spawn(link_probe::watch(dispatch.clone())),
         spawner.spawn(engine_watch::watch(dispatch.clone(), upstreams.clone())),
         spawner.spawn(suspension_watch::watch(
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -8,6 +8,7 @@
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_decide::software_version::VersionNeed;
+use comfreymast_decide::version_history::ServiceVersion;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
 use comfreymast_net::{BodyError, BodyFraming, OwnedConnection, sleep_ms};
 use comfreymast_platform::{PromptShape, ResponseHead};
@@ -25,6 +26,7 @@
 use crate::send::{Outstanding, Sent};
 use crate::stream_origin::record_origin;
 use crate::upstream_state::UpstreamState;
+use crate::version_records::confirm;
 
 /// How long the upstream of a finished stream without framing is watched. Its caller has all events
 /// by then.
@@ -315,7 +317,7 @@
             return Ok(());
         }
         if self.events == 0 {
-            self.record_version();
+            self.record_version().await;
         }
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
@@ -332,10 +334,13 @@
     }
 
     /// Ties the stream to the version of its first event, before its caller gets that.
-    fn record_version(&mut self) {
+    async fn record_version(&mut self) {
         let version = self.upstream.record.version.clone();
+        let service = self.service.clone();
+        let began_at = ServiceVersion { service, version: version.clone() };
+        confirm(&self.dispatch, &began_at).await;
         if self.call.route.retry_policy == RetryPolicy::Resumable {
-            record_origin(&self.dispatch, &self.call, version.clone());
+            record_origin(&self.dispatch, &self.call, &self.service, version.clone());
         }
         self.version = VersionNeed::Only(version);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod link_probe;
 mod metrics;
 mod named_limit;
+mod on_demand;
 mod options;
 mod outbox;
 mod pause;
@@ -55,6 +56,7 @@
 mod topic_positions;
 mod unserved;
 mod upstream_state;
+mod version_records;
 
 pub use gateway::{GatewayAddresses, GatewayError, run};
 pub use json_log::install_log;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,6 +37,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Why a stream was not taken up.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OriginLabels {
+    /// `no reply`, `several versions` or `earlier versions unknown`.
+    pub(crate) reason: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -67,7 +74,7 @@
     /// Requests during which their upstream ended.
     pub(crate) upstream_ends: Counter,
     /// Streams that were not taken up, as the version that began them is not known.
-    pub(crate) unknown_origins: Counter,
+    pub(crate) unknown_origins: Family<OriginLabels, Counter>,
     /// Sends that were withheld, as their request may crash upstreams.
     pub(crate) quarantine_refusals: Counter,
     /// Times that an upstream was passed over, as its named limit was used up.
@@ -127,7 +134,7 @@
             "Sends withheld, as their request may crash upstreams",
             quarantine_refusals.clone(),
         );
-        let unknown_origins = Counter::default();
+        let unknown_origins = Family::default();
         registry.register(
             "gateway_unknown_origins",
             "Streams that were not taken up, as the software version that began them is not known",
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -119,6 +119,7 @@
             data_centre: self.me.data_centre.as_str().to_owned(),
             addr: self.own_addr.to_string(),
             lost_services: Vec::new(),
+            records_versions: false,
         }
     }
 
@@ -192,6 +193,7 @@
             data_centre: heartbeat.data_centre.clone(),
             addr: addr.to_string(),
             lost_services: Vec::new(),
+            records_versions: false,
         };
         self.add_members(heartbeat.members.iter().filter(|member| member.daemon != sender.daemon));
         self.add_members([&sender]);
@@ -315,6 +317,7 @@
                 data_centre: heartbeat.data_centre.clone(),
                 addr: peer.addr.to_string(),
                 lost_services: heartbeat.lost_services.clone(),
+                records_versions: false,
             });
         }
         for services in table.departed.services() {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -100,5 +100,6 @@
         data_centre: entry.data_centre.as_str().to_owned(),
         addr: entry.addr.to_string(),
         lost_services: Vec::new(),
+        records_versions: false,
     }
 }
--- a/crates/gateway/src/stream_origin/messages.rs
+++ b/crates/gateway/src/stream_origin/messages.rs
@@ -1,9 +1,10 @@
 use std::net::SocketAddr;
 
-use comfreymast_base::SoftwareVersion;
+use comfreymast_base::{Service, SoftwareVersion};
 use comfreymast_decide::stream_origins::{OriginKey, StreamOrigin, origin_key};
 use comfreymast_wire::news::{self, OriginQuery, OriginReply, news::Body};
 
+use super::state::UnwrittenOrigin;
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 
@@ -19,14 +20,21 @@
     origin_key(organisation, attempt)
 }
 
-/// Remembers at which version a call's stream began, and tells the daemons that keep its record.
-pub(crate) fn record_origin(dispatch: &Dispatch, call: &Call, version: Option<SoftwareVersion>) {
+/// Remembers at which version of a service a call's stream began, and tells the daemons that keep its
+/// record.
+pub(crate) fn record_origin(
+    dispatch: &Dispatch,
+    call: &Call,
+    service: &Service,
+    version: Option<SoftwareVersion>,
+) {
     let key = key_of(call, &call.head.id);
     let now_ms = dispatch.clock.now_ms();
     let expires_ms = now_ms + call.route.timeout_ms + TTL_MARGIN_MS;
     let origin = StreamOrigin { version, expires_ms };
     let message = message(&key, &origin, now_ms);
-    dispatch.origins.record(key, origin, now_ms);
+    dispatch.origins.record(key, origin.clone(), now_ms);
+    dispatch.origins.add_unwritten(UnwrittenOrigin { service: service.clone(), key, origin });
     for addr in dispatch.peers.holders(&key, HOLDERS) {
         dispatch.outbox.send_to(addr, Body::StreamOrigin(message.clone()));
     }
@@ -69,7 +77,7 @@
     dispatch.origins.reply(&key, origin.as_ref());
 }
 
-fn message(key: &OriginKey, origin: &StreamOrigin, now_ms: u64) -> news::StreamOrigin {
+pub(super) fn message(key: &OriginKey, origin: &StreamOrigin, now_ms: u64) -> news::StreamOrigin {
     news::StreamOrigin {
         key: key.to_vec().into(),
         version: origin.version.as_ref().map(ToString::to_string).unwrap_or_default(),
@@ -78,7 +86,10 @@
     }
 }
 
-fn decode(message: &news::StreamOrigin, now_ms: u64) -> Option<(OriginKey, StreamOrigin)> {
+pub(super) fn decode(
+    message: &news::StreamOrigin,
+    now_ms: u64,
+) -> Option<(OriginKey, StreamOrigin)> {
     let key = message.key[..].try_into().ok()?;
     let version = message.has_version.then(|| SoftwareVersion::from(message.version.as_str()));
     Some((key, StreamOrigin { version, expires_ms: now_ms.saturating_add(message.ttl_ms) }))
--- a/crates/gateway/src/stream_origin/need.rs
+++ b/crates/gateway/src/stream_origin/need.rs
@@ -1,18 +1,19 @@
-use comfreymast_base::Service;
+use comfreymast_base::{Service, SoftwareVersion};
 use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::RetryPolicy;
 use comfreymast_platform::Resumes;
 
 use super::lookup::{Lookup, look_up};
 use super::messages::key_of;
+use super::store_log::read_stored;
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::metrics::OriginLabels;
+use crate::version_records;
 
-/// When a caller may come back if not all daemons that may know its stream have replied.
+/// When a caller may come back if the store, or some daemon that may know its stream, has not replied.
 const SILENT_RETRY_MS: u64 = 300;
-/// How much later than it ends a stream may be taken up.
-const TAKE_UP_MARGIN_MS: u64 = 2_000;
 
 /// The software versions at which a call may run: any, unless it takes up a stream of which its caller
 /// has events.
@@ -38,17 +39,47 @@
         Lookup::Known(origin) => return Ok(VersionNeed::Only(origin.version)),
         Lookup::Unknown { asked, replied } => (asked, replied),
     };
+    let has_learned = version_records::learn(dispatch).await;
     // Silence of the store and of most peers may hide a version.
-    let is_informed = dispatch.store_silence_age_ms().is_none() || 2 * replied > asked;
-    let span_ms = call.route.timeout_ms + TAKE_UP_MARGIN_MS;
-    if let Some(version) = dispatch.directory.only_version(service, span_ms).filter(|_| is_informed)
-    {
+    let is_informed =
+        has_learned || dispatch.store_silence_age_ms().is_none() || 2 * replied > asked;
+    if let Some(version) = only_version(dispatch, service).filter(|_| is_informed) {
         return Ok(VersionNeed::Only(version));
     }
-    dispatch.metrics.unknown_origins.inc();
+    let has_read = match &call.head.resumes {
+        Resumes::Attempt(attempt) => {
+            let has_read = read_stored(dispatch).await;
+            let key = key_of(call, attempt);
+            if let Some(origin) = dispatch.origins.find(&key, dispatch.clock.now_ms()) {
+                return Ok(VersionNeed::Only(origin.version));
+            }
+            has_read
+        }
+        Resumes::Nothing | Resumes::Ambiguous => true,
+    };
+    let is_silent = replied < asked || !has_learned || !has_read;
+    let reason = reason(dispatch, is_silent);
+    dispatch.metrics.unknown_origins.get_or_create(&OriginLabels { reason }).inc();
     log::info!(target: "comfreymast", code = 1411, request = &*call.head.id,
-        resumes:? = call.head.resumes, last_event:? = call.head.last_event, asked, replied;
+        resumes:? = call.head.resumes, last_event:? = call.head.last_event, asked, replied,
+        has_learned, has_read, reason;
         "stream not taken up, as the version that began it is unknown");
-    let retry_after_ms = (replied < asked).then_some(SILENT_RETRY_MS);
+    let retry_after_ms = is_silent.then_some(SILENT_RETRY_MS);
     Err(CallError::Refused { reason: Refusal::Version, retry_after_ms })
 }
+
+fn only_version(dispatch: &Dispatch, service: &Service) -> Option<Option<SoftwareVersion>> {
+    dispatch.directory.only_version(service, dispatch.version_records.take_up_ms())
+}
+
+/// Why the version that began a stream is unknown.
+fn reason(dispatch: &Dispatch, is_silent: bool) -> &'static str {
+    let span_ms = dispatch.version_records.take_up_ms();
+    let is_past_known =
+        dispatch.directory.with_versions(|versions, now_ms| versions.is_known_for(span_ms, now_ms));
+    match (is_silent, is_past_known) {
+        (true, _) => "no reply",
+        (false, true) => "several versions",
+        (false, false) => "earlier versions unknown",
+    }
+}
--- a/crates/gateway/src/stream_origin/state.rs
+++ b/crates/gateway/src/stream_origin/state.rs
@@ -1,21 +1,92 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
+use comfreymast_base::{Clock, Service};
 use comfreymast_decide::stream_origins::{OriginKey, StreamOrigin, StreamOrigins};
+use event_listener::{Event, EventListener};
+
+use crate::on_demand::OnDemand;
 
 /// The most replies to one question that wait to be read.
 const MAX_REPLIES: usize = 32;
 
+/// The most streams of this daemon that wait to be written to the store.
+const MAX_UNWRITTEN: usize = 4_096;
+
+/// A stream that this daemon began, and that is not in the store.
+#[derive(Clone, Debug)]
+pub(super) struct UnwrittenOrigin {
+    pub(super) service: Service,
+    pub(super) key: OriginKey,
+    pub(super) origin: StreamOrigin,
+}
+
 /// The streams whose origin this daemon knows, and what it asks others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct OriginState {
     origins: Mutex<StreamOrigins>,
+    unwritten: Mutex<VecDeque<UnwrittenOrigin>>,
+    /// Notified of each addition to `unwritten`.
+    unwritten_added: Event,
+    /// Reading what the store has.
+    pub(super) reads: OnDemand,
     /// Who waits for the replies to a question.
     waiting: Mutex<HashMap<OriginKey, Vec<Sender<Option<StreamOrigin>>>>>,
 }
 
 impl OriginState {
+    /// Nothing is known.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Self {
+            origins: Mutex::default(),
+            unwritten: Mutex::default(),
+            unwritten_added: Event::new(),
+            reads: OnDemand::new(clock),
+            waiting: Mutex::default(),
+        }
+    }
+
+    /// Adds a stream that this daemon began.
+    pub(super) fn add_unwritten(&self, stream: UnwrittenOrigin) {
+        let mut unwritten = lock(&self.unwritten);
+        if unwritten.len() >= MAX_UNWRITTEN {
+            unwritten.pop_front();
+        }
+        unwritten.push_back(stream);
+        drop(unwritten);
+        self.unwritten_added.notify(usize::MAX);
+    }
+
+    /// Completes when the next stream is added.
+    pub(super) fn next_unwritten(&self) -> EventListener {
+        self.unwritten_added.listen()
+    }
+
+    /// Takes the streams of services that `is_needed` names, and drops those that nobody takes up any
+    /// more.
+    pub(super) fn take_unwritten(
+        &self,
+        is_needed: impl Fn(&Service) -> bool,
+        now_ms: u64,
+    ) -> Vec<UnwrittenOrigin> {
+        let mut unwritten = lock(&self.unwritten);
+        unwritten.retain(|stream| stream.origin.expires_ms > now_ms);
+        let all = unwritten.drain(..);
+        let (taken, left): (Vec<_>, Vec<_>) = all.partition(|stream| is_needed(&stream.service));
+        unwritten.extend(left);
+        taken
+    }
+
+    /// Puts streams back that could not be written.
+    pub(super) fn put_back(&self, streams: Vec<UnwrittenOrigin>) {
+        let mut unwritten = lock(&self.unwritten);
+        for stream in streams.into_iter().rev() {
+            unwritten.push_front(stream);
+        }
+        unwritten.truncate(MAX_UNWRITTEN);
+    }
+
     /// Adds a stream.
     pub(super) fn record(&self, key: OriginKey, origin: StreamOrigin, now_ms: u64) {
         lock(&self.origins).record(key, origin, now_ms);
--- a/crates/gateway/src/suspension_watch.rs
+++ b/crates/gateway/src/suspension_watch.rs
@@ -23,6 +23,7 @@
             for upstream in dispatch.directory.load().all() {
                 upstream.pool.clear();
             }
+            dispatch.directory.with_versions(|versions, now_ms| versions.record_gap(now_ms));
             followed.iter().for_each(|followed| followed.refresh());
         }
         before = now;
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -200,6 +200,8 @@
     const TIMEOUT_MS: u64 = 500;
     run_test(async |spawner| {
         let fleet = Fleet::new(&spawner, &["v1", "v1"]).await;
+        // A daemon that recorded no versions has run here: a message with its name.
+        fleet.env.write("keyed.daemons", "old", b"\x0a\x03old");
         fleet.env.publish(2, |configuration| {
             for route in configuration["routes"].as_array_mut().expect("routes") {
                 route["timeoutMs"] = TIMEOUT_MS.into();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -39,7 +39,7 @@
 };
 pub use response_head::{NamedRate, Pause, ResponseHead};
 pub use settings::{SettingsError, VmSettings, settings_path};
-pub use store::{NewestRecords, StoreClient, StoreError, StorePage, Topic};
+pub use store::{LogRecords, LogTopic, NewestRecords, StoreClient, StoreError, StorePage, Topic};
 pub use store_record::{KeyedRecord, RecordError};
 pub use upstream::{UpstreamError, decode_upstream, upstream_revision};
 pub use vm::{Vm, VmRole, VmState};
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -1,13 +1,13 @@
 use std::net::SocketAddr;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use comfreymast_net::{DialError, Spawner, call, empty, full, request};
 use derive_more::{Display, Error};
 use hyper::StatusCode;
 use serde::Deserialize;
 
 use crate::names;
-use crate::store_record::{RecordError, split_frames};
+use crate::store_record::{RecordError, frame_records, split_frames};
 
 const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
 /// How much longer than its long poll a read may take.
@@ -15,7 +15,6 @@
 /// The topic of the records of all daemons. It has a single partition, so offsets order all
 /// records.
 const TOPIC: &str = "comfreymast";
-const LENGTH_BYTES: usize = 4;
 
 /// Why a call to the log service failed.
 #[derive(Debug, Display, Error)]
@@ -167,16 +166,6 @@
     serde_json::from_slice(bytes).map_err(|source| LogError::Malformed { source })
 }
 
-fn frame_records(records: &[Bytes]) -> Bytes {
-    let length = records.iter().map(|record| LENGTH_BYTES + record.len()).sum();
-    let mut bytes = BytesMut::with_capacity(length);
-    for record in records {
-        bytes.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
-        bytes.put_slice(record);
-    }
-    bytes.freeze()
-}
-
 fn decode_page(mut bytes: Bytes, from: u64, max: u32) -> Result<LogPage, LogError> {
     let malformed = |source| LogError::MalformedRecords { source };
     if bytes.len() < 2 * size_of::<u64>() {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use base64::Engine as _;
-use bytes::{Buf, Bytes};
+use bytes::{Buf, Bytes, BytesMut};
 use comfreymast_base::StorePosition;
 use comfreymast_net::{
     Body, BodyError, Elapsed, OpenError, OwnedConnection, SendError, Spawner, collect, empty, full,
@@ -12,7 +12,7 @@
 use serde::Deserialize;
 
 use crate::names;
-use crate::store_record::{KeyedRecord, RecordError, split_records};
+use crate::store_record::{KeyedRecord, RecordError, frame_records, split_frames, split_records};
 
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -31,6 +31,8 @@
     Daemons,
     /// The requests that all daemons refuse, since they crash upstreams.
     Quarantines,
+    /// The software versions that services have or had.
+    Versions,
 }
 
 impl Topic {
@@ -40,6 +42,22 @@
             Self::Upstreams => "keyed.servers",
             Self::Daemons => "keyed.daemons",
             Self::Quarantines => "keyed.quarantines",
+            Self::Versions => "keyed.versions",
+        }
+    }
+}
+
+/// A topic of the store without keys, whose oldest records expire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogTopic {
+    /// Which software versions began streams.
+    StreamOrigins,
+}
+
+impl LogTopic {
+    fn name(self) -> &'static str {
+        match self {
+            Self::StreamOrigins => "stream-origins",
         }
     }
 }
@@ -64,9 +82,19 @@
     #[error(ignore)]
     Refused(StatusCode),
     /// Records at the requested offset were deleted; [`StoreClient::newest`] replaces the read.
-    #[display("the records were deleted")]
+    #[display("the records were deleted; the first left is {first}")]
+    #[from(ignore)]
+    Deleted {
+        /// The offset of the oldest record that is left.
+        first: u64,
+    },
+    /// Nothing was ever written to the topic.
+    #[display("the store has no such topic")]
     #[from(ignore)]
-    Deleted,
+    NoTopic {
+        /// The era of the store.
+        era: u64,
+    },
     /// The store is in another era, so offsets known before mean nothing; [`StoreClient::newest`]
     /// replaces the read.
     #[display("the store is in era {era}")]
@@ -101,6 +129,17 @@
     pub next: StorePosition,
 }
 
+/// Consecutive records of a topic without keys.
+#[derive(Clone, Debug, Default)]
+pub struct LogRecords {
+    /// The records, in order.
+    pub records: Vec<Bytes>,
+    /// Where the next read continues.
+    pub next: StorePosition,
+    /// The offset that the next appended record will get.
+    pub end: u64,
+}
+
 /// A client of the platform's store that reuses one connection.
 #[derive(Debug)]
 pub struct StoreClient {
@@ -208,9 +247,62 @@
     /// After [`StoreError::Open`] and [`StoreError::Refused`] nothing was appended; after any other
     /// error the record may have been.
     pub async fn put(&mut self, topic: Topic, key: &str, value: &[u8]) -> Result<(), StoreError> {
-        let path = format!("{}?topic={}&part=0", names::APPEND_PATH, topic.name());
-        let body = full(KeyedRecord::encode(key, value));
-        self.call(request(self.addr, "POST", &path, body), REPLY_TIMEOUT_MS).await?;
+        self.append(topic.name(), KeyedRecord::encode(key, value)).await
+    }
+
+    /// Like [`Self::put`] for several records, of which all are appended or none.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::put`].
+    pub async fn put_all(
+        &mut self,
+        topic: Topic,
+        records: &[(String, Vec<u8>)],
+    ) -> Result<(), StoreError> {
+        let mut bytes = BytesMut::new();
+        for (key, value) in records {
+            bytes.extend_from_slice(&KeyedRecord::encode(key, value));
+        }
+        self.append(topic.name(), bytes.freeze()).await
+    }
+
+    /// Appends a record to a topic without keys.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::put`].
+    pub async fn append_log(&mut self, topic: LogTopic, record: Bytes) -> Result<(), StoreError> {
+        self.append(topic.name(), frame_records(&[record])).await
+    }
+
+    /// Reads records of a topic without keys from `from` on, in whichever era the store is.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Deleted`] when records were deleted, or any other [`StoreError`] but
+    /// [`StoreError::OtherEra`].
+    pub async fn read_log(&mut self, topic: LogTopic, from: u64) -> Result<LogRecords, StoreError> {
+        let path = format!(
+            "{}?topic={}&part=0&from={from}&maxKb={MAX_READ_KB}",
+            names::READ_PATH,
+            topic.name(),
+        );
+        let request = request(self.addr, "GET", &path, empty());
+        let Reply { mut bytes, era } = self.call(request, REPLY_TIMEOUT_MS).await?;
+        if bytes.len() < 2 * size_of::<u64>() {
+            return Err(RecordError::Truncated.into());
+        }
+        let end = bytes.get_u64();
+        let _first = bytes.get_u64();
+        let records = split_frames(bytes)?;
+        let next = StorePosition { era, offset: from + records.len() as u64 };
+        Ok(LogRecords { records, next, end })
+    }
+
+    async fn append(&mut self, topic: &str, records: Bytes) -> Result<(), StoreError> {
+        let path = format!("{}?topic={topic}&part=0", names::APPEND_PATH);
+        self.call(request(self.addr, "POST", &path, full(records)), REPLY_TIMEOUT_MS).await?;
         Ok(())
     }
 
@@ -228,9 +320,14 @@
         self.connection = Some(connection);
         let era =
             head.headers.get(names::STORE_ERA).and_then(|era| era.to_str().ok()?.parse().ok());
+        let era = era.unwrap_or(0);
         match head.status {
-            StatusCode::OK => Ok(Reply { bytes, era: era.unwrap_or(0) }),
-            StatusCode::GONE => Err(StoreError::Deleted),
+            StatusCode::OK => Ok(Reply { bytes, era }),
+            StatusCode::NOT_FOUND => Err(StoreError::NoTopic { era }),
+            StatusCode::GONE => {
+                let deleted: DeletedReply = serde_json::from_slice(&bytes)?;
+                Err(StoreError::Deleted { first: deleted.first })
+            }
             status => Err(status.into()),
         }
     }
@@ -251,6 +348,12 @@
     end: u64,
 }
 
+#[derive(Deserialize)]
+struct DeletedReply {
+    #[serde(default)]
+    first: u64,
+}
+
 #[derive(Deserialize)]
 struct NewestItem {
     key: String,
--- a/crates/platform/src/store_record.rs
+++ b/crates/platform/src/store_record.rs
@@ -55,6 +55,17 @@
     }
 }
 
+/// Encodes records for an append.
+pub(crate) fn frame_records(records: &[Bytes]) -> Bytes {
+    let length = records.iter().map(|record| LENGTH_BYTES + record.len()).sum();
+    let mut bytes = BytesMut::with_capacity(length);
+    for record in records {
+        bytes.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
+        bytes.put_slice(record);
+    }
+    bytes.freeze()
+}
+
 /// Decodes the records of a read, the first of which has offset `first`. Records whose key cannot
 /// be decoded are left out; `on_skipped` is called with the offset and the error of each.
 ///
