A take-up is tied to its version whatever its route says now, and if its last event is unreadable

Callers saw: streams joined from two versions, 20 of 40, once their route no longer allowed to take streams up; and a take-up whose Last-Event-Id was not a number ran at any version.

Cause: whether a request takes up a stream was decided from the route in force now and from a number that parsed, not from whether the caller may have events.

Ruled out: origins were known in both cases; the lookup was skipped.

Change: RequestHead::has_events, true unless the header is absent or 0.

tests/all_daemons_restarted.rs: joined 20 of 40 before, 0 after; the unreadable last event ran before, is refused after.

--- a/crates/gateway/src/stream_origin/need.rs
+++ b/crates/gateway/src/stream_origin/need.rs
@@ -1,6 +1,5 @@
 use comfreymast_base::{Service, SoftwareVersion};
 use comfreymast_decide::software_version::VersionNeed;
-use comfreymast_fleet::RetryPolicy;
 use comfreymast_platform::Resumes;
 
 use super::lookup::{Lookup, look_up};
@@ -27,8 +26,8 @@
     call: &Call,
     service: &Service,
 ) -> Result<VersionNeed, CallError> {
-    let has_events = call.head.last_event.is_some_and(|last_event| last_event > 0);
-    if !has_events || call.route.retry_policy != RetryPolicy::Resumable {
+    // Whether its route allows that now does not matter: it may have when the stream began.
+    if !call.head.has_events {
         return Ok(VersionNeed::Any);
     }
     let looked_up = match &call.head.resumes {
--- a/crates/gateway/tests/all_daemons_restarted.rs
+++ b/crates/gateway/tests/all_daemons_restarted.rs
@@ -11,7 +11,7 @@
 use comfreymast_net::{Body, Spawner};
 use http_body_util::BodyExt;
 use hyper::{Request, StatusCode};
-use support::{Gateway, TestEnv, event_ids, generation, run_test};
+use support::{Gateway, TestEnv, event_ids, generation, run_test, wait_for};
 
 const EVENTS: u64 = 20;
 /// The last event that a caller gets before all daemons end.
@@ -365,3 +365,46 @@
         assert_eq!(fleet.runs(), runs);
     });
 }
+
+#[test]
+fn a_last_event_that_cannot_be_read_counts_as_one() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, alternating).await;
+        let runs = fleet.runs();
+        let mut call = take_up("id-1", "unknown");
+        call.headers_mut().insert("last-event-id", "three".parse().expect("a value"));
+        let answer = fleet.daemons[0].call(&spawner, call).await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(fleet.runs(), runs);
+    });
+}
+
+#[test]
+fn a_stream_is_not_joined_when_its_route_no_longer_allows_to_take_it_up() {
+    run_test(async |spawner| {
+        let fleet = Fleet::new(&spawner, alternating).await;
+        let begun = fleet.begin(&spawner).await;
+        fleet.env.publish(2, |configuration| {
+            for route in configuration["routes"].as_array_mut().expect("routes") {
+                if let Some(route) = route.as_object_mut() {
+                    route.remove("resumable");
+                }
+            }
+        });
+        wait_for("the new configuration", async || {
+            // A stream that breaks off is not continued any more, so its caller sees the break.
+            let call = generation("/caption/x", "probe");
+            fleet.engines.iter().for_each(|engine| {
+                engine.update_behaviour(|behaviour| behaviour.breaks_after = Some(1));
+            });
+            let (_connection, response) = fleet.daemons[0].open(&spawner, call).await;
+            event_ids(&support::read_what_arrives(response).await).len() == 1
+        })
+        .await;
+        fleet.engines.iter().for_each(|engine| {
+            engine.update_behaviour(|behaviour| behaviour.breaks_after = None);
+        });
+        let taken_up = fleet.take_up(&spawner, &begun).await;
+        assert_eq!(taken_up.joined, 0, "{taken_up:?}");
+    });
+}
--- a/crates/platform/src/request_head.rs
+++ b/crates/platform/src/request_head.rs
@@ -68,6 +68,8 @@
     pub shared_parts: Vec<Arc<str>>,
     /// The last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// True if the caller has events of the stream that it takes up, as far as can be told.
+    pub has_events: bool,
     /// The attempt that brought the first event of a stream that it resumes.
     pub resumes: Resumes,
 }
@@ -124,11 +126,20 @@
             prompt: prompt(headers),
             shared_parts: shared_parts(headers),
             last_event: parse_number(headers, names::LAST_EVENT_ID),
+            has_events: has_events(headers),
             resumes: Resumes::decode(headers),
         })
     }
 }
 
+/// True unless there is no last event, or it is 0. One that cannot be read may be any.
+fn has_events(headers: &HeaderMap) -> bool {
+    headers.get_all(names::LAST_EVENT_ID).iter().any(|last_event| {
+        let number = last_event.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+        number != Some(0)
+    })
+}
+
 fn host(head: &Parts) -> Result<String, RequestHeadError> {
     let mut hosts = head.headers.get_all(hyper::header::HOST).iter();
     let host = hosts.next().and_then(|host| host.to_str().ok()).ok_or(RequestHeadError::Host)?;
