Daemons that start together do not all follow the store

Cause: until a daemon knows its peers it counts itself among the few that read the store for all, so all of them followed each change.

Ruled out: the first load of each topic (four calls) and the announcement (two), which stay.

Change: a daemon whose settings name others reads each topic once and follows none until it has run for a second, when it knows its peers.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -28,6 +28,9 @@
 /// The share of the retry budget that is used; the rest covers delayed updates of other daemons.
 const USED_SHARE: f64 = 0.75;
 
+/// How long after its start a daemon knows most of its peers.
+const PEERS_KNOWN_MS: u64 = 1_000;
+
 /// State that all requests of a gateway share.
 #[derive(Debug)]
 pub(crate) struct Dispatch {
@@ -61,6 +64,8 @@
     pub(crate) version_records: VersionRecordState,
     /// Connections to peers that serve calls for this daemon.
     pub(crate) forward_pools: ForwardPools,
+    /// True if the settings name other daemons.
+    has_seeds: bool,
     /// Notified when links to upstreams are lost.
     link_loss: Event,
     /// Notified when the store has come back from an older copy.
@@ -94,6 +99,7 @@
             origins: OriginState::new(clock.clone()),
             version_records: VersionRecordState::new(clock.clone()),
             forward_pools: ForwardPools::default(),
+            has_seeds: settings.seed_addrs.iter().any(|addr| *addr != settings.peers_addr),
             link_loss: Event::new(),
             spawner,
             clock,
@@ -214,6 +220,13 @@
         self.store_return.listen()
     }
 
+    /// True while this daemon has just started and does not know whether peers read the store for it. It
+    /// has read the store once by then; if all daemons followed it from the start, it would meet all of
+    /// them at once after a restart of the whole fleet.
+    pub(crate) fn is_awaiting_peers(&self) -> bool {
+        self.has_seeds && self.clock.now_ms() < PEERS_KNOWN_MS
+    }
+
     /// True if this daemon is one of the few that read the store often, for all.
     pub(crate) fn is_store_reader(&self) -> bool {
         let readers = if self.is_large_fleet.load(Ordering::Acquire) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,8 +34,6 @@
 const SPACING_MS_PER_PEER: u64 = 2;
 /// Time between two updates of the links.
 const LINKS_INTERVAL_MS: u64 = 1_000;
-/// How long after its start a daemon knows most of its peers.
-const PEERS_KNOWN_MS: u64 = 1_000;
 /// How many members one heartbeat lists.
 const MEMBERS_PER_HEARTBEAT: usize = 8;
 
@@ -259,6 +257,9 @@
     /// while peers keep them up to date. It is harmless when daemons disagree on who is first.
     fn update_store_wait(&self, links: &Links) {
         let options = &self.dispatch.options;
+        if self.dispatch.is_awaiting_peers() {
+            return;
+        }
         let wait_ms = match (self.dispatch.is_store_reader(), links.is_large) {
             (true, _) => options.reader_wait_ms,
             (false, false) => options.store_wait_ms,
@@ -267,9 +268,7 @@
         self.operators.set_wait_ms(wait_ms);
         self.upstreams.set_wait_ms(wait_ms);
         // Peers tell each other of quarantines, so a reader that the store forgets is no harm.
-        if self.dispatch.clock.now_ms() >= PEERS_KNOWN_MS {
-            self.quarantines.set_wait_ms(wait_ms.max(options.store_wait_ms));
-        }
+        self.quarantines.set_wait_ms(wait_ms.max(options.store_wait_ms));
     }
 
     /// Closes connections to upstreams that were idle for too long.
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -39,7 +39,7 @@
     };
     let target = dispatch.clone();
     let on_era_change = move |change: &EraChange| target.record_store_return(change.after.era);
-    let wait_ms = dispatch.options.store_wait_ms;
+    let wait_ms = first_wait_ms(dispatch);
     let handlers = TopicHandlers {
         on_change: Box::new(on_change),
         on_era_change: Box::new(on_era_change),
@@ -71,7 +71,7 @@
                 }
             }
         };
-        let wait_ms = dispatch.options.store_wait_ms;
+        let wait_ms = first_wait_ms(dispatch);
         let handlers = TopicHandlers {
             on_change: Box::new(on_change),
             on_era_change: Box::new(on_era_change),
@@ -81,6 +81,15 @@
     })
 }
 
+/// How long reads wait for a change until peers are known.
+fn first_wait_ms(dispatch: &Dispatch) -> u64 {
+    if dispatch.is_awaiting_peers() {
+        FollowedTopic::NOT_READING_MS
+    } else {
+        dispatch.options.store_wait_ms
+    }
+}
+
 /// Removes the upstreams that the store lost when it came back from an older copy, once live ones
 /// have had time to register again.
 async fn drop_lost_upstreams(
--- a/crates/gateway/tests/large_fleet.rs
+++ b/crates/gateway/tests/large_fleet.rs
@@ -99,3 +99,39 @@
         }
     });
 }
+
+/// While the fleet starts, upstreams register one after the other.
+#[test]
+fn daemons_that_start_together_do_not_all_follow_the_store() {
+    const CHANGE_INTERVAL_MS: u64 = 20;
+    /// Until this long after the start of the first daemon. The last ones start a little later.
+    const SPAN_MS: u64 = 900;
+    // If all daemons followed the store, each would read every change.
+    const FEW_READS: u64 = 2 * DAEMONS as u64;
+    run_test(async |spawner| {
+        let env = TestEnv::new(&spawner).await;
+        env.publish(1, |_| ());
+        let _upstream = env.upstream("u0", "plain").await;
+        let clock = comfreymast_base::Clock::system();
+        let mut gateways: Vec<Gateway> = Vec::new();
+        for number in 0..DAEMONS {
+            let (data_centre, name) = (format!("z{}", number % 2), format!("d{number:02}"));
+            let seeds: Vec<_> = gateways.first().into_iter().collect();
+            let options = GatewayOptions::default();
+            let store = env.store_addr;
+            let started = env.gateway_in(&data_centre, &name, store, options, &seeds);
+            gateways.push(started.await);
+        }
+        let mut number = 0;
+        while clock.now_ms() < SPAN_MS {
+            number += 1;
+            let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
+            env.announce_at(&format!("u{number}"), addr, "plain", "draining");
+            sleep_ms(CHANGE_INTERVAL_MS).await;
+        }
+        let reads = env.store.stats().reads;
+        assert!(reads <= FEW_READS, "{reads} reads of {number} changes");
+        // Every daemon learns of changes all the same.
+        add_route(&env, &gateways, 2, "/added/").await;
+    });
+}
