--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -48,6 +48,8 @@
         optional --interval-ms interval_ms: u64
         /// Let engines of several versions break streams off, instead of the seed's faults.
         optional --versions versions: usize
+        /// With --versions: kill all daemons at once, with a release before.
+        optional --kill-all
         /// Let every other upstream name this limit, in requests a second, instead of the seed's faults.
         optional --limit-per-s limit_per_s: f64
         /// With --limit-per-s: all callers use the first daemon.
--- a/crates/soak/src/injector.rs
+++ b/crates/soak/src/injector.rs
@@ -188,7 +188,8 @@
     Ok(())
 }
 
-async fn replace_upstream(
+/// Lets the upstream at `place` leave, and starts one of a new version in its place.
+pub(crate) async fn replace_upstream(
     site: &Arc<Site>,
     place: usize,
     gives_notice: bool,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -104,6 +104,9 @@
     let mut options = VersionOptions::new(fleet);
     options.fleet.versions = versions;
     options.kill_interval_ms = flags.kill_interval_ms;
+    if flags.kill_all {
+        options = options.kills_all();
+    }
     let report = Spawner::run(THREADS, async |spawner| run_versions(&spawner, &options).await)?;
     println!("seed {seed}: {report:?}");
     Ok(report.keeps_versions() && report.goes_on())
--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -6,19 +6,19 @@
 use async_channel::Receiver;
 use comfreymast_fakes::platform_documents::{CallerRequest, event_ids, event_versions};
 use comfreymast_net::{OwnedConnection, Spawner, sleep_ms, within};
-use comfreymast_proof::ProofError;
 use http_body_util::BodyExt;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::daemon::Daemon;
+use crate::injector::replace_upstream;
 use crate::run::wait_until_all_serve;
 use crate::site::{EVENTS, HOST, KEY, Site, TIMEOUT_MS, TOKENS};
 use crate::{Kind, SoakError, SoakOptions};
 
 const MAX_PAUSE_MS: u64 = 150;
 const MAX_TRIES: u32 = 3;
-/// The pause before a caller takes a stream up, as after a lost connection.
+/// As after a lost connection.
 const TAKE_UP_PAUSE_MS: u64 = 30;
 /// After this many events a stream breaks off at its engine.
 const BREAK_AFTER: u64 = 3;
@@ -37,6 +37,12 @@
     pub breaks_one_in: u64,
     /// A daemon is killed and started again this often. `None` for never.
     pub kill_interval_ms: Option<u64>,
+    /// Kills all daemons at once instead of one after another.
+    pub kills_all: bool,
+    /// How long a caller waits before it takes a stream up.
+    pub take_up_pause_ms: u64,
+    /// Before each kill, an engine leaves and one of a new version takes its place.
+    pub releases: bool,
 }
 
 impl VersionOptions {
@@ -44,7 +50,27 @@
     #[must_use]
     pub fn new(mut fleet: SoakOptions) -> Self {
         fleet.versions = 2;
-        Self { fleet, stream_callers: 12, breaks_one_in: 3, kill_interval_ms: None }
+        Self {
+            fleet,
+            stream_callers: 12,
+            breaks_one_in: 3,
+            kill_interval_ms: None,
+            kills_all: false,
+            take_up_pause_ms: TAKE_UP_PAUSE_MS,
+            releases: false,
+        }
+    }
+}
+
+impl VersionOptions {
+    /// Kills all daemons at once instead of one after another, with a release before; callers wait until
+    /// they are back.
+    #[must_use]
+    pub fn kills_all(mut self) -> Self {
+        self.kills_all = true;
+        self.releases = true;
+        self.take_up_pause_ms = 2 * DAEMON_RESTART_MS;
+        self
     }
 }
 
@@ -105,19 +131,16 @@
 
 async fn run_on(site: &Arc<Site>, options: &VersionOptions) -> Result<VersionReport, SoakError> {
     wait_until_all_serve(site).await?;
-    for upstream in site.all_upstreams() {
-        upstream.update_behaviour(|behaviour| {
-            behaviour.breaks_after = Some(BREAK_AFTER);
-            behaviour.breaks_one_in = options.breaks_one_in;
-        });
-    }
+    break_streams(site, options);
     // Closing this channel stops all callers.
     let (stop_sender, stop) = async_channel::bounded::<()>(1);
     let report = Arc::new(Mutex::new(VersionReport::default()));
     let callers: Vec<_> = (0..options.stream_callers)
         .map(|number| {
             let seed = options.fleet.seed ^ (number as u64) << 32;
-            let calls = call_streams(site.clone(), number, seed, report.clone(), stop.clone());
+            let pause_ms = options.take_up_pause_ms;
+            let calls =
+                call_streams(site.clone(), number, seed, pause_ms, report.clone(), stop.clone());
             site.spawner.spawn(calls)
         })
         .collect();
@@ -130,29 +153,51 @@
     Ok(report)
 }
 
-/// Kills one daemon after another until the run is over.
-async fn kill_daemons(site: &Site, options: &VersionOptions) -> Result<(), ProofError> {
+/// Kills daemons until the run is over.
+async fn kill_daemons(site: &Arc<Site>, options: &VersionOptions) -> Result<(), SoakError> {
     let ends_ms = site.recorder.now_ms() + options.fleet.duration_ms;
-    let mut killed = 0;
+    let mut rounds = 0;
     while site.recorder.now_ms() < ends_ms {
         let left_ms = ends_ms - site.recorder.now_ms();
         sleep_ms(options.kill_interval_ms.unwrap_or(left_ms).min(left_ms)).await;
-        if options.kill_interval_ms.is_some() {
-            let daemon = &site.daemons[killed % site.daemons.len()];
-            killed += 1;
-            daemon.kill();
-            sleep_ms(DAEMON_RESTART_MS).await;
+        if options.kill_interval_ms.is_none() {
+            continue;
+        }
+        if options.releases {
+            replace_upstream(site, rounds % options.fleet.engines, true).await?;
+            break_streams(site, options);
+        }
+        let killed: Vec<_> = if options.kills_all {
+            site.daemons.iter().collect()
+        } else {
+            vec![&site.daemons[rounds % site.daemons.len()]]
+        };
+        rounds += 1;
+        killed.iter().for_each(|daemon| daemon.kill());
+        sleep_ms(DAEMON_RESTART_MS).await;
+        for daemon in killed {
             daemon.start()?;
         }
     }
     Ok(())
 }
 
+/// Lets engines break some streams off.
+fn break_streams(site: &Site, options: &VersionOptions) {
+    for upstream in site.all_upstreams() {
+        upstream.update_behaviour(|behaviour| {
+            behaviour.breaks_after = Some(BREAK_AFTER);
+            behaviour.breaks_one_in = options.breaks_one_in;
+        });
+    }
+}
+
 /// Begins one stream after another until `stop` closes, and takes up those that break off.
 async fn call_streams(
     site: Arc<Site>,
     number: usize,
     seed: u64,
+    pause_ms: u64,
     report: Arc<Mutex<VersionReport>>,
     stop: Receiver<()>,
 ) {
@@ -161,7 +206,8 @@
     while !stop.is_closed() {
         sleep_ms(random.random_range(0..MAX_PAUSE_MS)).await;
         streams += 1;
-        let stream = call_stream(&site, &format!("{number:x}s{streams:x}"), &mut random).await;
+        let name = format!("{number:x}s{streams:x}");
+        let stream = call_stream(&site, &name, pause_ms, &mut random).await;
         add(&mut report.lock().unwrap_or_else(PoisonError::into_inner), &stream);
     }
 }
@@ -177,7 +223,7 @@
 }
 
 /// One stream over all tries of its caller, each through a random daemon.
-async fn call_stream(site: &Site, name: &str, random: &mut StdRng) -> VersionReport {
+async fn call_stream(site: &Site, name: &str, pause_ms: u64, random: &mut StdRng) -> VersionReport {
     let mut report = VersionReport { new: 1, ..VersionReport::default() };
     let mut first_attempt: Option<String> = None;
     let mut last_event = 0;
@@ -204,7 +250,7 @@
             report.whole = 1;
             break;
         }
-        sleep_ms(TAKE_UP_PAUSE_MS).await;
+        sleep_ms(pause_ms).await;
     }
     if versions.len() > 1 && report.mixed_in_answer == 0 {
         report.mixed_over_tries = 1;
--- a/crates/soak/tests/versions.rs
+++ b/crates/soak/tests/versions.rs
@@ -37,3 +37,12 @@
 fn a_stream_that_a_killed_daemon_began_is_taken_up_at_its_version() {
     assert_kept(&run(|options| options.kill_interval_ms = Some(700)));
 }
+
+/// Each time a new version has just replaced one engine.
+#[test]
+fn streams_that_outlive_all_daemons_are_taken_up_at_their_version() {
+    assert_kept(&run(|options| {
+        *options = options.clone().kills_all();
+        options.kill_interval_ms = Some(1_500);
+    }));
+}
