Records of versions are marked complete only after the longest time limit known

By reading: a daemon whose first read of the records came late, in a later era of the store and after a shorter time limit was published, could mark them complete having seen the store for the shorter time only, as it took the longer one from the old mark after that.

Change: the time of the mark counts before anything is concluded from it. The new test guards the case as far as it can be played; it passes before too.

--- a/crates/gateway/src/version_records/keeper.rs
+++ b/crates/gateway/src/version_records/keeper.rs
@@ -82,6 +82,10 @@
         log::warn!(target: "comfreymast", code = 1416;
             "records of software versions cannot be read, so they count as incomplete");
     }
+    // Before anything is concluded from how long this daemon has seen the store.
+    if let Some(mark) = records.mark {
+        state.record_take_up_ms(mark.take_up_ms);
+    }
     if is_past_known(dispatch, &records) {
         dispatch.directory.with_versions(|versions, now_ms| {
             versions.record_past(&records.versions, now_ms);
--- a/crates/gateway/src/version_records/state.rs
+++ b/crates/gateway/src/version_records/state.rs
@@ -120,9 +120,6 @@
         records.stored.retain(|version| !written.removed.contains(version));
         records.confirmed = records.stored.clone();
         records.mark = written.mark.or(read.mark);
-        if let Some(mark) = records.mark {
-            self.record_take_up_ms(mark.take_up_ms);
-        }
     }
 
     /// Does not rely on records of versions that services do not have now: another daemon may remove
@@ -139,7 +136,8 @@
         records.mark = None;
     }
 
-    fn record_take_up_ms(&self, take_up_ms: u64) {
+    /// Notes for how long streams may be taken up, unless a longer time is known.
+    pub(super) fn record_take_up_ms(&self, take_up_ms: u64) {
         self.take_up_ms.fetch_max(take_up_ms, Ordering::AcqRel);
     }
 
--- a/crates/gateway/tests/all_daemons_restarted.rs
+++ b/crates/gateway/tests/all_daemons_restarted.rs
@@ -5,6 +5,9 @@
 
 use std::collections::BTreeSet;
 
+use comfreymast_base::{Service, SoftwareVersion};
+use comfreymast_decide::version_history::ServiceVersion;
+use comfreymast_decide::version_records::record_key;
 use comfreymast_fakes::platform_documents::{CallerRequest, event_versions};
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::GatewayOptions;
@@ -366,6 +369,45 @@
     });
 }
 
+/// The daemons in between see the store for the shorter time limit only, and in another era.
+#[test]
+fn records_become_complete_only_after_the_longest_time_limit() {
+    const SHORT_LIMIT_MS: u64 = 300;
+    const MARGIN_MS: u64 = 2_000;
+    run_test(async |spawner| {
+        let mut fleet = Fleet::new(&spawner, |_| "v1").await;
+        fleet.begin(&spawner).await;
+        fleet.env.publish(2, |configuration| {
+            for route in configuration["routes"].as_array_mut().expect("routes") {
+                route["timeoutMs"] = SHORT_LIMIT_MS.into();
+            }
+        });
+        fleet.end_daemons().await;
+        fleet.env.store.set_era(2);
+        // The copy from which the store came back lacks what names the first version.
+        for number in 0..ENGINES {
+            fleet.remove(&fleet.engines[number]);
+        }
+        fleet.env.write(VERSIONS_TOPIC, &record_key_of("v1"), &[]);
+        let added = fleet.engine(&spawner, ENGINES, "v2").await;
+        fleet.engines.push(added);
+        fleet.start_daemons(&spawner).await;
+        comfreymast_net::sleep_ms(SHORT_LIMIT_MS + MARGIN_MS + 1_500).await;
+        fleet.end_daemons().await;
+        fleet.start_daemons(&spawner).await;
+        let runs = fleet.runs();
+        let unknown = [Begun { attempt: "unknown".to_owned(), version: "v1".to_owned() }];
+        let taken_up = fleet.take_up(&spawner, &unknown).await;
+        assert_eq!(taken_up.turned_away(), 1, "{taken_up:?}");
+        assert_eq!(fleet.runs(), runs);
+    });
+}
+
+fn record_key_of(version: &str) -> String {
+    let version = Some(SoftwareVersion::from(version));
+    record_key(&ServiceVersion { service: Service::from("engines"), version })
+}
+
 #[test]
 fn a_last_event_that_cannot_be_read_counts_as_one() {
     run_test(async |spawner| {
