--- a/crates/gateway/tests/all_daemons_restarted.rs
+++ b/crates/gateway/tests/all_daemons_restarted.rs
@@ -26,6 +26,10 @@
 const MIN_OF_ONE_VERSION: usize = 36;
 /// The target is 0.8 of the streams whose version is still there.
 const MIN_SHARE_OF_PRESENT: f64 = 0.8;
+/// The time limit of routes after it was shortened.
+const SHORT_LIMIT_MS: u64 = 300;
+/// How much longer than its time limit a stream may be taken up.
+const MARGIN_MS: u64 = 2_000;
 const VERSIONS_TOPIC: &str = "keyed.versions";
 const DAEMONS_TOPIC: &str = "keyed.daemons";
 
@@ -164,6 +168,14 @@
         self.engines.iter().map(|engine| engine.runs().len()).sum()
     }
 
+    fn shorten_time_limits(&self) {
+        self.env.publish(2, |configuration| {
+            for route in configuration["routes"].as_array_mut().expect("routes") {
+                route["timeoutMs"] = SHORT_LIMIT_MS.into();
+            }
+        });
+    }
+
     fn remove(&self, engine: &PlatformUpstream) {
         self.env.write("keyed.servers", &engine.name, &[]);
     }
@@ -343,16 +355,10 @@
 /// Streams that began under the longer time limit may still be taken up.
 #[test]
 fn a_shorter_time_limit_does_not_shorten_how_long_a_version_counts() {
-    const SHORT_LIMIT_MS: u64 = 300;
-    const MARGIN_MS: u64 = 2_000;
     run_test(async |spawner| {
         let mut fleet = Fleet::new(&spawner, |_| "v1").await;
         fleet.begin(&spawner).await;
-        fleet.env.publish(2, |configuration| {
-            for route in configuration["routes"].as_array_mut().expect("routes") {
-                route["timeoutMs"] = SHORT_LIMIT_MS.into();
-            }
-        });
+        fleet.shorten_time_limits();
         fleet.end_daemons().await;
         for number in 0..ENGINES {
             fleet.remove(&fleet.engines[number]);
@@ -372,16 +378,10 @@
 /// The daemons in between see the store for the shorter time limit only, and in another era.
 #[test]
 fn records_become_complete_only_after_the_longest_time_limit() {
-    const SHORT_LIMIT_MS: u64 = 300;
-    const MARGIN_MS: u64 = 2_000;
     run_test(async |spawner| {
         let mut fleet = Fleet::new(&spawner, |_| "v1").await;
         fleet.begin(&spawner).await;
-        fleet.env.publish(2, |configuration| {
-            for route in configuration["routes"].as_array_mut().expect("routes") {
-                route["timeoutMs"] = SHORT_LIMIT_MS.into();
-            }
-        });
+        fleet.shorten_time_limits();
         fleet.end_daemons().await;
         fleet.env.store.set_era(2);
         // The copy from which the store came back lacks what names the first version.
