Failing tests: a long configuration does not reach all daemons over slow links

Change: tests only. 26 daemons of one data centre, whose connections to each other carry 100 KB/s, follow one reader of the store. A configuration of 1,400 routes (304 KB) is published, once, 19 times in a row, and while six daemons fall silent in the middle. proof gains links of a limited rate between daemons.

--- a/crates/fakes/src/log_service.rs
+++ b/crates/fakes/src/log_service.rs
@@ -43,6 +43,8 @@
     pub lose_append_replies: u32,
     /// How many records each topic retains; 0 retains all.
     pub retention_records: usize,
+    /// Acknowledges appends to this topic without keeping them; empty for none.
+    pub forgotten_topic: String,
 }
 
 /// Counts since the start.
@@ -230,7 +232,8 @@
         self.state().stats.append_calls += 1;
         sleep_ms(faults.append_delay_ms).await;
         let mut state = self.state();
-        let (offset, end) = state.append(topic, records);
+        let kept = if state.faults.forgotten_topic == topic { Vec::new() } else { records };
+        let (offset, end) = state.append(topic, kept);
         if state.faults.lose_append_replies > 0 {
             state.faults.lose_append_replies -= 1;
             return reply::aborted();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -173,6 +173,19 @@
         store: SocketAddr,
         options: GatewayOptions,
         seeds: &[&Gateway],
+    ) -> Gateway {
+        let seeds = seeds.iter().map(|seed| seed.addresses.peers).collect();
+        self.gateway_with_seeds(data_centre, name, store, options, seeds).await
+    }
+
+    /// Like [`Self::gateway_in`], with the addresses at which its first peers listen.
+    pub(crate) async fn gateway_with_seeds(
+        &self,
+        data_centre: &str,
+        name: &str,
+        store: SocketAddr,
+        options: GatewayOptions,
+        seeds: Vec<SocketAddr>,
     ) -> Gateway {
         let path = self.folder.path().join(format!("{name}.json"));
         let file = VmEntry {
@@ -186,7 +199,7 @@
         };
         std::fs::write(&path, file.document().to_string()).expect("a settings file");
         let mut settings = VmSettings::read(&path).expect("good settings");
-        settings.seed_addrs = seeds.iter().map(|seed| seed.addresses.peers).collect();
+        settings.seed_addrs = seeds;
         let (stop, stopped) = async_channel::bounded(1);
         let (reload, reloads) = async_channel::bounded(1);
         let (started, addresses) = async_channel::bounded(1);
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`Http2`] — one HTTP/2 connection of a caller.
 //! * [`RecordedStream`] — a stream whose tokens are recorded, and which can resume where it broke.
 //! * [`Link`] — a TCP link whose connections go silent or are cut.
+//! * [`PeerNetwork`] — links of a limited rate between daemons.
 //! * [`checks`] — checkers of merged histories.
 //! * [`contract`] — the contract document used by most tests.
 //! * [`Cli`] — the `comfreymast` command against one daemon.
@@ -25,6 +26,7 @@
 mod http2;
 mod link;
 mod operator;
+mod peer_network;
 mod process;
 mod recorded_client;
 mod recorded_stream;
@@ -36,6 +38,7 @@
 pub use http2::Http2;
 pub use link::{Direction, Link};
 pub use operator::{Change, Operator};
+pub use peer_network::{PeerNetwork, PeerPort};
 pub use process::{Process, ProofError, program};
 pub use recorded_client::{Recorded, RecordedClient};
 pub use recorded_stream::{RecordedStream, ResumeMethod, StreamEnd};
