A long topic is fetched once, compressed, from any peer that has it

Cause: a topic too long for a datagram was fetched by all daemons of a data centre at the same moment from the same few, with a time limit for the whole of it (1.5 s), and again each 0.4 s beside the fetches that still ran. All that had arrived was thrown away, so the work grew as the links slowed. The same in reads of the store: a time limit from the first byte to the last, and a reader behind a peer dropped its read.

Ruled out: the store not answering late daemons (1201 is not among their lines).

Change: one fetch at a time, given up only when nothing arrives for a second. Sources are drawn at random from all that are furthest ahead, and a daemon that has caught up says so at once, so a change spreads from peer to peer. A daemon serves three peers at a time, at half the rate of its link. Topics are compressed between daemons that ask for it; daemons of earlier releases neither ask nor are refused. A read of the store that is receiving is left alone; records that a later one replaces are neither passed on nor decoded; the version of a document is parsed only across eras. New metrics; 1505 tells outcome, bytes and time.

Tests changed: the daemons of long_configuration.rs now know the rate of their link, as VMs do. Stand-in settings name it.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,9 +19,11 @@
 //! * [`placement`] — which engine takes a generation, given what all daemons run.
 //! * [`evacuation`] — how a running generation leaves an engine that is shutting down.
 //! * [`move_steps`] — the next request to that engine after each of its answers.
+//! * [`send_pacer`] — when a daemon sends the next part of what it hands on to peers.
 //! * [`slot_share`] — how many places of a brittle upstream a daemon uses.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
 //! * [`stream_origins`] — which software version began a stream.
+//! * [`topic_source`] — which peer a daemon that is behind on a topic fetches it from.
 //! * [`version_history`] — the software versions that services had.
 //! * [`version_records`] — what the store keeps of them.
 //! * [`suspension`] — whether the VM was suspended.
@@ -57,11 +59,13 @@
 mod queue;
 pub mod retry;
 pub mod routing;
+pub mod send_pacer;
 mod sliding_count;
 pub mod slot_share;
 pub mod software_version;
 pub mod stream_origins;
 pub mod suspension;
+pub mod topic_source;
 pub mod upstream_choice;
 pub mod upstream_end;
 pub mod upstream_limit;
--- a/crates/fakes/src/platform_documents.rs
+++ b/crates/fakes/src/platform_documents.rs
@@ -166,6 +166,8 @@
     pub retry_slack: f64,
     /// The window of the retry budget, in seconds.
     pub retry_window_s: u64,
+    /// The rate of its link, in Mbit/s.
+    pub link_mbps: f64,
 }
 
 impl VmEntry<'_> {
@@ -178,6 +180,7 @@
             "platform": { "address": self.store_addr.to_string() },
             "bounds": { "graceS": self.grace_s, "retryBudgetRatio": self.retry_ratio,
                 "budgetSlack": self.retry_slack, "budgetWindowS": self.retry_window_s },
+            "limits": { "memoryMb": 512, "linkMbps": self.link_mbps },
         })
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -4,7 +4,7 @@
 
 use async_channel::Receiver;
 use async_net::UdpSocket;
-use comfreymast_net::{Body, empty, full, sleep_ms, within};
+use comfreymast_net::{Body, empty, sleep_ms, within};
 use comfreymast_wire::news::{EngineUse, Heartbeat, News, ServiceTraffic, Topic, TopicDelta, news};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -15,12 +15,13 @@
 use crate::fleet_sum::generation_use;
 use crate::followed_topic::FollowedTopic;
 use crate::forward::{FORWARD_PATH, answer_forwarded};
-use crate::lag_monitor::LagMonitor;
+use crate::lag_monitor::{LagMonitor, MonitoredTopic};
 use crate::outbox::{Destination, Origin};
 use crate::quarantine;
 use crate::roster::Links;
 use crate::stream_origin;
 use crate::topic_positions::TopicPositions;
+use crate::topic_server::TopicServer;
 
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 /// Longer batches of records are not pushed; peers fetch them instead.
@@ -43,6 +44,8 @@
     pub(crate) operators: Arc<FollowedTopic>,
     pub(crate) upstreams: Arc<FollowedTopic>,
     pub(crate) quarantines: Arc<FollowedTopic>,
+    /// Hands topics on to peers.
+    pub(crate) topics: TopicServer,
     pub(crate) socket: UdpSocket,
 }
 
@@ -106,10 +109,7 @@
         let clock = &self.dispatch.clock;
         let started_unix_ms = clock.unix_ms();
         let mut sequence = 0;
-        let lag_monitor = |followed, path| LagMonitor::new(&self.dispatch, followed, path);
-        let mut operators_lag = lag_monitor(&self.operators, OPERATORS_PATH);
-        let mut upstreams_lag = lag_monitor(&self.upstreams, UPSTREAMS_PATH);
-        let mut quarantines_lag = lag_monitor(&self.quarantines, QUARANTINES_PATH);
+        let mut lag_monitors = self.lag_monitors();
         let mut links = self.dispatch.peers.links();
         let mut links_updated_ms = clock.now_ms();
         let mut last_summary_ms = 0;
@@ -140,9 +140,7 @@
             self.dispatch.apply_peer_updates();
             self.close_expired();
             self.update_store_wait(&links);
-            operators_lag.check(|known| known.operators);
-            upstreams_lag.check(|known| known.upstreams);
-            quarantines_lag.check(|known| known.quarantines);
+            lag_monitors.iter_mut().for_each(LagMonitor::check);
             let spacing_ms = SPACING_MS_PER_PEER * links.heartbeat_addrs.len() as u64;
             sleep_ms(spacing_ms).await;
             let remaining_ms = options.heartbeat_interval_ms.saturating_sub(spacing_ms);
@@ -151,13 +149,29 @@
         }
     }
 
+    /// A monitor of each topic that peers hand on.
+    fn lag_monitors(&self) -> [LagMonitor; 3] {
+        let monitor = |followed: &Arc<FollowedTopic>, path, position_of| {
+            let (dispatch, followed) = (self.dispatch.clone(), followed.clone());
+            LagMonitor::new(MonitoredTopic { dispatch, followed, path, position_of })
+        };
+        [
+            monitor(&self.operators, OPERATORS_PATH, |known| known.operators),
+            monitor(&self.upstreams, UPSTREAMS_PATH, |known| known.upstreams),
+            monitor(&self.quarantines, QUARANTINES_PATH, |known| known.quarantines),
+        ]
+    }
+
     /// Pushes records read from the store to peers until the channel closes. Only in a large fleet,
-    /// where few daemons read the store.
+    /// where few daemons read the store. Peers learn of longer changes from an early heartbeat, and fetch
+    /// them.
     pub(crate) async fn push_deltas(self: Arc<Self>, deltas: Receiver<TopicDelta>) {
         while let Ok(delta) = deltas.recv().await {
             let links = self.dispatch.peers.links();
             let is_short = delta.encoded_len() <= MAX_PUSHED_BYTES;
-            if links.is_large && is_short {
+            if !is_short {
+                self.dispatch.notify_peers();
+            } else if links.is_large {
                 self.send(news::Body::Delta(delta), &links.heartbeat_addrs).await;
             }
         }
@@ -285,9 +299,9 @@
         match request.uri().path() {
             "/metrics" => self.dispatch.metrics.response(),
             FORWARD_PATH => answer_forwarded(self.dispatch.clone(), request).await,
-            OPERATORS_PATH => Response::new(full(self.operators.snapshot().encode_to_vec())),
-            QUARANTINES_PATH => Response::new(full(self.quarantines.snapshot().encode_to_vec())),
-            UPSTREAMS_PATH => Response::new(full(self.upstreams.snapshot().encode_to_vec())),
+            OPERATORS_PATH => self.topics.answer(&self.operators, request.headers()),
+            QUARANTINES_PATH => self.topics.answer(&self.quarantines, request.headers()),
+            UPSTREAMS_PATH => self.topics.answer(&self.upstreams, request.headers()),
             path => {
                 if let Some(name) = path.strip_prefix(DIAL_PATH) {
                     return answer_dial(&self.dispatch, name).await;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -234,17 +234,24 @@
     /// True if a record is older than what is known of its key, although the store gave it later:
     /// the store came back from a copy in between.
     fn is_outdated(&self, key: &str, position: StorePosition, value: &[u8]) -> bool {
-        let Some(revision) = (self.revision_of)(value) else { return false };
         let is_appended = position >= self.position;
         if let Some(known) = self.records.get(key) {
-            let Some(known_revision) = (self.revision_of)(&known.value) else { return false };
-            return match position.era.cmp(&known.position.era) {
-                Ordering::Less => revision <= known_revision,
-                Ordering::Equal => false,
+            let order = position.era.cmp(&known.position.era);
+            if order == Ordering::Equal {
+                return false;
+            }
+            let revisions = ((self.revision_of)(value), (self.revision_of)(&known.value));
+            let (Some(revision), Some(known_revision)) = revisions else { return false };
+            return match order {
                 Ordering::Greater => revision < known_revision,
+                Ordering::Equal | Ordering::Less => revision <= known_revision,
             };
         }
         let removed = self.removed.get(key).filter(|removed| removed.era < self.position.era);
+        if removed.is_none() {
+            return false;
+        }
+        let Some(revision) = (self.revision_of)(value) else { return false };
         let removed_revision = removed.and_then(|removed| removed.revision);
         removed_revision.is_some_and(|removed| {
             // The copy may have the very value that was removed.
@@ -275,3 +282,20 @@
         (known != value).then_some(FeedChange { key, value })
     }
 }
+
+/// Leaves out records that a later value of their key replaces.
+pub(crate) fn without_superseded(mut records: Vec<KeyedRecord>) -> Vec<KeyedRecord> {
+    let mut written_later = BTreeSet::new();
+    let mut kept: Vec<_> = Vec::with_capacity(records.len());
+    while let Some(record) = records.pop() {
+        if written_later.contains(&record.key) {
+            continue;
+        }
+        if record.value.is_some() {
+            written_later.insert(record.key.clone());
+        }
+        kept.push(record);
+    }
+    kept.reverse();
+    kept
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use comfreymast_decide::retry::jittered_ms;
 use comfreymast_net::{Spawner, sleep_ms};
@@ -19,15 +21,7 @@
     let mut is_store_lost = false;
     let mut reloads = 0_u32;
     loop {
-        let refresh_requested = followed.next_refresh();
-        let read = future::or(
-            async { Some(read_once(&followed, &mut client, must_reload).await) },
-            async {
-                refresh_requested.await;
-                None
-            },
-        );
-        match read.await {
+        match read_until_refresh(&followed, &mut client, must_reload).await {
             None => client.reconnect(),
             Some(Ok(())) => {
                 reloads = if must_reload { reloads } else { 0 };
@@ -61,6 +55,29 @@
     }
 }
 
+/// Reads once. `None` if a refresh was requested before anything arrived; a reply that has begun is as
+/// new, and however long it is, it is not given up for another one.
+async fn read_until_refresh(
+    followed: &FollowedTopic,
+    client: &mut StoreClient,
+    must_reload: bool,
+) -> Option<Result<(), StoreError>> {
+    let is_receiving = client.receiving();
+    let mut refresh = followed.next_refresh();
+    let mut read = pin!(read_once(followed, client, must_reload));
+    loop {
+        let refreshed = async {
+            refresh.await;
+            None
+        };
+        let outcome = future::or(async { Some(read.as_mut().await) }, refreshed).await;
+        if outcome.is_some() || !is_receiving.load(Ordering::Acquire) {
+            return outcome;
+        }
+        refresh = followed.next_refresh();
+    }
+}
+
 async fn read_once(
     followed: &FollowedTopic,
     client: &mut StoreClient,
--- a/crates/gateway/src/followed_topic.rs
+++ b/crates/gateway/src/followed_topic.rs
@@ -9,8 +9,9 @@
 use comfreymast_wire::news::{self, TopicDelta, TopicRecord, TopicSnapshot};
 use event_listener::{Event, EventListener};
 
-use crate::feed::{Feed, FeedChange, KnownRecord, Replacement};
+use crate::feed::{Feed, FeedChange, KnownRecord, Replacement, without_superseded};
 use crate::topic_handlers::TopicHandlers;
+use crate::topic_message::{self, CompressedTopic};
 
 /// A topic of the store that this daemon follows, through the store itself or through its peers.
 pub(crate) struct FollowedTopic {
@@ -26,6 +27,10 @@
     wait_ms: AtomicU64,
     refresh: Event,
     deltas: Sender<TopicDelta>,
+    /// Counts changes of the feed or its position.
+    changes: AtomicU64,
+    /// The whole topic as it was after that many changes.
+    compressed: Mutex<Option<(u64, CompressedTopic)>>,
 }
 
 impl FollowedTopic {
@@ -55,6 +60,8 @@
             wait_ms: AtomicU64::new(wait_ms),
             refresh: Event::new(),
             deltas,
+            changes: AtomicU64::new(0),
+            compressed: Mutex::default(),
         }
     }
 
@@ -118,6 +125,36 @@
         self.feed().snapshot()
     }
 
+    /// The same, compressed.
+    pub(crate) fn compressed(&self) -> CompressedTopic {
+        let mut known = self.known_compressed();
+        let (changes, snapshot) = {
+            let feed = self.feed();
+            (self.changes.load(Ordering::Acquire), feed.snapshot())
+        };
+        match known.as_ref() {
+            Some((known_changes, compressed)) if *known_changes == changes => compressed.clone(),
+            _ => {
+                let compressed = topic_message::compress(&snapshot);
+                *known = Some((changes, compressed.clone()));
+                compressed
+            }
+        }
+    }
+
+    /// Keeps a peer's compressed topic for others, if this daemon has the same since it was applied.
+    pub(crate) fn keep_compressed(&self, end: StorePosition, compressed: CompressedTopic) {
+        let mut known = self.known_compressed();
+        let feed = self.feed();
+        if feed.position() == end && !feed.keeps_lost_records() {
+            *known = Some((self.changes.load(Ordering::Acquire), compressed));
+        }
+    }
+
+    fn known_compressed(&self) -> MutexGuard<'_, Option<(u64, CompressedTopic)>> {
+        self.compressed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// True if this daemon keeps records that the store lost when it came back.
     pub(crate) fn keeps_lost_records(&self) -> bool {
         self.keeps_lost_records.load(Ordering::Acquire)
@@ -209,7 +246,8 @@
     }
 
     /// Applies records read from the store, and sends them to peers.
-    pub(crate) fn apply_page(&self, page: StorePage) {
+    pub(crate) fn apply_page(&self, mut page: StorePage) {
+        page.records = without_superseded(page.records);
         let records = page.records.iter().map(|record| TopicRecord {
             key: record.key.clone(),
             offset: record.offset,
@@ -262,6 +300,7 @@
         if !changes.is_empty() {
             (self.handlers.on_change)(changes);
         }
+        self.changes.fetch_add(1, Ordering::AcqRel);
         self.position.store(Arc::new(feed.position()));
         self.is_loaded.store(feed.is_loaded(), Ordering::Release);
         self.keeps_lost_records.store(feed.keeps_lost_records(), Ordering::Release);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use crate::records::{follow_operators, follow_upstreams};
 use crate::server::{ConnectionLimits, Server};
 use crate::settings_watch::watch_settings;
+use crate::topic_server::TopicServer;
 use crate::{
     GatewayOptions, engine_watch, link_probe, request_handler, stream_origin, suspension_watch,
     version_records,
@@ -89,6 +90,7 @@
 
     let store_addr = settings.store_addr;
     let seeds = settings.seed_addrs.clone();
+    let topics = TopicServer::new(spawner.clone(), clock.clone(), settings.link_bytes_per_s);
     let dispatch = Arc::new(Dispatch::new(spawner.clone(), clock, settings, options));
     for addr in seeds {
         dispatch.peers.add_seed(addr);
@@ -102,6 +104,7 @@
         operators: operators.clone(),
         upstreams: upstreams.clone(),
         quarantines: quarantines.clone(),
+        topics,
         socket,
     });
 
--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -2,94 +2,144 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use async_executor::Task;
 use comfreymast_base::StorePosition;
-use comfreymast_net::{OwnedConnection, Spawner, collect, empty, request, within};
-use comfreymast_wire::news::TopicSnapshot;
-use prost::Message;
+use comfreymast_decide::retry::jittered_ms;
+use comfreymast_net::sleep_ms;
 
 use crate::dispatch::Dispatch;
 use crate::followed_topic::FollowedTopic;
+use crate::metrics::{FetchLabels, TopicLabels};
+use crate::topic_fetch::{Fetched, fetch};
 use crate::topic_positions::TopicPositions;
 
-const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
-/// How long a peer may be ahead on a topic before this daemon fetches the topic from it.
-const LAG_TOLERANCE_MS: u64 = 150;
-const FETCH_TIMEOUT_MS: u64 = 1_500;
-const MIN_FETCH_INTERVAL_MS: u64 = 400;
+/// How long a peer may be ahead on a topic before this daemon fetches the topic, since short changes are
+/// pushed.
+const LAG_TOLERANCE_MS: u64 = 60;
+/// The pause once all peers that are ahead were asked.
+const ROUND_PAUSE_MS: u64 = 60;
 
-/// Fetches a topic from a peer that has been ahead of this daemon for a while.
+/// Catches up on a topic from peers that have been ahead of this daemon for a while.
 pub(crate) struct LagMonitor {
-    dispatch: Arc<Dispatch>,
-    followed: Arc<FollowedTopic>,
-    /// Where peers serve the topic.
-    path: &'static str,
+    topic: MonitoredTopic,
     behind_since_ms: Option<u64>,
-    last_fetch_ms: u64,
+    /// The fetches until this daemon has caught up, one at a time.
+    running: Option<Task<()>>,
     /// True once a peer's topic was applied, with what the store had lost.
     lost_fetched: Arc<AtomicBool>,
 }
 
+/// A topic, and where peers have it.
+#[derive(Clone)]
+pub(crate) struct MonitoredTopic {
+    pub(crate) dispatch: Arc<Dispatch>,
+    pub(crate) followed: Arc<FollowedTopic>,
+    /// Where peers serve the topic.
+    pub(crate) path: &'static str,
+    /// The position in this topic.
+    pub(crate) position_of: fn(TopicPositions) -> StorePosition,
+}
+
 impl LagMonitor {
-    /// A monitor of a topic, which peers serve at `path`.
-    pub(crate) fn new(
-        dispatch: &Arc<Dispatch>,
-        followed: &Arc<FollowedTopic>,
-        path: &'static str,
-    ) -> Self {
-        Self {
-            dispatch: dispatch.clone(),
-            followed: followed.clone(),
-            path,
-            behind_since_ms: None,
-            last_fetch_ms: 0,
-            lost_fetched: Arc::default(),
-        }
+    /// A monitor of a topic.
+    pub(crate) fn new(topic: MonitoredTopic) -> Self {
+        Self { topic, behind_since_ms: None, running: None, lost_fetched: Arc::default() }
     }
 
     /// Checks this daemon against the position that heartbeats and summaries have of the topic. A peer
     /// in a later era is followed at once, since this daemon's offsets mean nothing there.
-    pub(crate) fn check(&mut self, of_topic: impl Fn(TopicPositions) -> StorePosition) {
-        let now_ms = self.dispatch.clock.now_ms();
-        let Some(source) = self.source(of_topic, now_ms) else { return };
-        if now_ms - self.last_fetch_ms < MIN_FETCH_INTERVAL_MS {
+    pub(crate) fn check(&mut self) {
+        let now_ms = self.topic.dispatch.clock.now_ms();
+        let source = self.source(now_ms);
+        let behind_ms = self.behind_since_ms.map_or(0, |since_ms| now_ms - since_ms);
+        self.topic.record_behind(behind_ms);
+        let is_running = self.running.as_ref().is_some_and(|running| !running.is_finished());
+        if is_running {
             return;
         }
-        self.last_fetch_ms = now_ms;
-        self.followed.refresh();
-        let (spawner, path) = (self.dispatch.spawner.clone(), self.path);
-        let (followed, lost_fetched) = (self.followed.clone(), self.lost_fetched.clone());
-        self.dispatch.spawner.detach(async move {
-            let outcome = fetch(&spawner, source.addr, path).await;
-            let is_fetched = outcome.is_some();
-            log::info!(target: "comfreymast", code = 1505, peer:% = source.addr, path,
-                position:% = source.position, known:% = followed.position(), fetched = is_fetched;
-                "requested a topic from a peer that is ahead");
-            if outcome.is_some_and(|snapshot| followed.apply_snapshot(snapshot)) {
-                lost_fetched.store(true, Ordering::Release);
-            }
-        });
+        let Some(source) = source else { return };
+        self.topic.followed.refresh();
+        let (topic, lost_fetched) = (self.topic.clone(), self.lost_fetched.clone());
+        let spawner = &self.topic.dispatch.spawner;
+        self.running =
+            Some(spawner.spawn(async move { topic.catch_up(source, &lost_fetched).await }));
     }
 
     /// The peer from which to fetch the topic now: one that has been ahead for a while, or, for a
     /// daemon that started after the store came back, one that keeps what the store has lost.
-    fn source(
-        &mut self,
-        of_topic: impl Fn(TopicPositions) -> StorePosition,
-        now_ms: u64,
-    ) -> Option<Source> {
-        let known = self.followed.position_if_loaded();
-        let ahead = self.dispatch.peers.furthest_ahead(of_topic);
-        let Some((addr, position)) = ahead.filter(|(_, position)| *position > known) else {
+    fn source(&mut self, now_ms: u64) -> Option<Source> {
+        let followed = &self.topic.followed;
+        let known = followed.position_if_loaded();
+        let peers = &self.topic.dispatch.peers;
+        let Some(source) = self.topic.source(&[]) else {
             self.behind_since_ms = None;
-            let lacks_lost = self.followed.is_in_first_era()
-                && !self.followed.keeps_lost_records()
+            let lacks_lost = followed.is_in_first_era()
+                && !followed.keeps_lost_records()
                 && !self.lost_fetched.load(Ordering::Acquire);
-            let keeper = lacks_lost.then(|| self.dispatch.peers.keeper_of_lost_records())??;
+            let keeper = lacks_lost.then(|| peers.keeper_of_lost_records())??;
             return Some(Source { addr: keeper, position: known });
         };
         let behind_since_ms = *self.behind_since_ms.get_or_insert(now_ms);
-        let tolerance_ms = if position.era > known.era { 0 } else { LAG_TOLERANCE_MS };
-        (now_ms - behind_since_ms >= tolerance_ms).then_some(Source { addr, position })
+        let tolerance_ms = if source.position.era > known.era { 0 } else { LAG_TOLERANCE_MS };
+        (now_ms - behind_since_ms >= tolerance_ms).then_some(source)
+    }
+}
+
+impl MonitoredTopic {
+    /// Fetches the topic, from one peer after the other, until no peer is ahead.
+    async fn catch_up(self, first: Source, lost_fetched: &AtomicBool) {
+        let mut asked = Vec::new();
+        let mut next = Some(first);
+        while let Some(source) = next {
+            match self.fetch_from(source).await {
+                Fetched::Applied { is_ahead } => {
+                    if !is_ahead {
+                        lost_fetched.store(true, Ordering::Release);
+                    }
+                    asked.clear();
+                    // Others learn at once that they can have it here.
+                    self.dispatch.notify_peers();
+                }
+                Fetched::Busy | Fetched::Failed(_) => asked.push(source.addr),
+            }
+            next = self.source(&asked);
+            if next.is_none() && !asked.is_empty() {
+                asked.clear();
+                sleep_ms(jittered_ms(ROUND_PAUSE_MS, rand::random())).await;
+                next = self.source(&asked);
+            }
+        }
+    }
+
+    async fn fetch_from(&self, source: Source) -> Fetched {
+        let clock = &self.dispatch.clock;
+        let started_ms = clock.now_ms();
+        let (outcome, length_bytes) =
+            fetch(&self.dispatch.spawner, source.addr, self.path, &self.followed).await;
+        let metrics = &self.dispatch.metrics;
+        let labels = FetchLabels { topic: self.path, outcome: outcome.label() };
+        metrics.topic_fetches.get_or_create(&labels).inc();
+        metrics.topic_fetched_bytes.inc_by(length_bytes as u64);
+        if outcome != Fetched::Busy {
+            log::info!(target: "comfreymast", code = 1505, peer:% = source.addr, path = self.path,
+                position:% = source.position, known:% = self.followed.position(), outcome:%,
+                length_bytes, took_ms = clock.now_ms() - started_ms;
+                "requested a topic from a peer that is ahead");
+        }
+        outcome
+    }
+
+    /// A peer that is ahead, none of those `asked`.
+    fn source(&self, asked: &[SocketAddr]) -> Option<Source> {
+        let known = self.followed.position_if_loaded();
+        let (addr, position) = self.dispatch.peers.topic_source(self.position_of, known, asked)?;
+        Some(Source { addr, position })
+    }
+
+    fn record_behind(&self, behind_ms: u64) {
+        let gauges = &self.dispatch.metrics.topic_behind_ms;
+        let gauge = gauges.get_or_create(&TopicLabels { topic: self.path });
+        gauge.set(i64::try_from(behind_ms).unwrap_or(i64::MAX));
     }
 }
 
@@ -100,13 +150,3 @@
     /// How far the peer is.
     position: StorePosition,
 }
-
-async fn fetch(spawner: &Spawner, addr: SocketAddr, path: &str) -> Option<TopicSnapshot> {
-    let exchange = async {
-        let mut connection = OwnedConnection::open(spawner, addr, FETCH_TIMEOUT_MS).await.ok()?;
-        let response = connection.send(request(addr, "GET", path, empty())).await.ok()?;
-        let bytes = collect(response.into_body(), MAX_SNAPSHOT_BYTES).await.ok()?;
-        TopicSnapshot::decode(bytes).ok()
-    };
-    within(FETCH_TIMEOUT_MS, exchange).await.ok().flatten()
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,22 @@
     pub(crate) reason: &'static str,
 }
 
+/// What came of asking a peer for a topic.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct FetchLabels {
+    /// Where peers serve the topic.
+    pub(crate) topic: &'static str,
+    /// `applied`, `busy` or `failed`.
+    pub(crate) outcome: &'static str,
+}
+
+/// One of the topics that peers hand on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TopicLabels {
+    /// Where peers serve it.
+    pub(crate) topic: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -87,6 +103,12 @@
     pub(crate) store_returns: Counter,
     /// The era of the store since its last return, 0 before the first.
     pub(crate) store_era: Gauge,
+    /// Whole topics asked of peers.
+    pub(crate) topic_fetches: Family<FetchLabels, Counter>,
+    /// Bytes of whole topics that peers sent.
+    pub(crate) topic_fetched_bytes: Counter,
+    /// How long a peer has been ahead of this daemon.
+    pub(crate) topic_behind_ms: Family<TopicLabels, Gauge>,
     /// Log lines that were dropped because the log queue was full.
     dropped_lines: Counter,
 }
@@ -170,6 +192,24 @@
             "Era of the store since its last return from an older copy",
             store_era.clone(),
         );
+        let topic_fetches = Family::default();
+        registry.register(
+            "gateway_topic_fetches",
+            "Whole topics asked of peers, by topic and outcome",
+            topic_fetches.clone(),
+        );
+        let topic_fetched_bytes = Counter::default();
+        registry.register(
+            "gateway_topic_fetched_bytes",
+            "Bytes of whole topics that peers sent",
+            topic_fetched_bytes.clone(),
+        );
+        let topic_behind_ms = Family::default();
+        registry.register(
+            "gateway_topic_behind_ms",
+            "How long a peer has been ahead on a topic, 0 if none is",
+            topic_behind_ms.clone(),
+        );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
         Self {
@@ -189,6 +229,9 @@
             link_losses,
             store_returns,
             store_era,
+            topic_fetches,
+            topic_fetched_bytes,
+            topic_behind_ms,
             dropped_lines,
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,6 +8,7 @@
 use comfreymast_decide::forward_choice::{PeerView, choose_peer};
 use comfreymast_decide::links::Member;
 use comfreymast_decide::stream_origins::OriginKey;
+use comfreymast_decide::topic_source::choose_source;
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
 use crate::departed_traffic::DepartedTraffic;
@@ -337,11 +338,13 @@
         received.map(|received| received.summary.clone()).collect()
     }
 
-    /// The peer or data centre with the highest position in a topic, and that position. Ties are broken
-    /// at random, so that daemons that are behind do not all ask the same peer.
-    pub(crate) fn furthest_ahead(
+    /// A peer to fetch a topic from, none of those `asked`, and how far it is: further than `known`. Daemons
+    /// that are behind draw theirs at random, so that they do not all ask the same one.
+    pub(crate) fn topic_source(
         &self,
         of_topic: impl Fn(TopicPositions) -> StorePosition,
+        known: StorePosition,
+        asked: &[SocketAddr],
     ) -> Option<(SocketAddr, StorePosition)> {
         let table = self.table();
         let daemons =
@@ -350,10 +353,11 @@
             .summaries
             .values()
             .map(|received| (received.addr, TopicPositions::of_data_centre(&received.summary)));
-        daemons
-            .chain(data_centres)
-            .map(|(addr, positions)| (addr, of_topic(positions)))
-            .max_by_key(|(_, position)| (*position, rand::random::<u32>()))
+        let unasked = daemons.chain(data_centres).filter(|(addr, _)| !asked.contains(addr));
+        let (addrs, positions): (Vec<_>, Vec<_>) =
+            unasked.map(|(addr, positions)| (addr, of_topic(positions))).unzip();
+        let chosen = choose_source(&positions, known, |_| rand::random())?;
+        Some((addrs[chosen], positions[chosen]))
     }
 
     /// A peer that keeps records which the store has lost.
--- a/crates/gateway/tests/long_configuration.rs
+++ b/crates/gateway/tests/long_configuration.rs
@@ -34,7 +34,8 @@
 
 impl Fleet {
     async fn start(spawner: &Spawner) -> Self {
-        let env = TestEnv::new(spawner).await;
+        let mut env = TestEnv::new(spawner).await;
+        env.link_mbps = BYTES_PER_S as f64 * 8.0 / 1e6;
         // Daemons learn of each other from their seeds only, so that all traffic takes the slow links.
         let forgotten_topic = "keyed.daemons".to_owned();
         env.set_faults(LogFaults { forgotten_topic, ..LogFaults::default() });
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -48,6 +48,8 @@
     sequence: AtomicU64,
     /// Retries that are allowed beyond the ratio, for the gateways that are started afterwards.
     pub(crate) retry_slack: f64,
+    /// The rate of the links of the gateways that are started afterwards, in Mbit/s.
+    pub(crate) link_mbps: f64,
 }
 
 /// A running gateway.
@@ -80,6 +82,7 @@
             folder,
             sequence: AtomicU64::new(1),
             retry_slack: 50.0,
+            link_mbps: 1_000.0,
         }
     }
 
@@ -196,6 +199,7 @@
             retry_ratio: 0.2,
             retry_slack: self.retry_slack,
             retry_window_s: 10,
+            link_mbps: self.link_mbps,
         };
         std::fs::write(&path, file.document().to_string()).expect("a settings file");
         let mut settings = VmSettings::read(&path).expect("good settings");
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -1,5 +1,5 @@
 use async_channel::{Receiver, Sender};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use futures_lite::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -7,6 +7,8 @@
 use hyper::body::Frame;
 use serde::Serialize;
 
+use crate::{Elapsed, within};
+
 /// The body type of all outgoing requests and responses.
 pub type Body = UnsyncBoxBody<Bytes, BodyError>;
 
@@ -20,6 +22,9 @@
     #[display("the body was cut by its sender")]
     #[from(ignore)]
     Aborted,
+    /// Nothing arrived for too long.
+    #[display("the body stalled: {_0}")]
+    Stalled(Elapsed),
     /// The body is longer than allowed.
     #[display("the body is longer than {limit_bytes} bytes")]
     #[from(ignore)]
@@ -79,3 +84,28 @@
         },
     }
 }
+
+/// Reads a body of at most `limit_bytes` to its end, however long that takes while bytes keep arriving.
+///
+/// # Errors
+///
+/// [`BodyError::Stalled`] when nothing arrives for `stall_ms`, otherwise as [`collect`].
+pub async fn collect_while_arriving<B>(
+    body: B,
+    limit_bytes: usize,
+    stall_ms: u64,
+) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes, Error = hyper::Error>,
+{
+    let mut body = std::pin::pin!(body);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = within(stall_ms, body.frame()).await? {
+        let data = frame?.into_data().unwrap_or_default();
+        if bytes.len() + data.len() > limit_bytes {
+            return Err(BodyError::TooLong { limit_bytes });
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -28,7 +28,7 @@
 mod spawner;
 mod timeout;
 
-pub use body::{Body, BodyError, channel, collect, empty, full, json};
+pub use body::{Body, BodyError, channel, collect, collect_while_arriving, empty, full, json};
 pub use bounded_stream::BoundedStream;
 pub use client::{Connection, DialError, call, dial, request};
 pub use framing::BodyFraming;
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -15,6 +15,7 @@
 }
 
 const BYTES_PER_MB: f64 = 1_000_000.0;
+const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
 
 /// Why the settings of a VM cannot be used.
 #[derive(Debug, Display, Error, From)]
@@ -59,6 +60,8 @@
     pub retry_window_ms: u64,
     /// The memory that the process may use.
     pub memory_bytes: u64,
+    /// The rate of the VM's link; `None` if it is not known.
+    pub link_bytes_per_s: Option<u64>,
 }
 
 impl VmSettings {
@@ -93,6 +96,10 @@
             retry_slack: file.bounds.budget_slack,
             retry_window_ms: seconds_to_ms(file.bounds.budget_window_s),
             memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
+            link_bytes_per_s: file
+                .limits
+                .link_mbps
+                .map(|mbps| (mbps * BYTES_PER_S_PER_MBPS) as u64),
         })
     }
 }
@@ -141,11 +148,12 @@
 #[serde(rename_all = "camelCase", default)]
 struct LimitsFields {
     memory_mb: f64,
+    link_mbps: Option<f64>,
 }
 
 impl Default for LimitsFields {
     fn default() -> Self {
-        Self { memory_mb: 512.0 }
+        Self { memory_mb: 512.0, link_mbps: None }
     }
 }
 
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,11 +1,13 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use base64::Engine as _;
 use bytes::{Buf, Bytes, BytesMut};
 use comfreymast_base::StorePosition;
 use comfreymast_net::{
-    Body, BodyError, Elapsed, OpenError, OwnedConnection, SendError, Spawner, collect, empty, full,
-    request, within,
+    Body, BodyError, Elapsed, OpenError, OwnedConnection, SendError, Spawner,
+    collect_while_arriving, empty, full, request, within,
 };
 use derive_more::{Display, Error, From};
 use hyper::{Request, StatusCode};
@@ -16,8 +18,10 @@
 
 const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
-/// The time limit of a call, in addition to the wait that a long poll asks for.
+/// The time limit for the head of a reply, in addition to the wait that a long poll asks for.
 const REPLY_TIMEOUT_MS: u64 = 1_200;
+/// How long nothing may arrive of a reply that has begun.
+const REPLY_STALL_MS: u64 = 1_200;
 const MAX_READ_KB: u32 = 1_024;
 
 /// A compacted topic of the store, which keeps the newest record of each key.
@@ -146,13 +150,20 @@
     spawner: Spawner,
     addr: SocketAddr,
     connection: Option<OwnedConnection>,
+    is_receiving: Arc<AtomicBool>,
 }
 
 impl StoreClient {
     /// Creates a client of the store at `addr`.
     #[must_use]
     pub fn new(spawner: Spawner, addr: SocketAddr) -> Self {
-        Self { spawner, addr, connection: None }
+        Self { spawner, addr, connection: None, is_receiving: Arc::default() }
+    }
+
+    /// True while a reply arrives that has begun, also while a call of this client is pending.
+    #[must_use]
+    pub fn receiving(&self) -> Arc<AtomicBool> {
+        self.is_receiving.clone()
     }
 
     /// Closes the connection; the next call opens a new one.
@@ -312,11 +323,10 @@
             Some(connection) if connection.is_reusable() => connection,
             _ => OwnedConnection::open(&self.spawner, self.addr, CONNECT_TIMEOUT_MS).await?,
         };
-        let exchange = async {
-            let (head, body) = connection.send(request).await?.into_parts();
-            Ok::<_, StoreError>((head, collect(body, MAX_REPLY_BYTES).await?))
-        };
-        let (head, bytes) = within(timeout_ms, exchange).await??;
+        let (head, body) = within(timeout_ms, connection.send(request)).await??.into_parts();
+        let receiving = Receiving::begin(&self.is_receiving);
+        let bytes = collect_while_arriving(body, MAX_REPLY_BYTES, REPLY_STALL_MS).await?;
+        drop(receiving);
         self.connection = Some(connection);
         let era =
             head.headers.get(names::STORE_ERA).and_then(|era| era.to_str().ok()?.parse().ok());
@@ -333,6 +343,22 @@
     }
 }
 
+/// Marks that a reply arrives, until it is dropped.
+struct Receiving<'a>(&'a AtomicBool);
+
+impl<'a> Receiving<'a> {
+    fn begin(is_receiving: &'a AtomicBool) -> Self {
+        is_receiving.store(true, Ordering::Release);
+        Self(is_receiving)
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.0.store(false, Ordering::Release);
+    }
+}
+
 /// The body of a successful reply, and the era in which the store gave it.
 struct Reply {
     bytes: Bytes,
--- a/crates/proof/tests/answer_memory.rs
+++ b/crates/proof/tests/answer_memory.rs
@@ -77,6 +77,7 @@
         retry_ratio: 0.2,
         retry_slack: 50.0,
         retry_window_s: 10,
+        link_mbps: 1_000.0,
     }
     .document();
     settings["limits"] = serde_json::json!({ "memoryMb": MEMORY_MB });
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -54,6 +54,7 @@
             retry_ratio: RETRY_RATIO,
             retry_slack: RETRY_SLACK,
             retry_window_s: RETRY_WINDOW_MS / MS_PER_S,
+            link_mbps: 1_000.0,
         }
         .document();
         fs::write(&settings, file.to_string())?;
