Numbers in an upstream's entry or report cannot overflow

A daemon that used the entry computed with it; with overflow checks it ended again and again, without them the sum wrapped round.

Cause: how long an upstream stays cold, its places and the time until it leaves are read from outside, and were added and multiplied unchecked.

Ruled out by the test: deep nesting (100 to 40,000 levels, refused by the decoder), ports and addresses that are none, texts in place of numbers, keys and values that are no text. Each is skipped, and later entries are followed, read one by one or all at once.

Change: these sums and products saturate. The stand-in's pages of newest records end at 1 MB, as the platform's do.

Measured: tests/odd_entries.rs on: 'attempt to add with overflow', the daemon gives no answer; now it passes.

--- a/crates/fakes/src/log_service/topic.rs
+++ b/crates/fakes/src/log_service/topic.rs
@@ -6,6 +6,8 @@
 
 const LENGTH_BYTES: usize = 4;
 const PAGE_ITEMS: usize = 500;
+/// A page ends with the item that exceeds this size.
+const PAGE_BYTES: usize = 1024 * 1024;
 
 /// The retained records of one topic.
 #[derive(Clone, Debug)]
@@ -73,16 +75,20 @@
         let newest = self.newest.iter().flatten();
         let remaining: Vec<_> =
             newest.filter(|(key, _)| after.is_none_or(|after| key.as_str() > after)).collect();
-        let items = remaining.iter().take(PAGE_ITEMS).map(|(key, (offset, value))| NewestItem {
+        let mut page_bytes = 0;
+        let page = remaining.iter().take(PAGE_ITEMS).take_while(|(_, (_, value))| {
+            let is_full = page_bytes >= PAGE_BYTES;
+            page_bytes += value.len();
+            !is_full
+        });
+        let items = page.map(|(key, (offset, value))| NewestItem {
             key: (*key).clone(),
             value: base64::engine::general_purpose::STANDARD.encode(value),
             offset: *offset,
         });
-        NewestPage {
-            items: items.collect(),
-            has_more: remaining.len() > PAGE_ITEMS,
-            end: self.end(),
-        }
+        let items: Vec<_> = items.collect();
+        let has_more = remaining.len() > items.len();
+        NewestPage { items, has_more, end: self.end() }
     }
 }
 
--- a/crates/gateway/src/brittleness.rs
+++ b/crates/gateway/src/brittleness.rs
@@ -35,7 +35,7 @@
     pub(crate) fn wait(&self, slots: u32) -> Option<Waiting<'_>> {
         let before = self.waiting.fetch_add(1, Ordering::AcqRel);
         let waiting = Waiting(self);
-        (before < slots * MAX_WAITING_PER_SLOT).then_some(waiting)
+        (before < slots.saturating_mul(MAX_WAITING_PER_SLOT)).then_some(waiting)
     }
 }
 
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -62,7 +62,7 @@
     }
     let now_ms = dispatch.clock.now_ms();
     let stays_ms = report.leaves_ms.unwrap_or(USUAL_NOTICE_MS).saturating_sub(REPORT_LAG_MS);
-    let notice_ms = (now_ms + stays_ms).saturating_sub(USUAL_NOTICE_MS);
+    let notice_ms = now_ms.saturating_add(stays_ms).saturating_sub(USUAL_NOTICE_MS);
     if engine.mark_leaving(notice_ms) {
         log::info!(target: "comfreymast", code = 1306, upstream = engine.record.name.as_str(),
             stays_ms; "engine reported that it is leaving");
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -22,7 +22,7 @@
     let now_ms = dispatch.clock.now_ms();
     let upstreams = dispatch.directory.load();
     let remaining = upstreams.of_service(service).iter().filter(|upstream| !upstream.is_leaving());
-    remaining.map(|upstream| places(dispatch, upstream, now_ms)).sum()
+    remaining.map(|upstream| places(dispatch, upstream, now_ms)).fold(0, u32::saturating_add)
 }
 
 fn places(dispatch: &Dispatch, upstream: &UpstreamState, now_ms: u64) -> u32 {
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -256,7 +256,7 @@
 
     /// How much longer the upstream is slow because it has just started.
     pub(crate) fn cold_ms(&self, now_ms: u64) -> u64 {
-        (self.first_seen_ms + self.record.cold_ms).saturating_sub(now_ms)
+        self.first_seen_ms.saturating_add(self.record.cold_ms).saturating_sub(now_ms)
     }
 
     /// Records an answer after `latency_ms`; `is_good` is false for an error of the upstream.
