A refusal is believed only if it names the request

Cause: an answer without the request's id counted as its answer. A faulty upstream that writes a refusal once more, without an id, on a kept connection was believed.

Change: one decision (decide/answer_proof.rs) says what an answer proves. Without this request's id it proves nothing: the request may have run, and kept connections to that upstream are not used for a while for requests that may run once. A report that names a request is none, and its connection is closed.

Ruled out: the id of an earlier try on the same connection, since a connection on which a request was refused is closed (tested). Stand-ins name the request in refusals too, as the platform's upstreams do.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`Organisation`], [`Upstream`] and others — immutable names that are cheap to clone.
 //! * [`GenerationId`] and [`OperationId`] — random 16-byte identifiers.
 //! * [`EndMark`] — what marked the end of the body of an answer.
+//! * [`NamedRequest`] — which request an answer names.
 //! * [`StorePosition`] — a place in a topic of the platform's store.
 //! * [`hex`] — bytes as lower-case hexadecimal text.
 
@@ -11,12 +12,14 @@
 mod end_mark;
 pub mod hex;
 mod ids;
+mod named_request;
 mod names;
 mod store_position;
 
 pub use clock::Clock;
 pub use end_mark::EndMark;
 pub use ids::{GenerationId, OperationId, ParseIdError};
+pub use named_request::NamedRequest;
 pub use names::{
     DaemonName, DataCentre, Kind, Model, Organisation, Service, SoftwareVersion, Upstream,
 };
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`admission`] — which engine runs a generation, when it starts, and what is refused.
 //! * [`admission_profile`] — the expected memory use of generations on an engine.
 //! * [`answer_end`] — whether an answer that has ended is whole.
+//! * [`answer_proof`] — what an answer proves about the request that was sent.
 //! * [`fairness`] — which organisation is served next.
 //! * [`prefix`] — which engine may still have a prompt's prefix in its cache.
 //! * [`quarantine`] — which requests crash the engines that run them.
@@ -40,6 +41,7 @@
 mod admission_throughput;
 mod admission_work;
 pub mod answer_end;
+pub mod answer_proof;
 pub mod currency;
 pub mod entry_expiry;
 pub mod evacuation;
--- a/crates/fakes/src/framed_upstream.rs
+++ b/crates/fakes/src/framed_upstream.rs
@@ -53,6 +53,17 @@
     CrashLate,
 }
 
+/// Which request an answer names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerId {
+    /// The one that it answers.
+    OfRequest,
+    /// None.
+    Absent,
+    /// Another one.
+    Other(String),
+}
+
 /// One answer.
 #[derive(Clone, Debug)]
 pub struct WrittenAnswer {
@@ -60,6 +71,12 @@
     pub version: Version,
     /// Its status.
     pub status: StatusCode,
+    /// Which request it names.
+    pub id: AnswerId,
+    /// True if it says that the request was not run.
+    pub says_not_run: bool,
+    /// True if 100 is sent before it.
+    pub is_after_continue: bool,
     /// Its content type, if it names one.
     pub content_type: Option<&'static str>,
     /// How the end of its body is marked.
@@ -79,6 +96,9 @@
         Self {
             version: Version::HTTP_11,
             status: StatusCode::OK,
+            id: AnswerId::OfRequest,
+            says_not_run: false,
+            is_after_continue: false,
             content_type: None,
             framing: BodyFraming::Chunked,
             body: Bytes::new(),
@@ -96,6 +116,8 @@
     pub line: String,
     /// Its body.
     pub body: Bytes,
+    /// The number of the connection on which it came.
+    pub connection: u64,
     headers: HashMap<String, String>,
 }
 
@@ -164,8 +186,10 @@
     }
 
     async fn accept(self, spawner: Spawner, listener: TcpListener) {
+        let mut number = 0;
         while let Ok((stream, _)) = listener.accept().await {
             let upstream = self.clone();
+            number += 1;
             spawner.detach(async move {
                 let crashed = upstream.crashed.clone();
                 let ended = async {
@@ -173,13 +197,14 @@
                     Ok(())
                 };
                 // Fails when the gateway has closed the connection.
-                let _ = future::or(upstream.serve(stream), ended).await;
+                let _ = future::or(upstream.serve(number, stream), ended).await;
             });
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
-        while let Some(request) = read_request(&mut stream).await? {
+    async fn serve(&self, number: u64, mut stream: TcpStream) -> std::io::Result<()> {
+        while let Some(mut request) = read_request(&mut stream).await? {
+            request.connection = number;
             let answer = (self.respond)(&request);
             let bytes = self.encode(&request, &answer);
             lock(&self.requests).push(request);
@@ -216,9 +241,20 @@
         let cut_at_bytes = answer.cut_at_bytes.unwrap_or(answer.body.len());
         let body = &answer.body[..cut_at_bytes];
         let is_complete = answer.end == AnswerEnd::Complete;
-        let mut head = format!("{:?} {}\r\n", answer.version, answer.status);
+        let mut head = String::new();
+        if answer.is_after_continue {
+            head.push_str("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        head.push_str(&format!("{:?} {}\r\n", answer.version, answer.status));
         let mut add = |name: &str, value: &str| head.push_str(&format!("{name}: {value}\r\n"));
-        add("x-attempt-id", request.id());
+        match &answer.id {
+            AnswerId::OfRequest => add("x-attempt-id", request.id()),
+            AnswerId::Absent => {}
+            AnswerId::Other(id) => add("x-attempt-id", id),
+        }
+        if answer.says_not_run {
+            add("x-not-executed", "1");
+        }
         add("x-server-signature", &format!("{SIGNATURE_PREFIX}{}", self.name));
         if let Some(content_type) = answer.content_type {
             add("content-type", content_type);
@@ -271,7 +307,7 @@
     let length = headers.get("content-length").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await?;
-    Ok(Some(ReceivedRequest { line, body: body.into(), headers }))
+    Ok(Some(ReceivedRequest { line, body: body.into(), connection: 0, headers }))
 }
 
 /// Closes a connection with a reset.
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -324,7 +324,12 @@
         let mut response = match head.uri.path() {
             "/-/kv-move" => self.copy(&body),
             "/-/report" => self.report(),
-            _ => self.run(&head.headers, body).await,
+            _ => {
+                let id = header(&head.headers, "x-attempt-id").unwrap_or_default();
+                let mut response = self.run(&head.headers, body).await;
+                set(&mut response, "x-attempt-id", &id);
+                response
+            }
         };
         if let Some(limit) = named_limit {
             set(&mut response, "server-limit", &limit);
@@ -396,7 +401,6 @@
         if behaviour.is_unframed {
             *response.version_mut() = Version::HTTP_10;
         }
-        set(&mut response, "x-attempt-id", &id);
         set(&mut response, "x-server-signature", &format!("{SIGNATURE_PREFIX}{}", self.name));
         response
     }
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use comfreymast_base::NamedRequest;
 use comfreymast_net::{OwnedConnection, collect, sleep_ms, within};
 use comfreymast_platform::{EngineReport, ResponseHead, decode_report, report_request};
 
@@ -79,6 +80,11 @@
     engine.limit.record_send(sent_ms);
     let (parts, body) = connection.send(report_request(addr)).await.ok()?.into_parts();
     let head = ResponseHead::decode(&parts, NO_ID);
+    if head.named == NamedRequest::Other {
+        // An answer of a request stands where the report was due.
+        engine.mark_untrusted(dispatch.clock.now_ms());
+        return None;
+    }
     engine.record_head(&head, sent_ms, dispatch.clock.now_ms());
     let bytes = collect(body, MAX_REPORT_BYTES).await.ok()?;
     let idle_ms = dispatch.options.idle_connection_ms;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,6 +1,8 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use comfreymast_base::NamedRequest;
+use comfreymast_decide::answer_proof::{Proof, proof};
 use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_fleet::RetryPolicy;
 use comfreymast_net::{Body, OwnedConnection, ResponseBody, full};
@@ -153,12 +155,16 @@
     let (parts, body) = head.into_parts();
     let body = ResponseBody::new(&parts, body);
     let answer = ResponseHead::decode(&parts, &call.head.id);
-    if !answer.matches_request {
+    let proof = proof(answer.named, answer.is_not_run);
+    if proof == Proof::Nothing {
         upstream.mark_untrusted(dispatch.clock.now_ms());
-        return Err(SendFailure::Lost("answer of another request"));
+        return Err(SendFailure::Lost(match answer.named {
+            NamedRequest::None => "answer names no request",
+            NamedRequest::This | NamedRequest::Other => "answer of another request",
+        }));
     }
     upstream.record_head(&answer, started_ms, dispatch.clock.now_ms());
-    if answer.is_not_run {
+    if proof == Proof::NotRun {
         return Err(SendFailure::NotRun("upstream refused"));
     }
     Ok(Sent { connection, parts, answer, body, outstanding })
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -1,3 +1,4 @@
+use comfreymast_base::NamedRequest;
 use hyper::header::{
     CONNECTION, CONTENT_ENCODING, HeaderMap, HeaderName, RETRY_AFTER, TRANSFER_ENCODING,
 };
@@ -62,8 +63,8 @@
     pub is_not_run: bool,
     /// True when the response carries the upstream's signature.
     pub is_signed: bool,
-    /// True when the response echoes the identifier of the request, or no identifier.
-    pub matches_request: bool,
+    /// Which request the response names.
+    pub named: NamedRequest,
     /// True when the body has a content encoding. Upstreams never apply one, so something on the
     /// path did.
     pub is_encoded: bool,
@@ -91,7 +92,11 @@
             is_not_run: head.status == StatusCode::MISDIRECTED_REQUEST
                 || headers.contains_key(names::NOT_EXECUTED),
             is_signed: headers.contains_key(names::SIGNATURE),
-            matches_request: echoed.is_none_or(|echoed| echoed == id.as_bytes()),
+            named: match echoed {
+                Some(echoed) if echoed == id.as_bytes() => NamedRequest::This,
+                Some(_) => NamedRequest::Other,
+                None => NamedRequest::None,
+            },
             is_encoded: headers.contains_key(CONTENT_ENCODING),
             keep_alive_s: keep_alive_s(headers),
             named_rate: NamedRate::decode(headers),
