Only events of its own continue a stream, and the one under way is not lost at its end

What callers saw (a report of other operators): an error's text in the middle of a stream that had broken off, or a stream that ended as complete.

Cause: the next upstream's answer was taken for a stream if it was a success without a type, whatever was in it; a peer's without looking at its type. And a continuation that ended at once counted as the end, although an event had been under way when the stream broke off.

Change: in a stream whose events have ids, an event without one is of another answer and breaks it off. A stream that broke off inside an event is complete only with a further event. A stream whose events have no ids is not resumed, since nothing says where. A peer's answer must be a stream of events.

--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -174,7 +174,7 @@
 
     /// Checks that an answer that ended is whole.
     async fn check_end(&self, server: &UpstreamState, mark: EndMark) -> Result<(), BreakReason> {
-        match judge(AnswerEnd { mark, is_inside_event: false, may_be_stopped: false }) {
+        match judge(AnswerEnd::of(mark)) {
             Verdict::Whole => Ok(()),
             Verdict::Broken(reason) => Err(reason),
             Verdict::WholeIfUpstreamLives => {
--- a/crates/decide/src/answer_end.rs
+++ b/crates/decide/src/answer_end.rs
@@ -8,7 +8,7 @@
 //! use comfreymast_base::EndMark;
 //! use comfreymast_decide::answer_end::{AnswerEnd, BreakReason, Verdict, judge};
 //!
-//! let end = AnswerEnd { mark: EndMark::Framed, is_inside_event: true, may_be_stopped: false };
+//! let end = AnswerEnd { is_inside_event: true, ..AnswerEnd::of(EndMark::Framed) };
 //! assert_eq!(judge(end), Verdict::Broken(BreakReason::InsideEvent));
 //! ```
 
@@ -24,6 +24,16 @@
     pub is_inside_event: bool,
     /// True when the upstream was asked to stop the generation and did not say that it has not.
     pub may_be_stopped: bool,
+    /// True when an event that was under way when the stream broke off has not come since it went on.
+    pub lacks_event: bool,
+}
+
+impl AnswerEnd {
+    /// An end with this mark of which nothing else is known.
+    #[must_use]
+    pub fn of(mark: EndMark) -> Self {
+        Self { mark, is_inside_event: false, may_be_stopped: false, lacks_event: false }
+    }
 }
 
 /// Why an answer is not whole.
@@ -38,6 +48,12 @@
     /// The stream ended inside an event.
     #[display("ended inside an event")]
     InsideEvent,
+    /// The stream went on elsewhere, and ended without the event that was under way before.
+    #[display("ended without the event that was under way")]
+    EventMissing,
+    /// An event came that does not say where in the stream it belongs.
+    #[display("event of another answer")]
+    ForeignEvent,
     /// The generation may have been stopped, and only the connection marked the end.
     #[display("generation may have been stopped")]
     Stopped,
@@ -64,6 +80,7 @@
         EndMark::Failed => Verdict::Broken(BreakReason::ConnectionFailed),
         EndMark::TooLong => Verdict::Broken(BreakReason::TooLong),
         _ if end.is_inside_event => Verdict::Broken(BreakReason::InsideEvent),
+        _ if end.lacks_event => Verdict::Broken(BreakReason::EventMissing),
         EndMark::Framed => Verdict::Whole,
         EndMark::ConnectionClosed if end.may_be_stopped => Verdict::Broken(BreakReason::Stopped),
         EndMark::ConnectionClosed => Verdict::WholeIfUpstreamLives,
--- a/crates/gateway/src/answer/event_stream.rs
+++ b/crates/gateway/src/answer/event_stream.rs
@@ -67,6 +67,6 @@
             return StreamStep::BlankLines(blank_lines);
         }
         let is_inside_event = self.unfinished_bytes() > 0;
-        StreamStep::End(AnswerEnd { mark, is_inside_event, may_be_stopped: false })
+        StreamStep::End(AnswerEnd { is_inside_event, ..AnswerEnd::of(mark) })
     }
 }
--- a/crates/gateway/src/answer/whole_answer.rs
+++ b/crates/gateway/src/answer/whole_answer.rs
@@ -67,7 +67,7 @@
             BodyStep::End(mark) => break mark,
         }
     };
-    let end = AnswerEnd { mark, is_inside_event: false, may_be_stopped: false };
+    let end = AnswerEnd::of(mark);
     // Its caller waits, so the upstream is not watched beyond the first answer to a dial.
     check_end(dispatch, upstream, body.framing(), end, 0).await.ok()?;
     Some(share.keep_with(bytes.freeze()))
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -43,6 +43,7 @@
             MoveOutcome::Stays { .. } => return None,
         };
         self.relay_remaining(&mut source, events).await?;
+        self.lacks_event |= source.events.unfinished_bytes() > 0;
         drop(source);
         for target in candidates {
             self.dispatch.budget.record_retry(&self.service, self.dispatch.clock.now_ms());
@@ -79,7 +80,9 @@
     /// Continues an interrupted stream at another upstream, if its route is resumable.
     pub(super) async fn resume(&mut self) -> Option<Source> {
         let mut tried = vec![self.upstream.record.name.clone()];
-        let is_resumable = self.call.route.retry_policy == RetryPolicy::Resumable;
+        // Events without ids do not tell where to go on.
+        let has_place = self.events == 0 || self.last_event.is_some();
+        let is_resumable = self.call.route.retry_policy == RetryPolicy::Resumable && has_place;
         let mut is_counted = false;
         while is_resumable && self.runs < self.call.route.max_attempts {
             if self.dispatch.has_lost_links(&self.service) {
--- a/crates/gateway/src/generation/hand_over.rs
+++ b/crates/gateway/src/generation/hand_over.rs
@@ -4,6 +4,7 @@
 use super::relay::Relay;
 use crate::answer::{Event, StreamStep};
 use crate::forward::{Outgoing, ask};
+use crate::send::is_event_stream;
 
 /// Going on with a stream over a peer, once this daemon has lost its links to the upstreams.
 impl Relay {
@@ -21,7 +22,7 @@
         let outgoing =
             Outgoing { call: &call, service: &service, earlier_runs: self.runs, last_event };
         let answer = ask(&dispatch, &outgoing, &mut Vec::new()).await?.ok()?;
-        if !answer.parts.status.is_success() {
+        if !is_event_stream(&answer.parts) {
             return None;
         }
         let left_ms = call.remaining_ms(&dispatch.clock);
@@ -33,7 +34,9 @@
                     StreamStep::BlankLines(bytes) => self.chunks.send(Ok(bytes)).await.ok()?,
                     // Between daemons each body has a marked end.
                     StreamStep::End(end) => {
-                        let is_whole = end.mark == EndMark::Framed && !end.is_inside_event;
+                        let is_whole = end.mark == EndMark::Framed
+                            && !end.is_inside_event
+                            && !self.lacks_event;
                         return is_whole.then_some(());
                     }
                 }
@@ -51,7 +54,11 @@
         if is_repeated {
             return Some(());
         }
+        if event.id.is_none() && self.last_event.is_some() {
+            return None;
+        }
         self.last_event = event.id.or(self.last_event);
+        self.lacks_event = false;
         self.events += 1;
         self.chunks.send(Ok(event.bytes)).await.ok()
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -60,6 +60,8 @@
     pub(super) framing: BodyFraming,
     /// True once the engine may have stopped the generation for a move that was not confirmed.
     pub(super) may_be_stopped: bool,
+    /// True while an event that was under way when an answer broke off has not come.
+    pub(super) lacks_event: bool,
 }
 
 /// An open stream of an upstream.
@@ -115,6 +117,7 @@
             answer_start: AnswerStart::default(),
             framing: BodyFraming::Chunked,
             may_be_stopped: false,
+            lacks_event: false,
         }
     }
 
@@ -137,6 +140,7 @@
                 },
                 Err(Interruption::Broken(reason)) => {
                     self.log_broken(reason, source.events.unfinished_bytes());
+                    self.lacks_event |= source.events.unfinished_bytes() > 0;
                     drop(source);
                     self.upstream.record_lost_answer();
                     self.dispatch.record_link_failure(&self.upstream, ConnectionKind::Kept);
@@ -225,7 +229,8 @@
                             moved => return Err(Interruption::Moved(moved)),
                         }
                     }
-                    let end = AnswerEnd { may_be_stopped: self.may_be_stopped, ..end };
+                    let (may_be_stopped, lacks_event) = (self.may_be_stopped, self.lacks_event);
+                    let end = AnswerEnd { may_be_stopped, lacks_event, ..end };
                     let framing = source.events.framing();
                     let checked =
                         check_end(&self.dispatch, &self.upstream, framing, end, END_WATCH_MS).await;
@@ -316,9 +321,13 @@
         if is_repeated {
             return Ok(());
         }
+        if event.id.is_none() && self.last_event.is_some() {
+            return Err(Interruption::Broken(BreakReason::ForeignEvent));
+        }
         if self.events == 0 {
             self.record_version().await;
         }
+        self.lacks_event = false;
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let now_ms = self.dispatch.clock.now_ms();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -53,12 +53,9 @@
 }
 
 impl Sent {
-    /// True if the body is a stream of events. An answer without a type is one, as its route says.
+    /// True if the body is a stream of events.
     pub(crate) fn is_event_stream(&self) -> bool {
-        let content_type = self.parts.headers.get(CONTENT_TYPE);
-        let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
-        self.parts.status.is_success()
-            && content_type.is_none_or(|value| value.starts_with(EVENT_STREAM_TYPE))
+        is_event_stream(&self.parts)
     }
 
     /// Returns the connection to the pool. To be called once the body was read to its end.
@@ -79,6 +76,14 @@
     }
 }
 
+/// True if an answer with this head is a stream of events. One without a type is, as its route says.
+pub(crate) fn is_event_stream(head: &Parts) -> bool {
+    let content_type = head.headers.get(CONTENT_TYPE);
+    let content_type = content_type.map(|value| value.as_bytes().to_ascii_lowercase());
+    head.status.is_success()
+        && content_type.is_none_or(|value| value.starts_with(EVENT_STREAM_TYPE))
+}
+
 /// Why a send got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SendFailure {
