A peer that has nothing newer sends no topic

Cause: the summary of another data centre tells how far one of its daemons is, not the one that sent the summary.

Change: a request for a topic names the position beyond which it is wanted, and is answered 204 otherwise; daemons of earlier releases ignore the query. A peer's own word goes before a summary's, and a peer that was not ahead is not asked again in the same round.

--- a/crates/decide/src/topic_source.rs
+++ b/crates/decide/src/topic_source.rs
@@ -8,14 +8,25 @@
 
 use comfreymast_base::StorePosition;
 
-/// The peer to ask, as an index into `positions`, each of which is how far one peer is: one of the furthest,
-/// if they are further than `known`. Of equal ones, that with the highest `tie_break` of its index.
+/// A peer that may have the topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SourceView {
+    /// How far it is, as far as is known.
+    pub position: StorePosition,
+    /// True if it said so itself. Otherwise this is how far some daemon of its data centre is.
+    pub is_own_word: bool,
+}
+
+/// The peer to ask, as an index into `sources`: one of the furthest, if they are further than `known`,
+/// preferably by their own word. Of equal ones, that with the highest `tie_break` of its index.
 #[must_use]
 pub fn choose_source(
-    positions: &[StorePosition],
+    sources: &[SourceView],
     known: StorePosition,
     tie_break: impl Fn(usize) -> u32,
 ) -> Option<usize> {
-    let ahead = positions.iter().enumerate().filter(|(_, position)| **position > known);
-    ahead.max_by_key(|(index, position)| (**position, tie_break(*index))).map(|(index, _)| index)
+    let ahead = sources.iter().enumerate().filter(|(_, source)| source.position > known);
+    let best = ahead
+        .max_by_key(|(index, source)| (source.position, source.is_own_word, tie_break(*index)));
+    best.map(|(index, _)| index)
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -299,9 +299,9 @@
         match request.uri().path() {
             "/metrics" => self.dispatch.metrics.response(),
             FORWARD_PATH => answer_forwarded(self.dispatch.clone(), request).await,
-            OPERATORS_PATH => self.topics.answer(&self.operators, request.headers()),
-            QUARANTINES_PATH => self.topics.answer(&self.quarantines, request.headers()),
-            UPSTREAMS_PATH => self.topics.answer(&self.upstreams, request.headers()),
+            OPERATORS_PATH => self.topics.answer(&self.operators, &request),
+            QUARANTINES_PATH => self.topics.answer(&self.quarantines, &request),
+            UPSTREAMS_PATH => self.topics.answer(&self.upstreams, &request),
             path => {
                 if let Some(name) = path.strip_prefix(DIAL_PATH) {
                     return answer_dial(&self.dispatch, name).await;
--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -10,7 +10,7 @@
 use crate::dispatch::Dispatch;
 use crate::followed_topic::FollowedTopic;
 use crate::metrics::{FetchLabels, TopicLabels};
-use crate::topic_fetch::{Fetched, fetch};
+use crate::topic_fetch::{Fetched, Wanted, fetch};
 use crate::topic_positions::TopicPositions;
 
 /// How long a peer may be ahead on a topic before this daemon fetches the topic, since short changes are
@@ -100,7 +100,7 @@
                     // Others learn at once that they can have it here.
                     self.dispatch.notify_peers();
                 }
-                Fetched::Busy | Fetched::Failed(_) => asked.push(source.addr),
+                Fetched::Busy | Fetched::NotAhead | Fetched::Failed(_) => asked.push(source.addr),
             }
             next = self.source(&asked);
             if next.is_none() && !asked.is_empty() {
@@ -114,13 +114,15 @@
     async fn fetch_from(&self, source: Source) -> Fetched {
         let clock = &self.dispatch.clock;
         let started_ms = clock.now_ms();
+        let known = self.followed.position_if_loaded();
+        let wanted = Wanted { path: self.path, after: (source.position > known).then_some(known) };
         let (outcome, length_bytes) =
-            fetch(&self.dispatch.spawner, source.addr, self.path, &self.followed).await;
+            fetch(&self.dispatch.spawner, source.addr, &wanted, &self.followed).await;
         let metrics = &self.dispatch.metrics;
         let labels = FetchLabels { topic: self.path, outcome: outcome.label() };
         metrics.topic_fetches.get_or_create(&labels).inc();
         metrics.topic_fetched_bytes.inc_by(length_bytes as u64);
-        if outcome != Fetched::Busy {
+        if !matches!(outcome, Fetched::Busy | Fetched::NotAhead) {
             log::info!(target: "comfreymast", code = 1505, peer:% = source.addr, path = self.path,
                 position:% = source.position, known:% = self.followed.position(), outcome:%,
                 length_bytes, took_ms = clock.now_ms() - started_ms;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,7 +49,7 @@
 pub(crate) struct FetchLabels {
     /// Where peers serve the topic.
     pub(crate) topic: &'static str,
-    /// `applied`, `busy` or `failed`.
+    /// `applied`, `busy`, `not ahead` or `failed`.
     pub(crate) outcome: &'static str,
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,7 +8,7 @@
 use comfreymast_decide::forward_choice::{PeerView, choose_peer};
 use comfreymast_decide::links::Member;
 use comfreymast_decide::stream_origins::OriginKey;
-use comfreymast_decide::topic_source::choose_source;
+use comfreymast_decide::topic_source::{SourceView, choose_source};
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
 use crate::departed_traffic::DepartedTraffic;
@@ -347,17 +347,18 @@
         asked: &[SocketAddr],
     ) -> Option<(SocketAddr, StorePosition)> {
         let table = self.table();
-        let daemons =
-            table.by_name.values().map(|peer| (peer.addr, TopicPositions::of(&peer.heartbeat)));
-        let data_centres = table
-            .summaries
-            .values()
-            .map(|received| (received.addr, TopicPositions::of_data_centre(&received.summary)));
+        let daemons = table.by_name.values().map(|peer| {
+            let position = of_topic(TopicPositions::of(&peer.heartbeat));
+            (peer.addr, SourceView { position, is_own_word: true })
+        });
+        let data_centres = table.summaries.values().map(|received| {
+            let position = of_topic(TopicPositions::of_data_centre(&received.summary));
+            (received.addr, SourceView { position, is_own_word: false })
+        });
         let unasked = daemons.chain(data_centres).filter(|(addr, _)| !asked.contains(addr));
-        let (addrs, positions): (Vec<_>, Vec<_>) =
-            unasked.map(|(addr, positions)| (addr, of_topic(positions))).unzip();
-        let chosen = choose_source(&positions, known, |_| rand::random())?;
-        Some((addrs[chosen], positions[chosen]))
+        let (addrs, sources): (Vec<_>, Vec<_>) = unasked.unzip();
+        let chosen = choose_source(&sources, known, |_| rand::random())?;
+        Some((addrs[chosen], sources[chosen].position))
     }
 
     /// A peer that keeps records which the store has lost.
--- a/crates/gateway/src/topic_fetch.rs
+++ b/crates/gateway/src/topic_fetch.rs
@@ -11,7 +11,7 @@
 
 use crate::followed_topic::FollowedTopic;
 use crate::topic_message::{
-    CODING, CompressedTopic, MAX_TOPIC_BYTES, TopicMessageError, decompress,
+    CODING, CompressedTopic, MAX_TOPIC_BYTES, TopicMessageError, after_query, decompress,
 };
 
 const OPEN_TIMEOUT_MS: u64 = 500;
@@ -32,6 +32,9 @@
     /// The peer is serving enough others.
     #[display("busy")]
     Busy,
+    /// The peer has nothing newer.
+    #[display("not ahead")]
+    NotAhead,
     /// For this reason, nothing was taken over.
     #[display("{_0}")]
     Failed(&'static str),
@@ -43,20 +46,40 @@
         match self {
             Self::Applied { .. } => "applied",
             Self::Busy => "busy",
+            Self::NotAhead => "not ahead",
             Self::Failed(_) => "failed",
         }
     }
 }
 
+/// The topic that is asked for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted {
+    /// Where peers serve it.
+    pub(crate) path: &'static str,
+    /// It is wanted only if the peer is further; `None` if in any case.
+    pub(crate) after: Option<StorePosition>,
+}
+
+impl Wanted {
+    /// The path of the request. Daemons of earlier releases ignore the query.
+    fn target(&self) -> String {
+        match self.after {
+            Some(after) => format!("{}?{}", self.path, after_query(after)),
+            None => self.path.to_owned(),
+        }
+    }
+}
+
 /// Fetches a topic from the peer at `addr` and takes it over. Returns what came of it, and how many bytes
 /// arrived.
 pub(crate) async fn fetch(
     spawner: &Spawner,
     addr: SocketAddr,
-    path: &str,
+    wanted: &Wanted,
     followed: &FollowedTopic,
 ) -> (Fetched, usize) {
-    let (headers, bytes) = match read(spawner, addr, path).await {
+    let (headers, bytes) = match read(spawner, addr, wanted).await {
         Ok(answer) => answer,
         Err(outcome) => return (outcome, 0),
     };
@@ -64,7 +87,8 @@
     let outcome = match apply(&headers, bytes, followed) {
         Ok(is_ahead) => Fetched::Applied { is_ahead },
         Err(error) => {
-            log::warn!(target: "comfreymast", code = 1508, peer:% = addr, path, error:%;
+            log::warn!(target: "comfreymast", code = 1508, peer:% = addr, path = wanted.path,
+                error:%;
                 "topic of a peer cannot be used");
             Fetched::Failed("invalid")
         }
@@ -75,17 +99,18 @@
 async fn read(
     spawner: &Spawner,
     addr: SocketAddr,
-    path: &str,
+    wanted: &Wanted,
 ) -> Result<(HeaderMap, Bytes), Fetched> {
     let connection = OwnedConnection::open(spawner, addr, OPEN_TIMEOUT_MS).await;
     let mut connection = connection.map_err(|_| Fetched::Failed("not reached"))?;
-    let mut request = request(addr, "GET", path, empty());
+    let mut request = request(addr, "GET", &wanted.target(), empty());
     request.headers_mut().insert(ACCEPT_ENCODING, HeaderValue::from_static(CODING));
     let head = within(HEAD_TIMEOUT_MS, connection.send(request)).await;
     let head = head.map_err(|_| Fetched::Failed("no answer"))?;
     let (head, body) = head.map_err(|_| Fetched::Failed("broke off"))?.into_parts();
     match head.status {
         StatusCode::OK => {}
+        StatusCode::NO_CONTENT => return Err(Fetched::NotAhead),
         StatusCode::SERVICE_UNAVAILABLE => return Err(Fetched::Busy),
         _ => return Err(Fetched::Failed("refused")),
     }
--- a/crates/gateway/src/topic_message.rs
+++ b/crates/gateway/src/topic_message.rs
@@ -5,6 +5,8 @@
 use std::io::{Read, Write};
 
 use bytes::Bytes;
+use comfreymast_base::StorePosition;
+use comfreymast_net::Query;
 use comfreymast_wire::news::TopicSnapshot;
 use derive_more::{Display, Error, From};
 use flate2::Compression;
@@ -35,6 +37,19 @@
     Decode(prost::DecodeError),
 }
 
+/// The query of a request for a topic, which is wanted only from a daemon that is further than `after`.
+pub(crate) fn after_query(after: StorePosition) -> String {
+    let query = Query::default().with("era", &after.era.to_string());
+    query.with("after", &after.offset.to_string()).to_string()
+}
+
+/// Decodes such a query; `None` if the topic is wanted in any case.
+pub(crate) fn parse_after(query: &str) -> Option<StorePosition> {
+    let query = Query::parse(query);
+    let number = |name| query.get(name)?.parse().ok();
+    Some(StorePosition { era: number("era")?, offset: number("after")? })
+}
+
 /// Compresses a topic.
 pub(crate) fn compress(snapshot: &TopicSnapshot) -> CompressedTopic {
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
--- a/crates/gateway/src/topic_server.rs
+++ b/crates/gateway/src/topic_server.rs
@@ -6,11 +6,11 @@
 use comfreymast_decide::send_pacer::{PacerOptions, SendPacer};
 use comfreymast_net::{Body, BodyError, Spawner, channel, empty, full, sleep_ms, within};
 use hyper::header::{ACCEPT_ENCODING, CONTENT_ENCODING, HeaderMap, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use prost::Message;
 
 use crate::followed_topic::FollowedTopic;
-use crate::topic_message::{CODING, CompressedTopic};
+use crate::topic_message::{CODING, CompressedTopic, parse_after};
 
 /// How many peers get a topic at the same time.
 const MAX_PEERS: usize = 3;
@@ -53,16 +53,18 @@
         Self { spawner, clock, serving: Arc::default(), pacer }
     }
 
-    /// Answers a peer that asks for a topic. 503 if enough others are being served; daemons of earlier
+    /// Answers a peer that asks for a topic: 204 if it has that, 503 if enough others are being served; daemons of earlier
     /// releases would take that for an empty topic, so they get theirs at once.
-    pub(crate) fn answer(&self, topic: &FollowedTopic, headers: &HeaderMap) -> Response<Body> {
-        if !takes_compressed(headers) {
+    pub(crate) fn answer<B>(&self, topic: &FollowedTopic, request: &Request<B>) -> Response<Body> {
+        if !takes_compressed(request.headers()) {
             return Response::new(full(topic.snapshot().encode_to_vec()));
         }
+        let after = request.uri().query().and_then(parse_after);
+        if after.is_some_and(|after| topic.position_if_loaded() <= after) {
+            return without_body(StatusCode::NO_CONTENT);
+        }
         let Some(turn) = self.take_turn() else {
-            let mut response = Response::new(empty());
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            return response;
+            return without_body(StatusCode::SERVICE_UNAVAILABLE);
         };
         let CompressedTopic(bytes) = topic.compressed();
         let (chunks, body) = channel(1);
@@ -103,6 +105,12 @@
     }
 }
 
+fn without_body(status: StatusCode) -> Response<Body> {
+    let mut response = Response::new(empty());
+    *response.status_mut() = status;
+    response
+}
+
 fn takes_compressed(headers: &HeaderMap) -> bool {
     headers.get(ACCEPT_ENCODING).is_some_and(|coding| coding.as_bytes() == CODING.as_bytes())
 }
