A daemon that finds all sources busy asks three at a time, and ever less often

Cause, by reading: a daemon that was behind asked each peer that is ahead in turn, and after a pause of 60 ms again. Beside a source that takes seconds for a topic, sixteen daemons would open some 260 connections a second to it, on a VM with an eighth of a core.

Change: three peers are asked before a pause, which doubles from 40 to 320 ms and is short again once something was fetched.

--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -16,8 +16,11 @@
 /// How long a peer may be ahead on a topic before this daemon fetches the topic, since short changes are
 /// pushed.
 const LAG_TOLERANCE_MS: u64 = 60;
-/// The pause once all peers that are ahead were asked.
-const ROUND_PAUSE_MS: u64 = 60;
+/// How many peers are asked before a pause.
+const ROUND_PEERS: usize = 3;
+/// The pause once those were asked, before jitter. It doubles up to the longest one.
+const MIN_PAUSE_MS: u64 = 40;
+const MAX_PAUSE_MS: u64 = 320;
 
 /// Catches up on a topic from peers that have been ahead of this daemon for a while.
 pub(crate) struct LagMonitor {
@@ -89,6 +92,7 @@
     /// Fetches the topic, from one peer after the other, until no peer is ahead.
     async fn catch_up(self, first: Source, lost_fetched: &AtomicBool) {
         let mut asked = Vec::new();
+        let mut pause_ms = MIN_PAUSE_MS;
         let mut next = Some(first);
         while let Some(source) = next {
             match self.fetch_from(source).await {
@@ -97,15 +101,17 @@
                         lost_fetched.store(true, Ordering::Release);
                     }
                     asked.clear();
+                    pause_ms = MIN_PAUSE_MS;
                     // Others learn at once that they can have it here.
                     self.dispatch.notify_peers();
                 }
                 Fetched::Busy | Fetched::NotAhead | Fetched::Failed(_) => asked.push(source.addr),
             }
-            next = self.source(&asked);
+            next = self.source(&asked).filter(|_| asked.len() < ROUND_PEERS);
             if next.is_none() && !asked.is_empty() {
+                sleep_ms(jittered_ms(pause_ms, rand::random())).await;
+                pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
                 asked.clear();
-                sleep_ms(jittered_ms(ROUND_PAUSE_MS, rand::random())).await;
                 next = self.source(&asked);
             }
         }
