--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -38,7 +38,7 @@
 pub use http2::Http2;
 pub use link::{Direction, Link};
 pub use operator::{Change, Operator};
-pub use peer_network::{PeerNetwork, PeerPort};
+pub use peer_network::{PeerNetwork, PeerPort, bind_peer_port};
 pub use process::{Process, ProofError, program};
 pub use recorded_client::{Recorded, RecordedClient};
 pub use recorded_stream::{RecordedStream, ResumeMethod, StreamEnd};
--- a/crates/proof/src/peer_network.rs
+++ b/crates/proof/src/peer_network.rs
@@ -60,7 +60,7 @@
     ///
     /// [`ProofError::Io`] when no port can be bound.
     pub async fn open_port(&self) -> Result<PeerPort, ProofError> {
-        let (listener, socket) = bind().await?;
+        let (listener, socket) = bind_peer_port().await?;
         let port = PeerPort { addr: listener.local_addr()?, state: Arc::default(), socket };
         self.ports().push(port.clone());
         self.spawner.detach(self.clone().pass_datagrams(port.clone()));
@@ -151,8 +151,12 @@
     }
 }
 
-/// A port that is free for TCP and UDP.
-async fn bind() -> Result<(TcpListener, UdpSocket), ProofError> {
+/// Binds a loopback port that is free for TCP and UDP, on which a stand-in of a daemon may listen for peers.
+///
+/// # Errors
+///
+/// [`ProofError::Io`] when no port can be bound.
+pub async fn bind_peer_port() -> Result<(TcpListener, UdpSocket), ProofError> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     let mut tries = 0;
     loop {
