Stray refusals: 200 requests of each kind, and refusals before a body is read

The stand-in can answer as soon as it has read a request's head. The budget of these tests covers a retry of each request, as in answer_ends.rs.

--- a/crates/fakes/src/framed_upstream.rs
+++ b/crates/fakes/src/framed_upstream.rs
@@ -18,6 +18,7 @@
 
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -146,6 +147,8 @@
     pub addr: SocketAddr,
     respond: Respond,
     requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    /// True if it answers as soon as it has read the head of a request.
+    answers_before_bodies: Arc<AtomicBool>,
     accepting: Arc<Mutex<Option<Task<()>>>>,
     /// Closed when the upstream has crashed.
     crashed: Receiver<()>,
@@ -170,6 +173,7 @@
             addr: listener.local_addr()?,
             respond: Arc::new(respond),
             requests: Arc::default(),
+            answers_before_bodies: Arc::default(),
             accepting: Arc::default(),
             crashed,
             _not_crashed: not_crashed,
@@ -179,6 +183,11 @@
         Ok(upstream)
     }
 
+    /// Answers from now on before the body of a request is read.
+    pub fn answer_before_bodies(&self) {
+        self.answers_before_bodies.store(true, Ordering::Release);
+    }
+
     /// The requests that it received, in order.
     #[must_use]
     pub fn requests(&self) -> Vec<ReceivedRequest> {
@@ -203,12 +212,19 @@
     }
 
     async fn serve(&self, number: u64, mut stream: TcpStream) -> std::io::Result<()> {
-        while let Some(mut request) = read_request(&mut stream).await? {
+        while let Some(mut request) = read_head(&mut stream).await? {
             request.connection = number;
+            let is_early = self.answers_before_bodies.load(Ordering::Acquire);
+            if !is_early {
+                read_body(&mut stream, &mut request).await?;
+            }
             let answer = (self.respond)(&request);
             let bytes = self.encode(&request, &answer);
-            lock(&self.requests).push(request);
             stream.write_all(&bytes).await?;
+            if is_early {
+                read_body(&mut stream, &mut request).await?;
+            }
+            lock(&self.requests).push(request);
             sleep_ms(answer.pause_ms).await;
             match answer.end {
                 AnswerEnd::Complete if answer.framing != BodyFraming::ConnectionClose => {}
@@ -287,8 +303,8 @@
     }
 }
 
-/// Reads one request with its body; `None` at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<Option<ReceivedRequest>> {
+/// Reads the head of one request; `None` at the end of the connection.
+async fn read_head(stream: &mut TcpStream) -> std::io::Result<Option<ReceivedRequest>> {
     let mut head = Vec::new();
     while !head.ends_with(HEAD_END) {
         let mut byte = [0];
@@ -304,10 +320,15 @@
         .filter_map(|line| line.split_once(": "))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
         .collect();
-    let length = headers.get("content-length").and_then(|length| length.parse().ok());
+    Ok(Some(ReceivedRequest { line, body: Bytes::new(), connection: 0, headers }))
+}
+
+async fn read_body(stream: &mut TcpStream, request: &mut ReceivedRequest) -> std::io::Result<()> {
+    let length = request.header("content-length").and_then(|length| length.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await?;
-    Ok(Some(ReceivedRequest { line, body: body.into(), connection: 0, headers }))
+    request.body = body.into();
+    Ok(())
 }
 
 /// Closes a connection with a reset.
--- a/crates/gateway/tests/stray_refusals.rs
+++ b/crates/gateway/tests/stray_refusals.rs
@@ -10,11 +10,16 @@
 use comfreymast_fakes::framed_upstream::{
     AnswerId, FramedUpstream, ReceivedRequest, WrittenAnswer,
 };
+use comfreymast_fakes::platform_documents::CallerRequest;
 use comfreymast_net::{BodyFraming, Spawner};
 use hyper::StatusCode;
-use support::{Answer, Gateway, TestEnv, call, generation, run_test};
+use support::{Answer, Gateway, TestEnv, run_test};
 
-const CALLS: usize = 60;
+const CALLS: usize = 200;
+/// Near the longest that the configuration of the tests allows.
+const BODY_BYTES: usize = 4_000;
+/// Large enough for one retry of each request although the daemon has just started.
+const RETRY_SLACK: f64 = 100_000.0;
 const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 
 type Respond = Arc<dyn Fn(&ReceivedRequest) -> WrittenAnswer + Send + Sync>;
@@ -29,7 +34,7 @@
 impl Fleet {
     async fn start(spawner: &Spawner, service: &str, count: usize, respond: Respond) -> Self {
         let mut env = TestEnv::new(spawner).await;
-        env.retry_slack = 1_000.0;
+        env.retry_slack = RETRY_SLACK;
         env.publish(1, |_| ());
         let mut upstreams = Vec::new();
         for number in 0..count {
@@ -46,10 +51,10 @@
     }
 
     async fn call(&self, path: &str, id: &str) -> Answer {
-        let request = match path {
-            "/caption/a" | "/report/a" => generation(path, id),
-            _ => call("GET", path, id),
-        };
+        let is_stream = path == "/caption/a" || path == "/report/a";
+        let tokens = is_stream.then_some((100, 80));
+        let caller = CallerRequest { id, tokens, ..CallerRequest::default() };
+        let request = caller.request("POST", path, vec![b'x'; BODY_BYTES]);
         self.gateway.call(&self.env.spawner, request).await
     }
 
@@ -106,9 +111,13 @@
     run_test(async |spawner| {
         for id in [AnswerId::Absent, AnswerId::Other("another".to_owned())] {
             for (path, service) in ONCE {
-                for is_after_continue in [false, true] {
+                for (is_after_continue, is_early) in [(false, false), (true, false), (false, true)]
+                {
                     let respond = runs_all(id.clone(), is_after_continue);
                     let fleet = Fleet::start(&spawner, service, 3, respond).await;
+                    if is_early {
+                        fleet.upstreams.iter().for_each(FramedUpstream::answer_before_bodies);
+                    }
                     let mut told_falsely = 0;
                     for number in 0..CALLS {
                         let answer = fleet.call(path, &format!("id{number}")).await;
