A peer of an earlier release that has nothing newer is not asked again and again

Cause, found by reading: a daemon of an earlier release sends its topic whether it is wanted or not. If it was not ahead, as the sender of a summary need not be, the fetch counted as a success and the next began at once.

Change: a fetch that brings nothing newer counts as one from a peer that was not ahead.

--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -122,8 +122,13 @@
         let started_ms = clock.now_ms();
         let known = self.followed.position_if_loaded();
         let wanted = Wanted { path: self.path, after: (source.position > known).then_some(known) };
-        let (outcome, length_bytes) =
+        let (mut outcome, length_bytes) =
             fetch(&self.dispatch.spawner, source.addr, &wanted, &self.followed).await;
+        // A daemon of an earlier release sends its topic in any case.
+        let is_further = self.followed.position_if_loaded() > known;
+        if matches!(outcome, Fetched::Applied { .. }) && wanted.after.is_some() && !is_further {
+            outcome = Fetched::NotAhead;
+        }
         let metrics = &self.dispatch.metrics;
         let labels = FetchLabels { topic: self.path, outcome: outcome.label() };
         metrics.topic_fetches.get_or_create(&labels).inc();
--- a/crates/gateway/tests/topic_exchange.rs
+++ b/crates/gateway/tests/topic_exchange.rs
@@ -45,8 +45,19 @@
 }
 
 impl PeerStandIn {
-    /// Starts a stand-in named `name`. Its answers are given in turn, the last one again and again.
+    /// Starts a stand-in whose topic has one record. Its answers are given in turn, the last one again and
+    /// again.
     async fn start(spawner: &Spawner, name: &'static str, answers: Vec<TopicAnswer>) -> Self {
+        Self::start_ahead(spawner, name, answers, 1).await
+    }
+
+    /// Starts a stand-in that says its topic has `ahead` records.
+    async fn start_ahead(
+        spawner: &Spawner,
+        name: &'static str,
+        answers: Vec<TopicAnswer>,
+        ahead: u64,
+    ) -> Self {
         let (listener, socket) = bind_peer_port().await.expect("a port");
         let addr = listener.local_addr().expect("an address");
         let (running, stop) = async_channel::bounded(1);
@@ -70,13 +81,13 @@
         });
         let served = serve(spawner.clone(), listener, answer, ServeLimits::default(), stop);
         spawner.detach(served);
-        spawner.detach(send_heartbeats(name, socket));
+        spawner.detach(send_heartbeats(name, ahead, socket));
         Self { addr, asked, _running: running }
     }
 }
 
 /// Answers each daemon that sends heartbeats with heartbeats that are ahead.
-async fn send_heartbeats(name: &'static str, socket: UdpSocket) {
+async fn send_heartbeats(name: &'static str, ahead: u64, socket: UdpSocket) {
     let mut buffer = vec![0; 64 * 1024];
     let mut sequence = 0;
     let started_unix_ms = Clock::system().unix_ms();
@@ -87,7 +98,7 @@
             data_centre: "z1".to_owned(),
             started_unix_ms,
             sequence,
-            operators_offset: 1,
+            operators_offset: ahead,
             store_answers: true,
             ..Heartbeat::default()
         };
@@ -224,3 +235,27 @@
         wait_for("a later position", async || ask(1).await.0 == StatusCode::OK).await;
     });
 }
+
+/// As the sender of a summary of another data centre, which tells how far others are.
+#[test]
+fn a_peer_that_is_not_as_far_as_was_said_is_not_asked_again_and_again() {
+    const FAR: u64 = 9;
+    const SPAN_MS: u64 = 2_000;
+    /// With the pauses between, which grow to 320 ms.
+    const FEW: usize = 30;
+    run_test(async |spawner| {
+        let env = TestEnv::new(&spawner).await;
+        env.publish(1, |_| ());
+        let snapshot = snapshot(&env, &spawner).await;
+        let plain = TopicAnswer { coding: None, body: snapshot.encode_to_vec().into() };
+        let deflated = TopicAnswer { coding: Some("deflate"), body: compressed(&snapshot) };
+        for answer in [plain, deflated] {
+            let peer = PeerStandIn::start_ahead(&spawner, "d9", vec![answer], FAR).await;
+            let gateway = gateway(&env, &[&peer]).await;
+            wait_in_force(&spawner, &gateway).await;
+            sleep_ms(SPAN_MS).await;
+            let asked = peer.asked.load(Ordering::Acquire);
+            assert!(asked <= FEW, "{asked}");
+        }
+    });
+}
