In a continued stream only the first event must say where it belongs

Cause, found by reading: comments, which keep a connection alive, and a last event without an id were taken for an error of another answer in any stream whose events have ids, and broke it off.

Change: only the first event of an answer that continues a stream must have an id; comments pass.

Measured: tests/continued_streams.rs, four of four; the new case (a comment first, a last event without an id) is passed on whole.

--- a/crates/gateway/src/answer/event_splitter.rs
+++ b/crates/gateway/src/answer/event_splitter.rs
@@ -28,6 +28,19 @@
     pub(crate) bytes: Bytes,
 }
 
+impl Event {
+    /// True if it has only comments, which keep a connection alive.
+    pub(crate) fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| is_line_end(*byte));
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+
+    /// True if it says where in its stream it belongs, or is no part of it.
+    pub(crate) fn has_place(&self) -> bool {
+        self.id.is_some() || self.is_comment()
+    }
+}
+
 impl EventSplitter {
     /// Appends bytes of the stream.
     pub(crate) fn push(&mut self, bytes: &[u8]) {
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -51,6 +51,7 @@
             match self.continue_at(&target, Some(&copy)).await {
                 Ok(next) => {
                     self.upstream = target;
+                    self.awaits_place = self.last_event.is_some();
                     self.moves += 1;
                     let pause_ms = self.dispatch.clock.now_ms() - started_ms;
                     self.log_moved(&leaving, pause_ms);
@@ -111,6 +112,7 @@
                     self.runs += 1;
                     self.reservation = reservation;
                     self.upstream = target;
+                    self.awaits_place = self.last_event.is_some();
                     return Some(next);
                 }
                 Err(failure) => {
--- a/crates/gateway/src/generation/hand_over.rs
+++ b/crates/gateway/src/generation/hand_over.rs
@@ -25,6 +25,7 @@
         if !is_event_stream(&answer.parts) {
             return None;
         }
+        self.awaits_place = self.last_event.is_some();
         let left_ms = call.remaining_ms(&dispatch.clock);
         let (mut events, _connection) = answer.into_events();
         let rest = async {
@@ -54,11 +55,12 @@
         if is_repeated {
             return Some(());
         }
-        if event.id.is_none() && self.last_event.is_some() {
+        if self.awaits_place && !event.has_place() {
             return None;
         }
+        self.awaits_place &= event.id.is_none();
+        self.lacks_event &= event.is_comment();
         self.last_event = event.id.or(self.last_event);
-        self.lacks_event = false;
         self.events += 1;
         self.chunks.send(Ok(event.bytes)).await.ok()
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -62,6 +62,8 @@
     pub(super) may_be_stopped: bool,
     /// True while an event that was under way when an answer broke off has not come.
     pub(super) lacks_event: bool,
+    /// True until the first event of an answer that continues a stream has shown that it does.
+    pub(super) awaits_place: bool,
 }
 
 /// An open stream of an upstream.
@@ -118,6 +120,7 @@
             framing: BodyFraming::Chunked,
             may_be_stopped: false,
             lacks_event: false,
+            awaits_place: false,
         }
     }
 
@@ -314,6 +317,10 @@
         if let Some(begun_ms) = self.answer_start.record_event(self.dispatch.clock.now_ms()) {
             record_begun_answer(&self.dispatch, &self.call, begun_ms);
         }
+        if self.awaits_place && !event.has_place() {
+            return Err(Interruption::Broken(BreakReason::ForeignEvent));
+        }
+        self.awaits_place &= event.id.is_none();
         let is_repeated = match (event.id, self.last_event) {
             (Some(id), Some(last)) => id <= last,
             _ => false,
@@ -321,13 +328,10 @@
         if is_repeated {
             return Ok(());
         }
-        if event.id.is_none() && self.last_event.is_some() {
-            return Err(Interruption::Broken(BreakReason::ForeignEvent));
-        }
         if self.events == 0 {
             self.record_version().await;
         }
-        self.lacks_event = false;
+        self.lacks_event &= event.is_comment();
         self.last_event = event.id.or(self.last_event);
         self.events += 1;
         let now_ms = self.dispatch.clock.now_ms();
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -146,3 +146,17 @@
         assert_eq!(received, (format!("{FIRST}{REST}"), true));
     });
 }
+
+#[test]
+fn comments_in_a_continuation_and_events_without_ids_after_its_first_one_are_passed_on() {
+    run_test(async |spawner| {
+        let rest = format!(": still there\n\n{REST}data: last\n\n");
+        let next = WrittenAnswer {
+            content_type: EVENT_STREAM,
+            body: rest.clone().into(),
+            ..WrittenAnswer::default()
+        };
+        let received = stream(&spawner, FIRST.to_owned(), next).await;
+        assert_eq!(received, (format!("{FIRST}{rest}"), true));
+    });
+}
