--- a/crates/gateway/src/lag_monitor.rs
+++ b/crates/gateway/src/lag_monitor.rs
@@ -117,6 +117,7 @@
         }
     }
 
+    /// Asks one peer for the topic, and records what came of it.
     async fn fetch_from(&self, source: Source) -> Fetched {
         let clock = &self.dispatch.clock;
         let started_ms = clock.now_ms();
--- a/crates/gateway/src/topic_server.rs
+++ b/crates/gateway/src/topic_server.rs
@@ -53,8 +53,9 @@
         Self { spawner, clock, serving: Arc::default(), pacer }
     }
 
-    /// Answers a peer that asks for a topic: 204 if it has that, 503 if enough others are being served; daemons of earlier
-    /// releases would take that for an empty topic, so they get theirs at once.
+    /// Answers a peer that asks for a topic: 204 if it has that already, 503 if enough others are being
+    /// served. Daemons of earlier releases would take either for an empty topic, so they get theirs at
+    /// once.
     pub(crate) fn answer<B>(&self, topic: &FollowedTopic, request: &Request<B>) -> Response<Body> {
         if !takes_compressed(request.headers()) {
             return Response::new(full(topic.snapshot().encode_to_vec()));
