Stand-in: a request is recorded before it is answered

Not the daemon: the check counts arrivals once its answer is there.

Change: recorded before, as until then, also where the body is read after the answer.

--- a/crates/fakes/src/framed_upstream.rs
+++ b/crates/fakes/src/framed_upstream.rs
@@ -220,11 +220,12 @@
             }
             let answer = (self.respond)(&request);
             let bytes = self.encode(&request, &answer);
+            // Before the answer, so that whoever gets that finds the request.
+            lock(&self.requests).push(request.clone());
             stream.write_all(&bytes).await?;
             if is_early {
                 read_body(&mut stream, &mut request).await?;
             }
-            lock(&self.requests).push(request);
             sleep_ms(answer.pause_ms).await;
             match answer.end {
                 AnswerEnd::Complete if answer.framing != BodyFraming::ConnectionClose => {}
