Review, case 2 in its final place: streams joined from two software versions (ORDER)

A stream begins at a version that the store could not record in 0.3 s, and the mark of complete records still stands.

--- a/review/stand-ins/src/daemon.rs
+++ b/review/stand-ins/src/daemon.rs
@@ -135,14 +135,16 @@
 
     /// Waits until the machine says that it is ready.
     pub fn wait_ready(&self) -> Result<()> {
-        let until = Instant::now() + Duration::from_secs(10);
+        let until = Instant::now() + Duration::from_secs(5);
         while Instant::now() < until {
             if self.is_ready().unwrap_or(false) {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(20));
         }
-        Err(Error::new(ErrorKind::TimedOut, format!("{} is not ready", self.name)))
+        let log = fs::read_to_string(&self.log_path).unwrap_or_default();
+        let last = log.lines().next_back().unwrap_or("no log");
+        Err(Error::new(ErrorKind::TimedOut, format!("{} is not ready: {last}", self.name)))
     }
 
     fn is_ready(&self) -> Result<bool> {
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod daemon;
 mod http;
+mod joined;
 mod large_bodies;
 mod record;
 mod stale_zone;
@@ -46,6 +47,7 @@
     let played = match case.as_str() {
         "stale-key" => stale_zone::play(&recorder, Change::KeyRevoked, has_trouble),
         "stale-server" => stale_zone::play(&recorder, Change::ServerLeaves, has_trouble),
+        "joined-versions" => joined::play(&recorder, has_trouble),
         "large-bodies" => large_bodies::play(&recorder, has_trouble),
         _ => {
             eprintln!("no case {case}");
--- a/review/stand-ins/src/stale_zone.rs
+++ b/review/stand-ins/src/stale_zone.rs
@@ -85,7 +85,7 @@
         machine.wait_ready()?;
     }
     recorder.say(&format!("{} machines are ready", machines.len()));
-    replace_machines(&fleet, &store, replaced)?;
+    replace_machines(recorder, &fleet, &store, replaced)?;
     recorder.say(&format!("{replaced} further machines have come and gone"));
     thread::sleep(Duration::from_millis(settle_ms));
 
@@ -168,7 +168,7 @@
 }
 
 /// Adds machines and removes each of them for good, a few at a time.
-fn replace_machines(fleet: &Fleet, store: &Store, count: usize) -> Result<()> {
+fn replace_machines(recorder: &Recorder, fleet: &Fleet, store: &Store, count: usize) -> Result<()> {
     let mut next = 0;
     while next < count {
         let until = count.min(next + REPLACED_AT_ONCE);
@@ -181,7 +181,9 @@
             batch.push(fleet.start(&name, ZONES[zone].0, loopback(zone, number), entrance.addr)?);
         }
         for machine in &batch {
-            machine.wait_ready()?;
+            if let Err(error) = machine.wait_ready() {
+                recorder.say(&error.to_string());
+            }
         }
         thread::sleep(Duration::from_millis(REPLACED_LIFE_MS));
         next = until;
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform's store: a log with keyed topics. Each machine reaches it at an
 //! address of its own, at which it can be silent while it serves all others.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{BufReader, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -20,6 +20,8 @@
 pub struct Store {
     topics: Arc<Mutex<HashMap<String, Vec<Record>>>>,
     appended: Arc<Condvar>,
+    /// The topics that are down for all machines.
+    down: Arc<Mutex<HashSet<String>>>,
 }
 
 /// A record; `key` is `None` in a topic without keys.
@@ -74,6 +76,12 @@
         Ok(entrance)
     }
 
+    /// Takes topics down, or all of them up again. Calls to those that are down get 503.
+    pub fn set_down(&self, topics: &[&str]) {
+        let mut down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        *down = topics.iter().map(|topic| (*topic).to_owned()).collect();
+    }
+
     /// Writes a record as the operator or a server does. Its acknowledgement is this call's return.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let record = Record { key: Some(key.to_owned()), value: value.as_bytes().to_vec() };
@@ -118,6 +126,9 @@
         let query: HashMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or("");
+        if self.down.lock().unwrap_or_else(PoisonError::into_inner).contains(topic) {
+            return response(503, "", b"{}");
+        }
         let number = |name: &str| query.get(name).and_then(|value| value.parse::<u64>().ok());
         match path {
             "/-/log-append" => {
