--- a/review/stand-ins/src/daemon.rs
+++ b/review/stand-ins/src/daemon.rs
@@ -3,12 +3,13 @@
 use std::fs::{self, File};
 use std::io::{BufReader, Error, ErrorKind, Result, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::read_head;
+use crate::process::signal;
 
 /// What the machines of a case have in common.
 #[derive(Clone)]
@@ -123,14 +124,10 @@
         }
     }
 
-    /// The memory that the process has resident, in bytes; 0 if it has ended.
-    pub fn resident_bytes(&self) -> u64 {
-        let Some(process) = &self.process else { return 0 };
-        let path = format!("/proc/{}/status", process.id());
-        let status = fs::read_to_string(Path::new(&path)).unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        kilobytes.unwrap_or(0) * 1024
+    /// Sends a signal to the process, such as `STOP`.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let process = self.process.as_ref().ok_or(Error::from(ErrorKind::NotFound))?;
+        signal(process, name)
     }
 
     /// Waits until the machine says that it is ready.
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -1,22 +1,26 @@
 //! The stand-ins of the review's cases: `review-stand-ins CASE RECORD`. Exits with 1 if the rule
 //! was broken, 0 if it held, and 2 if the case could not run.
+//!
+//! `review-stand-ins server ...` is one server, which a case starts as a process of its own.
 
+mod cases;
 mod client;
 mod daemon;
+mod frozen;
 mod http;
-mod joined;
-mod large_bodies;
+mod process;
 mod record;
-mod stale_zone;
+mod restarted;
+mod server;
 mod store;
-mod upstream;
+mod taken_up;
 
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use record::Recorder;
-use stale_zone::Change;
+use taken_up::Kind;
 
 /// Whether the rule held.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -32,6 +36,9 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if arguments.get(1).is_some_and(|verb| verb == "server") {
+        return server::run(&arguments[2..]);
+    }
     let [_, case, record] = arguments.as_slice() else {
         eprintln!("usage: review-stand-ins CASE RECORD");
         return ExitCode::from(2);
@@ -45,10 +52,10 @@
     };
     let has_trouble = setting("TROUBLE", 1) != 0;
     let played = match case.as_str() {
-        "stale-key" => stale_zone::play(&recorder, Change::KeyRevoked, has_trouble),
-        "stale-server" => stale_zone::play(&recorder, Change::ServerLeaves, has_trouble),
-        "joined-versions" => joined::play(&recorder, has_trouble),
-        "large-bodies" => large_bodies::play(&recorder, has_trouble),
+        "split-route" => taken_up::play(&recorder, Kind::SplitRoute, has_trouble),
+        "long-ids" => taken_up::play(&recorder, Kind::LongIds, has_trouble),
+        "frozen" => frozen::play(&recorder, has_trouble),
+        "restarted" => restarted::play(&recorder, has_trouble),
         _ => {
             eprintln!("no case {case}");
             return ExitCode::from(2);
