--- a/review/stand-ins/src/daemon.rs
+++ b/review/stand-ins/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::fs::{self, File};
 use std::io::{BufReader, Error, ErrorKind, Result, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,7 +34,7 @@
         Ok(Self {
             program: program.into(),
             folder: folder.into(),
-            peer_port: free_ports::<1>(Ipv4Addr::LOCALHOST.into())?[0],
+            peer_port: free_peer_port()?,
             zones: zones.to_vec(),
             seeds: Vec::new(),
         })
@@ -130,6 +130,16 @@
         signal(process, name)
     }
 
+    /// The memory that the process has resident, in bytes; 0 if it has ended.
+    pub fn resident_bytes(&self) -> u64 {
+        let Some(process) = &self.process else { return 0 };
+        let path = format!("/proc/{}/status", process.id());
+        let status = fs::read_to_string(Path::new(&path)).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024
+    }
+
     /// Waits until the machine says that it is ready.
     pub fn wait_ready(&self) -> Result<()> {
         let until = Instant::now() + Duration::from_secs(5);
@@ -167,6 +177,17 @@
     Ipv4Addr::new(127, case as u8, zone as u8 + 1, number)
 }
 
+/// A port for messages between daemons, below those that the system hands out by itself.
+fn free_peer_port() -> Result<u16> {
+    const FIRST: u32 = 20_000;
+    const COUNT: u32 = 600;
+    const SPAN: u32 = 16;
+    let drawn = (0..COUNT).map(|step| FIRST + (std::process::id() + step) % COUNT * SPAN);
+    let mut ports = drawn.filter_map(|port| u16::try_from(port).ok());
+    let is_free = |port: &u16| TcpListener::bind((Ipv4Addr::LOCALHOST, *port)).is_ok();
+    ports.find(is_free).ok_or(Error::from(ErrorKind::AddrInUse))
+}
+
 /// Different ports that are free at `ip`.
 fn free_ports<const COUNT: usize>(ip: IpAddr) -> Result<[u16; COUNT]> {
     let mut ports = [0; COUNT];
--- a/review/stand-ins/src/frozen.rs
+++ b/review/stand-ins/src/frozen.rs
@@ -6,8 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::caller::{Answer, End, call};
 use crate::cases::{Route, configuration};
-use crate::client::{Answer, End, call};
 use crate::daemon::{Fleet, loopback};
 use crate::record::Recorder;
 use crate::server::{Server, Spec, free_addr};
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -3,23 +3,29 @@
 //!
 //! `review-stand-ins server ...` is one server, which a case starts as a process of its own.
 
+mod caller;
 mod cases;
 mod client;
 mod daemon;
 mod frozen;
 mod http;
+mod joined;
+mod large_bodies;
 mod process;
 mod record;
 mod restarted;
 mod server;
+mod stale_zone;
 mod store;
 mod taken_up;
+mod upstream;
 
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use record::Recorder;
+use stale_zone::Change;
 use taken_up::Kind;
 
 /// Whether the rule held.
@@ -55,6 +61,10 @@
         "split-route" => taken_up::play(&recorder, Kind::SplitRoute, has_trouble),
         "long-ids" => taken_up::play(&recorder, Kind::LongIds, has_trouble),
         "frozen" => frozen::play(&recorder, has_trouble),
+        "large-bodies" => large_bodies::play(&recorder, has_trouble),
+        "stale-key" => stale_zone::play(&recorder, Change::KeyRevoked, has_trouble),
+        "stale-server" => stale_zone::play(&recorder, Change::ServerLeaves, has_trouble),
+        "joined-versions" => joined::play(&recorder, has_trouble),
         "restarted" => restarted::play(&recorder, has_trouble),
         _ => {
             eprintln!("no case {case}");
--- a/review/stand-ins/src/restarted.rs
+++ b/review/stand-ins/src/restarted.rs
@@ -6,8 +6,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::caller::{Answer, End, call};
 use crate::cases::{Route, configuration};
-use crate::client::{Answer, End, call};
 use crate::daemon::{Fleet, loopback};
 use crate::record::Recorder;
 use crate::server::{Server, Spec, free_addr};
@@ -19,6 +19,8 @@
 const EVENTS: u64 = 20;
 const EVENT_MS: u64 = 100;
 const DOWN_MS: u64 = 4_500;
+/// ORDER allows so many streams with events of two versions.
+const JOINED_ALLOWED: usize = 2;
 
 /// Plays the case.
 pub fn play(recorder: &Arc<Recorder>, has_trouble: bool) -> Result<Outcome> {
@@ -82,7 +84,7 @@
         recorder.say("i-pool-1 is started again, at version v2");
     }
     wait(500);
-    let callers: Vec<_> = (0..setting("STREAMS", 24))
+    let callers: Vec<_> = (0..setting("STREAMS", 48))
         .map(|number| {
             let recorder = recorder.clone();
             let front = machines[number % machines.len()].front;
@@ -106,7 +108,8 @@
     Ok(judge(recorder, &answers))
 }
 
-/// The rule ORDER: the pieces of a stream that ends as complete are of one software version.
+/// The rule ORDER: no more than two streams hold events from servers of two software versions of one
+/// service.
 fn judge(recorder: &Recorder, answers: &[(String, Answer)]) -> Outcome {
     let (mut whole, mut broken_off, mut joined) = (0, 0, 0);
     for (id, answer) in answers {
@@ -128,5 +131,5 @@
     recorder.say(&format!(
         "{whole} streams whole, {broken_off} failed or broken off, {joined} joined from two versions"
     ));
-    if joined > 0 { Outcome::Broken } else { Outcome::Held }
+    if joined > JOINED_ALLOWED { Outcome::Broken } else { Outcome::Held }
 }
--- a/review/stand-ins/src/store.rs
+++ b/review/stand-ins/src/store.rs
@@ -1,9 +1,10 @@
-//! A stand-in of the platform's store: a log with keyed topics, which can be down.
+//! A stand-in of the platform's store: a log with keyed topics. Each machine reaches it at an
+//! address of its own, at which it can be silent while it serves all others.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::io::{BufReader, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -19,8 +20,10 @@
 pub struct Store {
     topics: Arc<Mutex<HashMap<String, Vec<Record>>>>,
     appended: Arc<Condvar>,
+    /// The topics that are down for all machines.
+    down: Arc<Mutex<HashSet<String>>>,
     /// True while it refuses all calls.
-    is_down: Arc<AtomicBool>,
+    is_all_down: Arc<AtomicBool>,
 }
 
 /// A record; `key` is `None` in a topic without keys.
@@ -30,30 +33,60 @@
     value: Vec<u8>,
 }
 
-/// The address at which one machine or server reaches the store.
+/// The address at which one machine reaches the store.
 #[derive(Clone)]
 pub struct Entrance {
     pub addr: SocketAddr,
+    is_silent: Arc<AtomicBool>,
+    /// Counts the ends of silences. A connection of an earlier one answers nothing any more.
+    healed: Arc<AtomicU64>,
+}
+
+impl Entrance {
+    /// Answers nothing from now on.
+    pub fn silence(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+    }
+
+    /// Serves new connections again. Those on which an answer was lost are closed.
+    pub fn heal(&self) {
+        self.healed.fetch_add(1, Ordering::SeqCst);
+        self.is_silent.store(false, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self, since: u64) -> bool {
+        self.is_silent.load(Ordering::SeqCst) || self.healed.load(Ordering::SeqCst) != since
+    }
 }
 
 impl Store {
     /// Opens an entrance for one machine.
     pub fn open(&self) -> Result<Entrance> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let entrance = Entrance { addr: listener.local_addr()? };
-        let store = self.clone();
+        let entrance = Entrance {
+            addr: listener.local_addr()?,
+            is_silent: Arc::default(),
+            healed: Arc::default(),
+        };
+        let (store, opened) = (self.clone(), entrance.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = store.clone();
-                thread::spawn(move || store.serve(stream));
+                let (store, entrance) = (store.clone(), opened.clone());
+                thread::spawn(move || store.serve(stream, &entrance));
             }
         });
         Ok(entrance)
     }
 
-    /// Takes the store down, or up again. While it is down, all calls get 503.
+    /// Takes topics down, or all of them up again. Calls to those that are down get 503.
+    pub fn set_down(&self, topics: &[&str]) {
+        let mut down = self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        *down = topics.iter().map(|topic| (*topic).to_owned()).collect();
+    }
+
+    /// Takes the whole store down, or up again. While it is down, all calls get 503.
     pub fn set_all_down(&self, is_down: bool) {
-        self.is_down.store(is_down, Ordering::SeqCst);
+        self.is_all_down.store(is_down, Ordering::SeqCst);
     }
 
     /// Writes a record as the operator or a server does. Its acknowledgement is this call's return.
@@ -72,24 +105,36 @@
         (offset, end)
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, entrance: &Entrance) {
         let _ = stream.set_nodelay(true);
+        let since = entrance.healed.load(Ordering::SeqCst);
         let Ok(mut writer) = stream.try_clone() else { return };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut reader) {
             let Ok(body) = read_body(&mut reader, &head) else { return };
-            if writer.write_all(&self.answer(&head, &body)).is_err() {
+            while entrance.is_silent.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            if entrance.is_silent(since) {
+                return;
+            }
+            let answer = self.answer(&head, &body, || entrance.is_silent(since));
+            while entrance.is_silent.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(20));
+            }
+            if entrance.is_silent(since) || writer.write_all(&answer).is_err() {
                 return;
             }
         }
     }
 
-    fn answer(&self, head: &Head, body: &[u8]) -> Vec<u8> {
+    fn answer(&self, head: &Head, body: &[u8], is_cut: impl Fn() -> bool) -> Vec<u8> {
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let query: HashMap<&str, &str> =
             query.split('&').filter_map(|pair| pair.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or("");
-        if self.is_down.load(Ordering::SeqCst) {
+        let is_all_down = self.is_all_down.load(Ordering::SeqCst);
+        if is_all_down || self.down.lock().unwrap_or_else(PoisonError::into_inner).contains(topic) {
             return response(503, "", b"{}");
         }
         let number = |name: &str| query.get(name).and_then(|value| value.parse::<u64>().ok());
@@ -101,7 +146,7 @@
             "/-/log-newest" => self.newest(topic, query.get("after").copied()),
             "/-/log-read" => {
                 let wait_ms = number("waitMs").unwrap_or(0).min(MAX_WAIT_MS);
-                self.read(topic, number("from").unwrap_or(0) as usize, wait_ms)
+                self.read(topic, number("from").unwrap_or(0) as usize, wait_ms, is_cut)
             }
             _ => response(404, "", b"{}"),
         }
@@ -132,12 +177,12 @@
         response(200, "", reply.as_bytes())
     }
 
-    fn read(&self, topic: &str, from: usize, wait_ms: u64) -> Vec<u8> {
+    fn read(&self, topic: &str, from: usize, wait_ms: u64, is_cut: impl Fn() -> bool) -> Vec<u8> {
         const POLL_MS: u64 = 50;
         const MAX_RECORDS: usize = 1_000;
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut topics = self.topics();
-        while topics.get(topic).map_or(0, Vec::len) <= from && Instant::now() < until {
+        while topics.get(topic).map_or(0, Vec::len) <= from && Instant::now() < until && !is_cut() {
             let left = until.saturating_duration_since(Instant::now());
             let left = left.min(Duration::from_millis(POLL_MS));
             topics = self
--- a/review/stand-ins/src/taken_up.rs
+++ b/review/stand-ins/src/taken_up.rs
@@ -5,8 +5,8 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::caller::{End, Event, call};
 use crate::cases::{Route, configuration};
-use crate::client::{End, Event, call};
 use crate::daemon::{Fleet, loopback};
 use crate::record::Recorder;
 use crate::server::{Server, Spec, free_addr};
@@ -16,7 +16,7 @@
 /// What is played.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// The route is split between two services with one software version each.
+    /// The route is split between three services with one software version each.
     SplitRoute,
     /// One service, whose events have ids of 61 bits.
     LongIds,
@@ -28,9 +28,13 @@
 /// When the machine is killed, after the first stream.
 const KILL_MS: u64 = 1_000;
 /// How long the streams are apart, so that they break off at different events.
-const SPACING_MS: u64 = 25;
-/// How long the platform takes to start the machine again.
+const SPACING_MS: u64 = 10;
+/// How long the platform takes to start a machine again.
 const RESTART_MS: u64 = 1_000;
+/// The pause before a caller takes its stream up, which it does once.
+const TAKE_UP_PAUSE_MS: u64 = 300;
+/// The rule LOST asks for so many streams that are taken up.
+const FEWEST_TAKEN_UP: usize = 12;
 
 /// What a caller has of its stream.
 struct Caller {
@@ -47,9 +51,9 @@
     let store = Store::default();
     let (targets, services): (&str, &[&str]) = match kind {
         Kind::SplitRoute => (
-            "\"trafficSplit\":[{\"service\":\"blue\",\"weight\":50},\
-             {\"service\":\"green\",\"weight\":50}]",
-            &["blue", "green"],
+            "\"trafficSplit\":[{\"service\":\"blue\",\"weight\":30},\
+             {\"service\":\"green\",\"weight\":30},{\"service\":\"red\",\"weight\":30}]",
+            &["blue", "green", "red"],
         ),
         Kind::LongIds => ("\"service\":\"pool\"", &["pool"]),
     };
@@ -68,7 +72,7 @@
                 name: format!("i-{service}-{number}"),
                 service: (*service).to_owned(),
                 zone: "z1".to_owned(),
-                version: if *service == "green" { "v2" } else { "v1" }.to_owned(),
+                version: version_of(service).to_owned(),
                 addr: free_addr()?,
                 store: store.open()?.addr,
                 events: EVENTS,
@@ -93,102 +97,128 @@
     thread::sleep(Duration::from_secs(2));
     recorder.say("all machines are ready");
 
-    let count = setting("STREAMS", 24);
+    let count = setting("STREAMS", 72);
     let fronts: Vec<_> = machines.iter().map(|machine| machine.front).collect();
-    let callers: Vec<_> = (0..count)
-        .map(|number| {
+    let start = |numbers: std::ops::Range<usize>| -> Vec<_> {
+        let start = |number: usize| {
             let (recorder, fronts) = (recorder.clone(), fronts.clone());
             thread::spawn(move || {
-                thread::sleep(Duration::from_millis(number as u64 * SPACING_MS));
+                thread::sleep(Duration::from_millis(number as u64 % 72 * SPACING_MS));
                 ask(&recorder, number, &fronts)
             })
-        })
-        .collect();
+        };
+        numbers.map(start).collect()
+    };
+    let mut callers = start(0..count);
     thread::sleep(Duration::from_millis(KILL_MS));
     if has_trouble {
         recorder.say("front-1 is killed");
         machines[0].kill();
-        thread::sleep(Duration::from_millis(RESTART_MS));
+    }
+    // New streams begin at the other machines at the same time as others are taken up there.
+    callers.extend(start(count..2 * count));
+    thread::sleep(Duration::from_millis(RESTART_MS));
+    if has_trouble {
         machines[0].start()?;
         recorder.say("front-1 is started again");
     }
-    let callers = callers.into_iter().filter_map(|caller| caller.join().ok());
-    let callers: Vec<Caller> = callers.collect();
-    Ok(judge(recorder, &spec, &callers))
+    let callers: Vec<Caller> =
+        callers.into_iter().filter_map(|caller| caller.join().ok()).collect();
+    let (taken, new) = callers.split_at(count.min(callers.len()));
+    Ok(match kind {
+        Kind::SplitRoute => judge_shares(recorder, taken, new),
+        Kind::LongIds => judge_order(recorder, &spec, taken),
+    })
+}
+
+fn version_of(service: &str) -> &'static str {
+    match service {
+        "green" => "v2",
+        "red" => "v3",
+        _ => "v1",
+    }
+}
+
+/// The machine at which a caller asks first: the first for the streams that break off, the others for
+/// new ones.
+fn first_machine(number: usize, machines: usize) -> usize {
+    if number < setting("STREAMS", 72) { 0 } else { 1 + number % (machines - 1) }
 }
 
-/// Asks for a stream at the first machine, and takes it up once at another if it breaks off.
+/// Asks for a stream, and takes it up once at another machine if it breaks off.
 fn ask(recorder: &Recorder, number: usize, fronts: &[std::net::SocketAddr]) -> Caller {
     const DEADLINE: &str = "X-Deadline-Ms: 6000\r\n";
     let path = format!("/stream/{number}");
-    let id = format!("c{number:02}a");
-    let first = call(fronts[0], &path, &id, DEADLINE);
+    let first_id = format!("c{number:03}a");
+    let machine = first_machine(number, fronts.len());
+    let first = call(fronts[machine], &path, &first_id, DEADLINE);
     let events = first.events();
-    recorder.line(&format!(
-        "answer   {id}: {} {:?}, {} events",
-        first.status,
-        first.end,
-        events.len()
-    ));
-    let mut caller =
-        Caller { number, events, taken_up_after: None, status: first.status, end: first.end };
-    if first.end == End::Complete {
-        return caller;
-    }
+    let (status, end) = (first.status, first.end);
+    recorder.line(&format!("answer   {first_id}: {status} {end:?}, {} events", events.len()));
+    let mut caller = Caller { number, events, taken_up_after: None, status, end };
+    let Some(last) = caller.events.last().filter(|_| end == End::BrokenOff) else { return caller };
+    thread::sleep(Duration::from_millis(TAKE_UP_PAUSE_MS));
     let other = 1 + number % (fronts.len() - 1);
-    let id = format!("c{number:02}b");
-    let last = caller.events.last().map(|event| event.id);
-    let last = last.map_or(String::new(), |id| format!("Last-Event-Id: {id}\r\n"));
-    recorder.line(&format!("take-up  {id} at front-{}: {}", other + 1, last.trim()));
-    let second = call(fronts[other], &path, &id, &format!("{DEADLINE}{last}"));
-    let rest = second.events();
+    let id = format!("c{number:03}b");
     recorder.line(&format!(
-        "answer   {id}: {} {:?}, {} events",
-        second.status,
-        second.end,
-        rest.len()
+        "take-up  {id} at front-{}: Last-Event-Id {}, Resumes {first_id}",
+        other + 1,
+        last.id
     ));
+    let headers = format!("{DEADLINE}Last-Event-Id: {}\r\nResumes: {first_id}\r\n", last.id);
+    let next = call(fronts[other], &path, &id, &headers);
+    let rest = next.events();
+    let (status, end) = (next.status, next.end);
+    recorder.line(&format!("answer   {id}: {status} {end:?}, {} events", rest.len()));
     caller.taken_up_after = Some(caller.events.len());
-    caller.status = second.status;
-    caller.end = second.end;
+    (caller.status, caller.end) = (status, end);
     caller.events.extend(rest);
     caller
 }
 
-/// The rule ORDER: a stream that ends as complete has each event once, in order, and all of one
-/// software version.
-fn judge(recorder: &Recorder, spec: &Spec, callers: &[Caller]) -> Outcome {
+/// The rule LOST on streams that are taken up: the share of them that goes on is not under half of the
+/// share of new streams that begin.
+fn judge_shares(recorder: &Recorder, taken: &[Caller], new: &[Caller]) -> Outcome {
+    let taken: Vec<_> = taken.iter().filter(|caller| caller.taken_up_after.is_some()).collect();
+    let goes_on = taken.iter().filter(|caller| caller.status == 200).count();
+    let refused = taken.iter().filter(|caller| caller.status == 503).count();
+    let begun = new.iter().filter(|caller| caller.status == 200).count();
+    recorder.say(&format!(
+        "{goes_on} of {} streams that were taken up go on, {refused} are refused; {begun} of {} new \
+         streams begin",
+        taken.len(),
+        new.len()
+    ));
+    // goes_on / taken < begun / new / 2
+    let is_under_half = 2 * goes_on * new.len() < begun * taken.len();
+    if taken.len() >= FEWEST_TAKEN_UP && is_under_half { Outcome::Broken } else { Outcome::Held }
+}
+
+/// The rule ORDER: a stream that ends as complete has each event once, in order.
+fn judge_order(recorder: &Recorder, spec: &Spec, callers: &[Caller]) -> Outcome {
     let expected: Vec<_> = (1..=spec.events).map(|number| spec.id(number)).collect();
-    let (mut whole, mut refused, mut disordered, mut joined) = (0, 0, 0, 0);
+    let (mut whole, mut broken_off, mut disordered) = (0, 0, 0);
     for caller in callers {
         let Caller { number, events, taken_up_after, status, end } = caller;
         if *end != End::Complete || *status != 200 {
-            refused += 1;
+            broken_off += 1;
             continue;
         }
         let ids: Vec<_> = events.iter().map(|event| event.id).collect();
-        let mut versions: Vec<_> =
-            events.iter().filter_map(|event| event.data.split(' ').nth(1)).collect();
-        versions.dedup();
-        let place =
-            taken_up_after.map_or(String::new(), |after| format!(", taken up after {after}"));
-        if ids != expected {
-            disordered += 1;
-            let numbers: Vec<_> =
-                events.iter().filter_map(|event| event.data.split(' ').nth(2)).collect();
-            let numbers = numbers.join(" ");
-            recorder.say(&format!("stream {number:02}{place}: pieces {numbers}"));
-        } else if versions.len() > 1 {
-            joined += 1;
-            let versions = versions.join(" then ");
-            recorder.say(&format!("stream {number:02}{place}: joined from {versions}"));
-        } else {
+        if ids == expected {
             whole += 1;
+            continue;
         }
+        disordered += 1;
+        let place =
+            taken_up_after.map_or(String::new(), |after| format!(", taken up after {after}"));
+        let pieces: Vec<_> =
+            events.iter().filter_map(|event| event.data.split(' ').nth(2)).collect();
+        recorder.line(&format!("stream {number:03}{place}: pieces {}", pieces.join(" ")));
     }
     recorder.say(&format!(
-        "{whole} streams whole, {refused} refused or broken off, {joined} joined from two versions, \
-         {disordered} with pieces missing or twice"
+        "{whole} streams whole, {broken_off} refused or broken off, {disordered} with pieces missing or \
+         twice"
     ));
-    if joined + disordered > 0 { Outcome::Broken } else { Outcome::Held }
+    if disordered > 0 { Outcome::Broken } else { Outcome::Held }
 }
