--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -14,7 +14,7 @@
 export CASE_TMP
 # The stand-ins and the daemons that they start are one process group, which ends with this script.
 set -m
-timeout --foreground 118 "$stand_ins" restarted "$folder/record.txt" &
+timeout --foreground 118 "$stand_ins" split-route "$folder/record.txt" &
 group=$!
 trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$CASE_TMP"' EXIT
 trap 'exit 2' INT TERM
