--- a/review/stand-ins/src/frozen.rs
+++ b/review/stand-ins/src/frozen.rs
@@ -14,7 +14,7 @@
 use crate::store::Store;
 use crate::{Outcome, setting};
 
-const MACHINES: u8 = 3;
+const MACHINES: u8 = 9;
 const SERVERS: usize = 6;
 /// Of the answers of a server.
 const UNFRAMED_ONE_IN: u64 = 20;
--- a/review/stand-ins/src/restarted.rs
+++ b/review/stand-ins/src/restarted.rs
@@ -14,7 +14,7 @@
 use crate::store::Store;
 use crate::{Outcome, setting};
 
-const MACHINES: u8 = 3;
+const MACHINES: u8 = 9;
 const SERVERS: usize = 6;
 const EVENTS: u64 = 20;
 const EVENT_MS: u64 = 100;
--- a/review/stand-ins/src/taken_up.rs
+++ b/review/stand-ins/src/taken_up.rs
@@ -22,7 +22,7 @@
     LongIds,
 }
 
-const MACHINES: u8 = 3;
+const MACHINES: u8 = 9;
 const EVENTS: u64 = 24;
 const EVENT_MS: u64 = 100;
 /// When the machine is killed, after the first stream.
