Event ids are kept as they are written, whatever their size

Cause: `Last-Event-Id` was read as an f64, which holds 53 bits, and written anew for the upstream. Peers that serve a take-up, or go on with a stream, read it in the same way. Ids of relayed events were u64; one beyond that counted as none, so such a stream could not go on.

Change: `EventId`, a number of any size, kept as text and compared by value. What a caller names is forwarded as it is. The number of events of a moving generation is no longer compared with an id.

--- a/crates/gateway/src/answer/event_splitter.rs
+++ b/crates/gateway/src/answer/event_splitter.rs
@@ -1,4 +1,5 @@
 use bytes::{Bytes, BytesMut};
+use comfreymast_base::EventId;
 
 /// Splits a stream into complete events, so that no partial event is relayed. Lines end as the
 /// format of event streams allows: with a line feed, a carriage return, or both.
@@ -23,7 +24,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Event {
     /// The number after `id:`, if it has one.
-    pub(crate) id: Option<u64>,
+    pub(crate) id: Option<EventId>,
     /// Its bytes, including the blank line at its end.
     pub(crate) bytes: Bytes,
 }
@@ -97,10 +98,10 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
+fn event_id(event: &[u8]) -> Option<EventId> {
     let lines = event.split(|byte| is_line_end(*byte));
     let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
+    EventId::parse(std::str::from_utf8(id).ok()?)
 }
 
 fn is_line_end(byte: u8) -> bool {
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -1,6 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
-use comfreymast_base::{Organisation, Service};
+use comfreymast_base::{EventId, Organisation, Service};
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route, Target};
 use comfreymast_platform::{RequestHead, RequestHeadError, set_resumption};
 use comfreymast_wire::news::{self, ForwardedCall, HeaderField};
@@ -40,7 +40,7 @@
     /// Upstreams that may have run it already.
     pub(crate) earlier_runs: u32,
     /// The last event that its caller has of a stream that broke off here.
-    pub(crate) last_event: Option<u64>,
+    pub(crate) last_event: Option<&'a EventId>,
 }
 
 /// The message that forwards a call.
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -37,9 +37,7 @@
                 self.dispatch.notify_peers();
                 (vec![target, leaving.clone()], copy, events)
             }
-            MoveOutcome::Kept { copy } => {
-                (vec![leaving.clone()], copy, self.last_event.unwrap_or(0))
-            }
+            MoveOutcome::Kept { copy } => (vec![leaving.clone()], copy, self.events),
             MoveOutcome::Stays { .. } => return None,
         };
         self.relay_remaining(&mut source, events).await?;
@@ -66,7 +64,7 @@
     /// Relays the events that a generation made before it was stopped.
     async fn relay_remaining(&mut self, source: &mut Source, events: u64) -> Option<()> {
         let started_ms = self.dispatch.clock.now_ms();
-        while self.last_event.unwrap_or(0) < events {
+        while self.events < events {
             let waited_ms = self.dispatch.clock.now_ms() - started_ms;
             let left_ms = STOPPED_READ_MS.saturating_sub(waited_ms);
             match within(left_ms, source.events.next()).await {
@@ -136,7 +134,7 @@
         let options = SendOptions {
             limit_ms: if resume_from.is_some() { left_ms.min(CONTINUE_LIMIT_MS) } else { left_ms },
             priority: Some(self.call.priority()),
-            last_event: self.last_event,
+            last_event: self.last_event.as_ref(),
             resume_from,
         };
         let sent = send(&self.dispatch, &self.call, target, &options).await?;
--- a/crates/gateway/src/generation/hand_over.rs
+++ b/crates/gateway/src/generation/hand_over.rs
@@ -18,9 +18,13 @@
         self.reservation.resize(0);
         let (dispatch, call, service) =
             (self.dispatch.clone(), self.call.clone(), self.service.clone());
-        let last_event = self.last_event.filter(|_| self.events > 0);
-        let outgoing =
-            Outgoing { call: &call, service: &service, earlier_runs: self.runs, last_event };
+        let last_event = self.last_event.clone().filter(|_| self.events > 0);
+        let outgoing = Outgoing {
+            call: &call,
+            service: &service,
+            earlier_runs: self.runs,
+            last_event: last_event.as_ref(),
+        };
         let answer = ask(&dispatch, &outgoing, &mut Vec::new()).await?.ok()?;
         if !is_event_stream(&answer.parts) {
             return None;
@@ -48,11 +52,7 @@
 
     /// Relays an event of a peer unless it was already delivered.
     async fn pass_event_on(&mut self, event: Event) -> Option<()> {
-        let is_repeated = match (event.id, self.last_event) {
-            (Some(id), Some(last)) => id <= last,
-            _ => false,
-        };
-        if is_repeated {
+        if self.is_delivered(&event) {
             return Some(());
         }
         if self.awaits_place && !event.has_place() {
@@ -60,7 +60,7 @@
         }
         self.awaits_place &= event.id.is_none();
         self.lacks_event &= event.is_comment();
-        self.last_event = event.id.or(self.last_event);
+        self.record_place(&event);
         self.events += 1;
         self.chunks.send(Ok(event.bytes)).await.ok()
     }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -3,7 +3,7 @@
 use async_channel::Sender;
 use async_executor::Task;
 use bytes::Bytes;
-use comfreymast_base::Service;
+use comfreymast_base::{EventId, Service};
 use comfreymast_decide::answer_end::{AnswerEnd, BreakReason};
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::link_watch::ConnectionKind;
@@ -44,7 +44,7 @@
     pub(super) key: u32,
     pub(super) started_unix_ms: u64,
     pub(super) chunks: Sender<Chunk>,
-    pub(super) last_event: Option<u64>,
+    pub(super) last_event: Option<EventId>,
     /// The software versions at which the stream may go on.
     pub(super) version: VersionNeed,
     pub(super) events: u64,
@@ -107,7 +107,7 @@
             key: generation_key(&call.head.id),
             started_unix_ms: dispatch.clock.unix_ms(),
             chunks,
-            last_event: call.head.last_event,
+            last_event: call.head.last_event.clone(),
             version: VersionNeed::Any,
             events: 0,
             // A resumable stream needs no move: it is short, or is resumed after its last event.
@@ -321,18 +321,14 @@
             return Err(Interruption::Broken(BreakReason::ForeignEvent));
         }
         self.awaits_place &= event.id.is_none();
-        let is_repeated = match (event.id, self.last_event) {
-            (Some(id), Some(last)) => id <= last,
-            _ => false,
-        };
-        if is_repeated {
+        if self.is_delivered(&event) {
             return Ok(());
         }
         if self.events == 0 {
             self.record_version().await;
         }
         self.lacks_event &= event.is_comment();
-        self.last_event = event.id.or(self.last_event);
+        self.record_place(&event);
         self.events += 1;
         let now_ms = self.dispatch.clock.now_ms();
         if self.events > 1 {
@@ -346,6 +342,21 @@
         Ok(())
     }
 
+    /// True if the caller has the event.
+    pub(super) fn is_delivered(&self, event: &Event) -> bool {
+        match (&event.id, &self.last_event) {
+            (Some(id), Some(last)) => id <= last,
+            _ => false,
+        }
+    }
+
+    /// Notes that the caller gets the event.
+    pub(super) fn record_place(&mut self, event: &Event) {
+        if event.id.is_some() {
+            self.last_event.clone_from(&event.id);
+        }
+    }
+
     /// Ties the stream to the version of its first event, before its caller gets that.
     async fn record_version(&mut self) {
         let version = self.upstream.record.version.clone();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use comfreymast_base::NamedRequest;
+use comfreymast_base::{EventId, NamedRequest};
 use comfreymast_decide::answer_proof::{Proof, proof};
 use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_fleet::RetryPolicy;
@@ -32,7 +32,7 @@
     /// The priority of the request at an engine.
     pub(crate) priority: Option<u8>,
     /// The last delivered event of a stream that is continued.
-    pub(crate) last_event: Option<u64>,
+    pub(crate) last_event: Option<&'a EventId>,
     /// The copy from which a generation is continued.
     pub(crate) resume_from: Option<&'a CopyLocation>,
 }
@@ -226,7 +226,7 @@
             organisation: call.key_holder.as_ref().map(|holder| &holder.organisation),
             deadline_ms: call.remaining_ms(&dispatch.clock).saturating_sub(ANSWER_MARGIN_MS).max(1),
             priority: options.priority,
-            last_event: options.last_event.or(call.head.last_event),
+            last_event: options.last_event,
             resume_from: options.resume_from,
         },
     );
--- a/crates/platform/src/request_head.rs
+++ b/crates/platform/src/request_head.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use comfreymast_base::{Organisation, Upstream};
+use comfreymast_base::{EventId, Organisation, Upstream};
 use derive_more::{Display, Error};
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE,
@@ -66,8 +66,9 @@
     /// The identifiers of the prompt's parts that other requests may share: all but the last, each
     /// once, 128 at most.
     pub shared_parts: Vec<Arc<str>>,
-    /// The last event that the caller received of a stream that it resumes.
-    pub last_event: Option<u64>,
+    /// The last event that the caller received of a stream that it resumes. `None` also if it names
+    /// several, or something that is no number.
+    pub last_event: Option<EventId>,
     /// True if the caller has events of the stream that it takes up, as far as can be told.
     pub has_events: bool,
     /// The attempt that brought the first event of a stream that it resumes.
@@ -122,10 +123,10 @@
             id: id.into(),
             host: host(head)?,
             key: key.map(str::to_owned),
-            deadline_ms: parse_number(headers, names::DEADLINE_MS),
+            deadline_ms: parse_amount(headers, names::DEADLINE_MS),
             prompt: prompt(headers),
             shared_parts: shared_parts(headers),
-            last_event: parse_number(headers, names::LAST_EVENT_ID),
+            last_event: last_event(headers),
             has_events: has_events(headers),
             resumes: Resumes::decode(headers),
         })
@@ -135,11 +136,20 @@
 /// True unless there is no last event, or it is 0. One that cannot be read may be any.
 fn has_events(headers: &HeaderMap) -> bool {
     headers.get_all(names::LAST_EVENT_ID).iter().any(|last_event| {
-        let number = last_event.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
-        number != Some(0)
+        let id = last_event.to_str().ok().and_then(EventId::parse);
+        id.is_none_or(|id| !id.is_zero())
     })
 }
 
+fn last_event(headers: &HeaderMap) -> Option<EventId> {
+    let mut named = headers.get_all(names::LAST_EVENT_ID).iter();
+    let last_event = named.next()?;
+    if named.next().is_some() {
+        return None;
+    }
+    EventId::parse(last_event.to_str().ok()?)
+}
+
 fn host(head: &Parts) -> Result<String, RequestHeadError> {
     let mut hosts = head.headers.get_all(hyper::header::HOST).iter();
     let host = hosts.next().and_then(|host| host.to_str().ok()).ok_or(RequestHeadError::Host)?;
@@ -154,7 +164,8 @@
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
 }
 
-fn parse_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+/// A number that may be rounded, such as a time in milliseconds or an estimate; no identifier.
+fn parse_amount(headers: &HeaderMap, name: &str) -> Option<u64> {
     let value: f64 = header_text(headers, name)?.parse().ok()?;
     (value.is_finite() && value >= 0.0).then_some(value as u64)
 }
@@ -165,7 +176,7 @@
     Some(PromptShape {
         prompt_tokens: prompt.trim().parse().ok()?,
         max_output_tokens: output.trim().parse().ok()?,
-        expected_output_tokens: parse_number(headers, names::LENGTH_HINT),
+        expected_output_tokens: parse_amount(headers, names::LENGTH_HINT),
         parts: parts.filter_map(prompt_part).collect(),
     })
 }
@@ -222,8 +233,9 @@
     pub deadline_ms: u64,
     /// The request's scheduling priority at an engine; 0 is the highest.
     pub priority: Option<u8>,
-    /// The last event that was delivered of a resumed stream.
-    pub last_event: Option<u64>,
+    /// The last event that the gateway delivered of a stream that it resumes. Without one, what the
+    /// caller says is forwarded as it is.
+    pub last_event: Option<&'a EventId>,
     /// The copy from which a generation is resumed.
     pub resume_from: Option<&'a CopyLocation>,
 }
@@ -248,7 +260,7 @@
         set_header(&mut headers, names::REQUEST_PRIORITY, &priority.to_string());
     }
     if let Some(last_event) = options.last_event {
-        set_header(&mut headers, names::LAST_EVENT_ID, &last_event.to_string());
+        set_header(&mut headers, names::LAST_EVENT_ID, last_event.as_str());
     }
     if let Some(copy) = options.resume_from {
         set_header(&mut headers, names::KV_FROM, &format!("{}/{}", copy.addr, copy.handle));
@@ -257,9 +269,9 @@
 }
 
 /// Makes the headers of a caller's request those of one that takes its own stream up after `last_event`.
-pub fn set_resumption(headers: &mut HeaderMap, id: &str, last_event: u64) {
+pub fn set_resumption(headers: &mut HeaderMap, id: &str, last_event: &EventId) {
     set_header(headers, names::RESUMES, id);
-    set_header(headers, names::LAST_EVENT_ID, &last_event.to_string());
+    set_header(headers, names::LAST_EVENT_ID, last_event.as_str());
 }
 
 fn is_dropped(name: &HeaderName) -> bool {
