A stream that is taken up goes on at the service that began it

Where services call their versions alike, where no attempt is named, after all daemons have restarted, or once the route has moved, they got the first events of one service and the rest of another.

Cause: the service of a take-up was drawn by weight, as for a new request; what is remembered of a stream had its version only, and that was looked for at the service that was drawn.

Ruled out: lost records and upstreams taken for gone (with one version at all services nothing is refused, and 9 of 14 streams go on at another service).

Change: the record of a stream has its service, in messages and in the store (a new field, which earlier releases ignore). Where a request may run is decided before it is counted, forwarded or placed. Unknown streams count all services that their route has had while they may be taken up.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`entry_expiry`] — how long an upstream whose entry was deleted stays in use.
 //! * [`list_guard`] — whether to adopt a VM list from which most VMs are missing.
 //! * [`membership`] — which daemons are live, from their heartbeats.
+//! * [`route_history`] — which services a route had in the last while.
 //! * [`routing`] — load balancing that ignores memory, and the subset of upstreams to use.
 //! * [`lengths`] — how long an answer will be.
 //! * [`admission`] — which engine runs a generation, when it starts, and what is refused.
@@ -23,7 +24,7 @@
 //! * [`send_pacer`] — when a daemon sends the next part of what it hands on to peers.
 //! * [`slot_share`] — how many places of a brittle upstream a daemon uses.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
-//! * [`stream_origins`] — which software version began a stream.
+//! * [`stream_origins`] — which service and software version began a stream.
 //! * [`topic_source`] — which peer a daemon that is behind on a topic fetches it from.
 //! * [`version_history`] — the software versions that services had.
 //! * [`version_records`] — what the store keeps of them.
@@ -60,6 +61,7 @@
 pub mod quarantine;
 mod queue;
 pub mod retry;
+pub mod route_history;
 pub mod routing;
 pub mod send_pacer;
 mod sliding_count;
--- a/crates/decide/src/stream_origins.rs
+++ b/crates/decide/src/stream_origins.rs
@@ -1,11 +1,11 @@
-//! Which software version began a stream, for callers who take it up through another daemon.
+//! Which service and software version began a stream, for callers who take it up through another daemon.
 //!
 //! Load pattern: a record for each resumable stream, kept by the daemon that began it and by a few others,
 //! and asked for only when a stream has broken off.
 
 use std::collections::{HashMap, VecDeque};
 
-use comfreymast_base::SoftwareVersion;
+use comfreymast_base::{Service, SoftwareVersion};
 use xxhash_rust::xxh3::{xxh3_64_with_seed, xxh3_128};
 
 /// Identifies an attempt of a caller of one organisation.
@@ -35,10 +35,12 @@
     ranked.into_iter().take(count).map(|(_, name)| name).collect()
 }
 
-/// The version that began a stream; `None` if its upstream stated none.
+/// What began a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamOrigin {
-    /// The version.
+    /// The service; `None` if a daemon of an earlier release recorded the stream.
+    pub service: Option<Service>,
+    /// The version; `None` if its upstream stated none.
     pub version: Option<SoftwareVersion>,
     /// When nobody takes the stream up any more.
     pub expires_ms: u64,
@@ -52,10 +54,14 @@
 }
 
 impl StreamOrigins {
-    /// Adds a stream. One that is known stays as it is: its first event is what counts.
+    /// Adds a stream. One that is known stays as it is, as its first event is what counts, but for a service
+    /// that was missing.
     pub fn record(&mut self, key: OriginKey, origin: StreamOrigin, now_ms: u64) {
         self.expire(now_ms);
-        if self.by_key.contains_key(&key) {
+        if let Some(known) = self.by_key.get_mut(&key) {
+            if known.service.is_none() && known.version == origin.version {
+                known.service = origin.service;
+            }
             return;
         }
         self.by_key.insert(key, origin);
--- a/crates/decide/tests/stream_origins.rs
+++ b/crates/decide/tests/stream_origins.rs
@@ -1,6 +1,6 @@
 //! Which software version began a stream, and which versions a service had.
 
-use comfreymast_base::SoftwareVersion;
+use comfreymast_base::{Service, SoftwareVersion};
 use comfreymast_decide::stream_origins::{StreamOrigin, StreamOrigins, holders, origin_key};
 use comfreymast_decide::version_history::VersionHistory;
 
@@ -9,7 +9,7 @@
 }
 
 fn origin(name: &str, expires_ms: u64) -> StreamOrigin {
-    StreamOrigin { version: version(name), expires_ms }
+    StreamOrigin { service: Some(Service::from("engines")), version: version(name), expires_ms }
 }
 
 #[test]
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -52,9 +52,18 @@
 }
 
 impl Route {
+    /// The services that new requests may be sent to.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        let has_weights = self.targets.iter().any(|target| target.weight > 0);
+        let used = self.targets.iter().filter(move |target| !has_weights || target.weight > 0);
+        // Without weights, all requests go to the first one.
+        let count = if has_weights { self.targets.len() } else { 1 };
+        used.take(count).map(|target| &target.service)
+    }
+
     /// Chooses the service for a request by weight. `random` is uniform over all values.
     ///
-    /// Targets with a weight of zero get requests only when all weights are zero.
+    /// Targets with a weight of zero get no requests, but the first one gets all when all weights are zero.
     #[must_use]
     pub fn target(&self, random: u32) -> Option<&Service> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -80,9 +80,12 @@
     /// The request crashes upstreams.
     #[display("crashes upstreams")]
     Quarantined,
-    /// The stream was begun at a software version that is not known, or of which no upstream is left.
+    /// The stream was begun at a service or software version that is not known, or of which no upstream is left.
     #[display("version of the stream")]
     Version,
+    /// The stream was begun at a service to which its route no longer sends requests.
+    #[display("service of the stream")]
+    Moved,
     /// The call timed out before it could be sent.
     #[display("time is up")]
     TimedOut,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -58,7 +58,7 @@
     pub(crate) outbox: Outbox,
     /// The requests that are suspected of crashing upstreams.
     pub(crate) quarantine: QuarantineState,
-    /// Which software versions began streams.
+    /// What began streams.
     pub(crate) origins: OriginState,
     /// What the store has of the software versions of services.
     pub(crate) version_records: VersionRecordState,
@@ -125,6 +125,8 @@
         log::info!(target: "comfreymast", code = 1203, version = configuration.version,
             previous = known, routes = configuration.routes.len(); "configuration in force");
         self.version_records.apply_configuration(&configuration);
+        let take_up_ms = self.version_records.take_up_ms();
+        self.origins.apply_configuration(&configuration, take_up_ms, self.clock.now_ms());
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
--- a/crates/gateway/src/forward/inbound.rs
+++ b/crates/gateway/src/forward/inbound.rs
@@ -12,6 +12,7 @@
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
 use crate::request_handler::run_here;
+use crate::stream_origin::destination;
 use crate::unserved::Unserved;
 
 /// Beside the body of the caller's request, which has a limit of its own.
@@ -42,7 +43,10 @@
     let Some(service) = call.route.target(0).cloned() else {
         return not_taken(StatusCode::BAD_REQUEST);
     };
-    let answered = run_here(&dispatch, &call, &service, earlier_runs).await;
+    let answered = match destination(&dispatch, &call, &service).await {
+        Ok(destination) => run_here(&dispatch, &call, &destination, earlier_runs).await,
+        Err(error) => Err(error.into()),
+    };
     let (response, outcome) = match answered {
         Ok(response) => {
             let outcome = response.status().as_str().to_owned();
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -22,7 +22,7 @@
 use crate::pause::shortest_pause_ms;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
-use crate::stream_origin::needed_version;
+use crate::stream_origin::Destination;
 use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
 
@@ -40,22 +40,22 @@
 /// The share of the target latency that a generation may wait for an engine with room.
 const WAIT_SHARE: f64 = 0.6;
 
-/// Starts a stream on an upstream of `service` and relays it. `earlier_runs` upstreams may have run it
+/// Starts a stream on an upstream of its destination and relays it. `earlier_runs` upstreams may have run it
 /// already.
 pub(crate) async fn run(
     dispatch: &Arc<Dispatch>,
     call: &Arc<Call>,
-    service: &Service,
+    destination: &Destination,
     earlier_runs: u32,
 ) -> Result<Response<Body>, Unserved> {
+    let Destination { service, version } = destination;
     let spec = engine_spec(dispatch, service);
     let shape = call.head.prompt.clone().unwrap_or_default();
-    let version = needed_version(dispatch, call, service).await?;
     let mut start = StreamStart {
         dispatch,
         call,
         service,
-        version: &version,
+        version,
         spec: &spec,
         shape: &shape,
         tried: Vec::new(),
@@ -79,7 +79,7 @@
     let mut relay =
         Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
     relay.runs += earlier_runs;
-    relay.version = version;
+    relay.version = version.clone();
     let events = EventStream::new(body);
     let source = Source { events, connection, answer, _outstanding: outstanding };
     let task = dispatch.spawner.spawn(relay.run(source));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,7 +40,7 @@
 /// Why a stream was not taken up.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct OriginLabels {
-    /// `no reply`, `several versions` or `earlier versions unknown`.
+    /// `no reply`, `several services`, `several versions` or `earlier versions unknown`.
     pub(crate) reason: &'static str,
 }
 
@@ -89,7 +89,7 @@
     pub(crate) broken_answers: Family<BreakLabels, Counter>,
     /// Requests during which their upstream ended.
     pub(crate) upstream_ends: Counter,
-    /// Streams that were not taken up, as the version that began them is not known.
+    /// Streams that were not taken up, as what began them is not known.
     pub(crate) unknown_origins: Family<OriginLabels, Counter>,
     /// Sends that were withheld, as their request may crash upstreams.
     pub(crate) quarantine_refusals: Counter,
@@ -159,7 +159,7 @@
         let unknown_origins = Family::default();
         registry.register(
             "gateway_unknown_origins",
-            "Streams that were not taken up, as the software version that began them is not known",
+            "Streams that were not taken up, as the service or software version that began them is not known",
             unknown_origins.clone(),
         );
         let limit_skips = Counter::default();
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -1,6 +1,5 @@
 use std::sync::{Arc, OnceLock};
 
-use comfreymast_base::Service;
 use comfreymast_net::{Body, BodyError, collect, within};
 use comfreymast_platform::{RequestHead, request_id};
 use hyper::body::Incoming;
@@ -12,6 +11,7 @@
 use crate::dispatch::Dispatch;
 use crate::forward::forward;
 use crate::metrics::OutcomeLabels;
+use crate::stream_origin::{Destination, destination};
 use crate::unserved::Unserved;
 use crate::{generation, plain};
 
@@ -37,11 +37,16 @@
 }
 
 async fn serve(dispatch: &Arc<Dispatch>, call: Arc<Call>) -> Response<Body> {
-    let Some(service) = call.route.target(rand::random()).cloned() else {
+    let Some(drawn) = call.route.target(rand::random()) else {
         return CallError::NoRoute.response();
     };
+    let destination = destination(dispatch, &call, drawn).await;
+    let service = destination.as_ref().map_or(drawn, |destination| &destination.service).clone();
     dispatch.budget.record_request(&service, dispatch.clock.now_ms());
-    let answered = run(dispatch, &call, &service).await;
+    let answered = match destination {
+        Ok(destination) => run(dispatch, &call, &destination).await,
+        Err(error) => Err(error),
+    };
     let latency_ms = call.age_ms(&dispatch.clock);
     let (response, outcome) = match answered {
         Ok(response) => {
@@ -64,14 +69,15 @@
 async fn run(
     dispatch: &Arc<Dispatch>,
     call: &Arc<Call>,
-    service: &Service,
+    destination: &Destination,
 ) -> Result<Response<Body>, CallError> {
+    let service = &destination.service;
     let has_lost_links = dispatch.has_lost_links(service);
     if has_lost_links && let Some(answered) = forward(dispatch, call, service, 0).await {
         return answered;
     }
     // Without a peer that takes it, it is tried here all the same.
-    let runs = match run_here(dispatch, call, service, 0).await {
+    let runs = match run_here(dispatch, call, destination, 0).await {
         Ok(response) => return Ok(response),
         Err(Unserved::Error(error)) => return Err(error),
         Err(Unserved::Unreached { runs }) if has_lost_links => return Err(unreached_error(runs)),
@@ -86,13 +92,13 @@
 pub(crate) async fn run_here(
     dispatch: &Arc<Dispatch>,
     call: &Arc<Call>,
-    service: &Service,
+    destination: &Destination,
     earlier_runs: u32,
 ) -> Result<Response<Body>, Unserved> {
     if call.route.is_stream {
-        generation::run(dispatch, call, service, earlier_runs).await
+        generation::run(dispatch, call, destination, earlier_runs).await
     } else {
-        plain::run(dispatch, call, service, earlier_runs).await
+        plain::run(dispatch, call, &destination.service, earlier_runs).await
     }
 }
 
--- a/crates/gateway/src/stream_origin/messages.rs
+++ b/crates/gateway/src/stream_origin/messages.rs
@@ -20,7 +20,7 @@
     origin_key(organisation, attempt)
 }
 
-/// Remembers at which version of a service a call's stream began, and tells the daemons that keep its
+/// Remembers at which service and version of it a call's stream began, and tells the daemons that keep its
 /// record.
 pub(crate) fn record_origin(
     dispatch: &Dispatch,
@@ -31,7 +31,7 @@
     let key = key_of(call, &call.head.id);
     let now_ms = dispatch.clock.now_ms();
     let expires_ms = now_ms + call.route.timeout_ms + TTL_MARGIN_MS;
-    let origin = StreamOrigin { version, expires_ms };
+    let origin = StreamOrigin { service: Some(service.clone()), version, expires_ms };
     let message = message(&key, &origin, now_ms);
     dispatch.origins.record(key, origin.clone(), now_ms);
     dispatch.origins.add_unwritten(UnwrittenOrigin { service: service.clone(), key, origin });
@@ -83,6 +83,7 @@
         version: origin.version.as_ref().map(ToString::to_string).unwrap_or_default(),
         has_version: origin.version.is_some(),
         ttl_ms: origin.expires_ms.saturating_sub(now_ms),
+        service: origin.service.as_ref().map(ToString::to_string).unwrap_or_default(),
     }
 }
 
@@ -92,5 +93,7 @@
 ) -> Option<(OriginKey, StreamOrigin)> {
     let key = message.key[..].try_into().ok()?;
     let version = message.has_version.then(|| SoftwareVersion::from(message.version.as_str()));
-    Some((key, StreamOrigin { version, expires_ms: now_ms.saturating_add(message.ttl_ms) }))
+    let service = (!message.service.is_empty()).then(|| Service::from(message.service.as_str()));
+    let expires_ms = now_ms.saturating_add(message.ttl_ms);
+    Some((key, StreamOrigin { service, version, expires_ms }))
 }
--- a/crates/gateway/src/stream_origin/state.rs
+++ b/crates/gateway/src/stream_origin/state.rs
@@ -1,9 +1,11 @@
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use async_channel::{Receiver, Sender};
 use comfreymast_base::{Clock, Service};
+use comfreymast_decide::route_history::{RouteHistory, RouteKey, RouteServices};
 use comfreymast_decide::stream_origins::{OriginKey, StreamOrigin, StreamOrigins};
+use comfreymast_fleet::{Configuration, Route};
 use event_listener::{Event, EventListener};
 
 use crate::on_demand::OnDemand;
@@ -26,6 +28,8 @@
 #[derive(Debug)]
 pub(crate) struct OriginState {
     origins: Mutex<StreamOrigins>,
+    /// The services of the routes of streams, while this daemon runs.
+    routes: Mutex<RouteHistory>,
     unwritten: Mutex<VecDeque<UnwrittenOrigin>>,
     /// Notified of each addition to `unwritten`.
     unwritten_added: Event,
@@ -40,6 +44,7 @@
     pub(crate) fn new(clock: Clock) -> Self {
         Self {
             origins: Mutex::default(),
+            routes: Mutex::default(),
             unwritten: Mutex::default(),
             unwritten_added: Event::new(),
             reads: OnDemand::new(clock),
@@ -47,6 +52,32 @@
         }
     }
 
+    /// Takes the routes of a configuration into account. Those of earlier ones still count for `take_up_ms`,
+    /// as streams that began under them may be taken up.
+    pub(crate) fn apply_configuration(
+        &self,
+        configuration: &Configuration,
+        take_up_ms: u64,
+        now_ms: u64,
+    ) {
+        let streams = configuration.routes.iter().filter(|route| route.is_stream);
+        let routes = streams.map(|route| RouteServices {
+            key: route_key(route),
+            services: route.services().cloned().collect(),
+        });
+        lock(&self.routes).apply(routes, take_up_ms, now_ms);
+    }
+
+    /// The services that a route has had since `since_ms`.
+    pub(super) fn services_of(&self, route: &Route, since_ms: u64) -> BTreeSet<Service> {
+        lock(&self.routes).services(&route_key(route), since_ms)
+    }
+
+    /// True if a stream of `service` may have begun at another one, as far as its route tells.
+    pub(super) fn has_alternatives(&self, service: &Service, since_ms: u64) -> bool {
+        lock(&self.routes).has_alternatives(service, since_ms)
+    }
+
     /// Adds a stream that this daemon began.
     pub(super) fn add_unwritten(&self, stream: UnwrittenOrigin) {
         let mut unwritten = lock(&self.unwritten);
@@ -118,6 +149,10 @@
     }
 }
 
+fn route_key(route: &Route) -> RouteKey {
+    (route.host.clone(), route.path_prefix.clone())
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/stream_origin/store_log.rs
+++ b/crates/gateway/src/stream_origin/store_log.rs
@@ -16,7 +16,7 @@
 
 /// The format of the records that this software writes, and the only one that it reads.
 const FORMAT: u32 = 1;
-/// Time between two checks whether a service has got a second version.
+/// Time between two checks whether a route has got a second service, or a service a second version.
 const CHECK_INTERVAL_MS: u64 = 500;
 /// The minimum time between two appends of a daemon, per daemon of the fleet. Bounds the appends of all
 /// daemons together, whatever the load.
@@ -25,8 +25,8 @@
 /// How long a call to the store may be waited for.
 const WAIT_MS: u64 = 300;
 
-/// Writes the origins of this daemon's streams to the store while their service has several versions, and
-/// reads those of all daemons when one is asked for.
+/// Writes the origins of this daemon's streams to the store while a caller could not tell from its route alone
+/// what began its stream, and reads those of all daemons when one is asked for.
 pub(crate) async fn keep_stored(dispatch: Arc<Dispatch>) {
     zip(write(&dispatch), read_on_demand(&dispatch)).await;
 }
@@ -69,7 +69,7 @@
     let is_due = |service: &Service| match known.get(service) {
         Some(is_due) => *is_due,
         None => {
-            let is_due = has_several_versions(dispatch, service);
+            let is_due = has_several_origins(dispatch, service);
             known.insert(service.clone(), is_due);
             is_due
         }
@@ -77,11 +77,13 @@
     dispatch.origins.take_unwritten(is_due, dispatch.clock.now_ms())
 }
 
-/// True unless a service is known to have had only one version for as long as its streams may be taken
-/// up.
-fn has_several_versions(dispatch: &Dispatch, service: &Service) -> bool {
+/// True unless a service is known to have had only one version, and its routes no other service, for as long
+/// as its streams may be taken up.
+fn has_several_origins(dispatch: &Dispatch, service: &Service) -> bool {
     let take_up_ms = dispatch.version_records.take_up_ms();
+    let since_ms = dispatch.clock.now_ms().saturating_sub(take_up_ms);
     dispatch.directory.only_version(service, take_up_ms).is_none()
+        || dispatch.origins.has_alternatives(service, since_ms)
 }
 
 fn encode(streams: &[UnwrittenOrigin], now_ms: u64) -> Bytes {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -114,6 +114,16 @@
         self.write_entry((name, addr), service, state, "v1");
     }
 
+    /// Like [`Self::announce_at`], ready and with this software version.
+    pub(crate) fn announce_version(
+        &self,
+        upstream: (&str, SocketAddr),
+        service: &str,
+        version: &str,
+    ) {
+        self.write_entry(upstream, service, "ready", version);
+    }
+
     fn write_entry(
         &self,
         (name, addr): (&str, SocketAddr),
