An unknown stream is taken up only on what was asked for it

Cause: that the store was not yet known to be silent, which takes 1.4 s of failed reads, counted as knowledge of all versions.

Ruled out: a daemon that stands still (real processes, SIGSTOP through a release: nothing joined before either; what the others tell waits in its socket), and one that is cut off from the others alone (the store has the version's record).

--- a/crates/gateway/src/stream_origin/destination.rs
+++ b/crates/gateway/src/stream_origin/destination.rs
@@ -60,7 +60,7 @@
     let knowledge = learn(dispatch, attempt).await;
     let found = match &knowledge.origin {
         Some(origin) => of_origin(dispatch, call, origin),
-        None => only_destination(dispatch, call).filter(|_| knowledge.is_informed(dispatch)),
+        None => only_destination(dispatch, call).filter(|_| knowledge.is_informed()),
     };
     let Some((service, version)) = found else {
         return Err(unknown(dispatch, call, &knowledge));
@@ -95,11 +95,10 @@
         Self { origin: Some(origin), asked: 0, replied: 0, has_learned: true, has_read: true }
     }
 
-    /// False if the silence of the store and of most peers may hide a version.
-    fn is_informed(&self, dispatch: &Dispatch) -> bool {
-        self.has_learned
-            || dispatch.store_silence_age_ms().is_none()
-            || 2 * self.replied > self.asked
+    /// False if the silence of the store and of most peers may hide a version. What this daemon heard before
+    /// it asked does not count, as it may have been cut off or suspended since.
+    fn is_informed(&self) -> bool {
+        self.has_learned || 2 * self.replied > self.asked
     }
 
     /// True if somebody who may know the stream has not replied.
--- a/crates/proof/src/peer_network.rs
+++ b/crates/proof/src/peer_network.rs
@@ -44,6 +44,8 @@
     sent_bytes: AtomicU64,
     /// True while what it sends on connections does not arrive.
     is_silent: AtomicBool,
+    /// True while no datagram from or to it arrives.
+    loses_datagrams: AtomicBool,
 }
 
 impl PeerNetwork {
@@ -80,6 +82,9 @@
         while let Ok((length, from)) = port.socket.recv_from(&mut buffer).await {
             let sender = self.ports().iter().find(|port| port.daemon() == Some(from)).cloned();
             let (Some(sender), Some(daemon)) = (sender, port.daemon()) else { continue };
+            if sender.loses_datagrams() || port.loses_datagrams() {
+                continue;
+            }
             // A datagram may be lost.
             let _ = sender.socket.send_to(&buffer[..length], daemon).await;
         }
@@ -146,6 +151,15 @@
         self.state.is_silent.store(is_silent, Ordering::Release);
     }
 
+    /// Loses all datagrams from and to the daemon, or lets them pass again.
+    pub fn set_loses_datagrams(&self, loses_datagrams: bool) {
+        self.state.loses_datagrams.store(loses_datagrams, Ordering::Release);
+    }
+
+    fn loses_datagrams(&self) -> bool {
+        self.state.loses_datagrams.load(Ordering::Acquire)
+    }
+
     fn daemon(&self) -> Option<SocketAddr> {
         *self.state.daemon.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/soak/src/versions.rs
+++ b/crates/soak/src/versions.rs
@@ -6,6 +6,7 @@
 use async_channel::Receiver;
 use comfreymast_fakes::platform_documents::{CallerRequest, event_ids, event_versions};
 use comfreymast_net::{OwnedConnection, Spawner, sleep_ms, within};
+use comfreymast_proof::Direction;
 use http_body_util::BodyExt;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -23,6 +24,10 @@
 /// After this many events a stream breaks off at its engine.
 const BREAK_AFTER: u64 = 3;
 const DAEMON_RESTART_MS: u64 = 250;
+/// How long a daemon is suspended beside the time that a release takes.
+const SUSPENSION_MS: u64 = 1_500;
+/// How long the store is silent to a daemon that was suspended.
+const STORE_SILENCE_MS: u64 = 1_000;
 /// The platform's rule.
 const TOLERATED_MIXED: usize = 2;
 
@@ -35,8 +40,10 @@
     pub stream_callers: usize,
     /// One stream in so many breaks off at its engine.
     pub breaks_one_in: u64,
-    /// A daemon is killed and started again this often. `None` for never.
+    /// A daemon is killed and started again, or suspended, this often. `None` for never.
     pub kill_interval_ms: Option<u64>,
+    /// Suspends a daemon instead of killing it, and lets the store be silent to it for a while after that.
+    pub suspends: bool,
     /// Kills all daemons at once instead of one after another.
     pub kills_all: bool,
     /// How long a caller waits before it takes a stream up.
@@ -55,6 +62,7 @@
             stream_callers: 12,
             breaks_one_in: 3,
             kill_interval_ms: None,
+            suspends: false,
             kills_all: false,
             take_up_pause_ms: TAKE_UP_PAUSE_MS,
             releases: false,
@@ -72,6 +80,14 @@
         self.take_up_pause_ms = 2 * DAEMON_RESTART_MS;
         self
     }
+
+    /// Suspends one daemon after another, each while an engine leaves and one of a new version takes its
+    /// place.
+    #[must_use]
+    pub fn suspends(mut self) -> Self {
+        self.suspends = true;
+        self
+    }
 }
 
 /// What became of the streams of a run.
@@ -163,6 +179,11 @@
         if options.kill_interval_ms.is_none() {
             continue;
         }
+        if options.suspends {
+            suspend_during_release(site, options, rounds).await?;
+            rounds += 1;
+            continue;
+        }
         if options.releases {
             replace_upstream(site, rounds % options.fleet.engines, true).await?;
             break_streams(site, options);
@@ -182,6 +203,27 @@
     Ok(())
 }
 
+/// Suspends a daemon while an engine leaves and one of a new version takes its place. The store stays silent to
+/// it for a while after it goes on.
+async fn suspend_during_release(
+    site: &Arc<Site>,
+    options: &VersionOptions,
+    round: usize,
+) -> Result<(), SoakError> {
+    let daemon = round % site.daemons.len();
+    let store_link = &site.store_links[daemon];
+    site.daemons[daemon].signal("STOP")?;
+    store_link.silence_all(Direction::ToTarget);
+    store_link.silence_all(Direction::FromTarget);
+    replace_upstream(site, round % options.fleet.engines, true).await?;
+    break_streams(site, options);
+    sleep_ms(SUSPENSION_MS).await;
+    site.daemons[daemon].signal("CONT")?;
+    sleep_ms(STORE_SILENCE_MS).await;
+    store_link.restore();
+    Ok(())
+}
+
 /// Lets engines break some streams off.
 fn break_streams(site: &Site, options: &VersionOptions) {
     for upstream in site.all_upstreams() {
--- a/crates/soak/tests/versions.rs
+++ b/crates/soak/tests/versions.rs
@@ -46,3 +46,13 @@
         options.kill_interval_ms = Some(1_500);
     }));
 }
+
+/// Guards against streams that are joined by a daemon which has not seen their version (ORDER).
+#[test]
+fn streams_of_a_version_that_joined_while_a_daemon_stood_still_are_not_joined_there() {
+    assert_kept(&run(|options| {
+        *options = options.clone().suspends();
+        options.kill_interval_ms = Some(300);
+        options.fleet.duration_ms = 2 * DURATION_MS;
+    }));
+}
