A request that comes late in a planned stop is refused, and none is cut without an answer

Cause: only the listener knew when the daemon takes no more; a connection with half of a head or body stayed open, and what came of it was passed on. Nothing answered requests that were under way at the end.

Ruled out: idle connections (closed with the listener) and calls of peers (a daemon that stops takes none).

--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -100,6 +100,13 @@
 }
 
 impl CallError {
+    /// The refusal of a request that would not be answered before this daemon stops.
+    pub(crate) fn stopping() -> Self {
+        /// Short, since the caller retries on a new connection, which reaches another daemon.
+        const STOPPING_RETRY_MS: u64 = 50;
+        Self::Refused { reason: Refusal::Stopping, retry_after_ms: Some(STOPPING_RETRY_MS) }
+    }
+
     /// The status of the answer.
     pub(crate) fn status(&self) -> StatusCode {
         match self {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,7 +9,7 @@
 use comfreymast_decide::links::Member;
 use comfreymast_decide::upstream_limit::FleetNews;
 use comfreymast_fleet::Configuration;
-use comfreymast_net::Spawner;
+use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_platform::VmSettings;
 use event_listener::{Event, EventListener};
 
@@ -28,6 +28,9 @@
 /// The share of the retry budget that is used; the rest covers delayed updates of other daemons.
 const USED_SHARE: f64 = 0.75;
 
+/// How long before the platform ends the process callers have their answers, and the last connection was accepted.
+const STOP_MARGIN_MS: u64 = 150;
+
 /// How long after its start a daemon knows most of its peers.
 const PEERS_KNOWN_MS: u64 = 1_000;
 
@@ -76,6 +79,8 @@
     pub(crate) is_large_fleet: AtomicBool,
     /// True once the daemon was told to stop.
     draining: AtomicBool,
+    /// Notified when the daemon is told to stop.
+    drain_start: Event,
     drain_started_ms: AtomicU64,
     store_silent_ms: AtomicU64,
 }
@@ -111,6 +116,7 @@
             peer_notice: Event::new(),
             is_large_fleet: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            drain_start: Event::new(),
             drain_started_ms: AtomicU64::new(0),
             store_silent_ms: AtomicU64::new(0),
         }
@@ -254,6 +260,30 @@
     pub(crate) fn start_draining(&self) {
         self.drain_started_ms.store(self.clock.now_ms(), Ordering::Release);
         self.draining.store(true, Ordering::Release);
+        self.drain_start.notify(usize::MAX);
+    }
+
+    /// How long after it was told to stop the daemon takes requests. What is sent to upstreams later would
+    /// hardly end in time.
+    pub(crate) fn accept_ms(&self) -> u64 {
+        let grace_ms = self.settings.load().grace_ms;
+        self.options.drain_grace_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS))
+    }
+
+    /// True once the daemon stops so soon that it takes no more requests.
+    pub(crate) fn takes_no_more(&self) -> bool {
+        let started_ms = self.drain_started_ms.load(Ordering::Acquire);
+        self.is_draining() && self.clock.now_ms() >= started_ms + self.accept_ms()
+    }
+
+    /// Completes shortly before the platform ends the daemon.
+    pub(crate) async fn wait_end(&self) {
+        let started = self.drain_start.listen();
+        if !self.is_draining() {
+            started.await;
+        }
+        let left_ms = self.stops_in_ms().unwrap_or(0);
+        sleep_ms(left_ms.saturating_sub(STOP_MARGIN_MS)).await;
     }
 
     /// True once the daemon was told to stop.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,9 +50,6 @@
 const MAX_PEER_HEAD_BYTES: usize = 16 * 1024;
 /// The most batches of records that may wait to be pushed to peers.
 const MAX_QUEUED_DELTAS: usize = 64;
-/// The minimum time between the last accepted connection and the moment when the platform ends the
-/// process.
-const STOP_MARGIN_MS: u64 = 150;
 
 /// Runs one daemon on the platform until `stop` closes, then drains. A message on `reload` makes
 /// it reload its settings. `started` is called once with the addresses.
@@ -147,15 +144,13 @@
     Ok(())
 }
 
-/// Waits for `stop`, keeps accepting connections for `drain_grace_ms` at most, then closes
-/// `accepting`.
+/// Waits for `stop`, keeps accepting connections for a while, then closes `accepting`.
 async fn drain(dispatch: Arc<Dispatch>, stop: Receiver<()>, accepting: Sender<()>) {
     let _ = stop.recv().await;
     dispatch.start_draining();
     let grace_ms = dispatch.settings.load().grace_ms;
     log::info!(target: "comfreymast", code = 1002, grace_ms; "daemon drains");
-    let accept_ms = dispatch.options.drain_grace_ms.min(grace_ms.saturating_sub(STOP_MARGIN_MS));
-    sleep_ms(accept_ms).await;
+    sleep_ms(dispatch.accept_ms()).await;
     drop(accepting);
 }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -34,8 +34,6 @@
 const FULL_RETRY_MS: u64 = 700;
 /// The typical time per token on a busy engine.
 const TOKEN_MS: u64 = 9;
-/// Short, since the caller retries on a new connection, which reaches another daemon.
-const STOPPING_RETRY_MS: u64 = 50;
 const NOT_RUN_RETRY_MS: u64 = 300;
 /// The share of the target latency that a generation may wait for an engine with room.
 const WAIT_SHARE: f64 = 0.6;
@@ -138,7 +136,9 @@
         let expected_tokens = expected_tokens(self.shape, 0) - self.shape.prompt_tokens;
         let expected_ms = self.call.route.target_latency_ms + expected_tokens * TOKEN_MS;
         if self.call.route.retry_policy == RetryPolicy::Once && expected_ms > stops_in_ms {
-            return Err(self.refusal(Refusal::Stopping, STOPPING_RETRY_MS));
+            // A peer may have sent it to an upstream before.
+            let is_run = self.runs > 0;
+            return Err(if is_run { CallError::OutcomeUnknown } else { CallError::stopping() });
         }
         Ok(())
     }
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -2,6 +2,7 @@
 
 use comfreymast_net::{Body, BodyError, collect, within};
 use comfreymast_platform::{RequestHead, request_id};
+use futures_lite::future;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, Version};
@@ -20,7 +21,7 @@
     let started_ms = dispatch.clock.now_ms();
     let id = request_id(request.headers()).map(str::to_owned);
     let mut response = match admit(&dispatch, request, started_ms).await {
-        Ok(call) => serve(&dispatch, Arc::new(call)).await,
+        Ok(call) => serve_until_end(&dispatch, Arc::new(call)).await,
         Err(error) => {
             let known = dispatch.configuration.load();
             log::info!(target: "comfreymast", code = 1101, request = id.as_deref(),
@@ -36,6 +37,20 @@
     response
 }
 
+/// Serves a call, or says that its outcome is unknown just before the platform ends this daemon.
+async fn serve_until_end(dispatch: &Arc<Dispatch>, call: Arc<Call>) -> Response<Body> {
+    let ended = async {
+        dispatch.wait_end().await;
+        let error = CallError::OutcomeUnknown;
+        log::warn!(target: "comfreymast", code = 1107, request = &*call.head.id,
+            route = &*call.route.name, age_ms = call.age_ms(&dispatch.clock);
+            "daemon ends before the request was answered");
+        count_outcome(dispatch, "", &error.to_string());
+        error.response()
+    };
+    future::or(serve(dispatch, call.clone()), ended).await
+}
+
 async fn serve(dispatch: &Arc<Dispatch>, call: Arc<Call>) -> Response<Body> {
     let Some(drawn) = call.route.target(rand::random()) else {
         return CallError::NoRoute.response();
@@ -142,6 +157,10 @@
         Ok(Err(BodyError::TooLong { .. })) => return Err(CallError::TooLong),
         Ok(Err(_)) | Err(_) => return Err(CallError::BodyIncomplete),
     };
+    // The body may have taken long, or the connection was idle when all others were closed.
+    if dispatch.takes_no_more() {
+        return Err(CallError::stopping());
+    }
     Ok(Call {
         route: route.clone(),
         key_holder,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -48,6 +48,8 @@
     sequence: AtomicU64,
     /// Retries that are allowed beyond the ratio, for the gateways that are started afterwards.
     pub(crate) retry_slack: f64,
+    /// How long after it was told to stop the platform ends a gateway, in seconds.
+    pub(crate) grace_s: u64,
     /// The rate of the links of the gateways that are started afterwards, in Mbit/s.
     pub(crate) link_mbps: f64,
 }
@@ -82,6 +84,7 @@
             folder,
             sequence: AtomicU64::new(1),
             retry_slack: 50.0,
+            grace_s: 8,
             link_mbps: 1_000.0,
         }
     }
@@ -205,7 +208,7 @@
             name,
             data_centre,
             store_addr: store,
-            grace_s: 8,
+            grace_s: self.grace_s,
             retry_ratio: 0.2,
             retry_slack: self.retry_slack,
             retry_window_s: 10,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`LimitOptions`], [`LimitReport`] — its size and result.
 //! * [`run_versions`] — streams on engines of several software versions.
 //! * [`VersionOptions`], [`VersionReport`] — its size and result.
+//! * [`run_planned_stop`], [`PlannedStopReport`] — requests that come late while a daemon stops.
 //! * [`Kind`] — the kind of a request.
 
 mod call;
@@ -27,6 +28,7 @@
 mod injector;
 mod limits;
 mod options;
+mod planned_stop;
 mod recorder;
 mod run;
 mod site;
@@ -41,5 +43,6 @@
 };
 pub use limits::{LimitOptions, LimitReport, run_limits};
 pub use options::SoakOptions;
+pub use planned_stop::{PlannedStopReport, run_planned_stop};
 pub use run::{SoakError, SoakReport, soak};
 pub use versions::{VersionOptions, VersionReport, run_versions};
