Tests that an answer whose head broke off is no success

It can't happen here: the HTTP library reads a head to its blank line or fails. Shown for each place in the head, closed and reset, three framings, plain calls and streams, new and kept connections, over a peer, and with real daemons. An answer without a length that is closed right after its whole head is an empty answer, which the protocol allows.

No product code changed.

--- a/crates/fakes/src/framed_upstream.rs
+++ b/crates/fakes/src/framed_upstream.rs
@@ -84,6 +84,8 @@
     pub framing: BodyFraming,
     /// Its body.
     pub body: Bytes,
+    /// How much of the head's end is not written, after which the answer ends. The head is whole if `None`.
+    pub head_lacks_bytes: Option<usize>,
     /// How much of the body is written; all if `None`.
     pub cut_at_bytes: Option<usize>,
     /// The time between what is written of the body and its end.
@@ -103,6 +105,7 @@
             content_type: None,
             framing: BodyFraming::Chunked,
             body: Bytes::new(),
+            head_lacks_bytes: None,
             cut_at_bytes: None,
             pause_ms: 0,
             end: AnswerEnd::Complete,
@@ -284,6 +287,10 @@
         }
         let mut bytes = BytesMut::from(head.as_bytes());
         bytes.put_slice(b"\r\n");
+        if let Some(lacking_bytes) = answer.head_lacks_bytes {
+            bytes.truncate(bytes.len().saturating_sub(lacking_bytes));
+            return bytes.freeze();
+        }
         if answer.framing == BodyFraming::Chunked {
             put_chunks(&mut bytes, body, is_complete);
         } else {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`LimitOptions`], [`LimitReport`] — its size and result.
 //! * [`run_versions`] — streams on engines of several software versions.
 //! * [`VersionOptions`], [`VersionReport`] — its size and result.
+//! * [`run_cut_heads`], [`CutHeadReport`] — answers whose heads break off.
 //! * [`run_planned_stop`], [`PlannedStopReport`] — requests that come late while a daemon stops.
 //! * [`Kind`] — the kind of a request.
 
@@ -22,6 +23,7 @@
 mod caller;
 mod checks;
 mod crash;
+mod cut_heads;
 mod daemon;
 mod fault;
 mod fault_window;
@@ -41,6 +43,7 @@
     BadPartOptions, BadPartReport, CrashOptions, CrashReport, CulpritReport, PartReport,
     SoundCalls, run_bad_parts, run_crashes,
 };
+pub use cut_heads::{CutHeadReport, run_cut_heads};
 pub use limits::{LimitOptions, LimitReport, run_limits};
 pub use options::SoakOptions;
 pub use planned_stop::{PlannedStopReport, run_planned_stop};
--- a/crates/soak/src/site.rs
+++ b/crates/soak/src/site.rs
@@ -201,7 +201,26 @@
             started_unix_ms: placed.started_unix_ms,
             sequence: self.sequence.fetch_add(1, Ordering::AcqRel),
         };
-        self.write(UPSTREAMS_TOPIC, &placed.upstream.name, entry.document().to_string().as_bytes());
+        self.write_upstream(&placed.upstream.name, entry);
+    }
+
+    /// Writes the entry of an upstream that has no place.
+    pub(crate) fn announce(&self, name: &str, addr: SocketAddr, service: &str) {
+        let entry = UpstreamEntry {
+            addr,
+            service,
+            data_centre: "z0",
+            slots: SLOTS,
+            state: "ready",
+            version: "v1",
+            started_unix_ms: self.recorder.now_ms(),
+            sequence: self.sequence.fetch_add(1, Ordering::AcqRel),
+        };
+        self.write_upstream(name, entry);
+    }
+
+    fn write_upstream(&self, name: &str, entry: UpstreamEntry<'_>) {
+        self.write(UPSTREAMS_TOPIC, name, entry.document().to_string().as_bytes());
     }
 
     /// A copy of the store, from which it can come back.
