--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -43,7 +43,7 @@
         };
         calls += 1;
         let call = Call {
-            id: format!("{number:x}c{calls:x}"),
+            id: format!("{number:x}-{calls:x}"),
             kind: random_kind(&mut random),
             body: Bytes::from(format!("body of {number} {calls}")),
             daemon,
--- a/crates/soak/src/crash/part_caller.rs
+++ b/crates/soak/src/crash/part_caller.rs
@@ -36,7 +36,8 @@
         let daemon = (attempt + number) % site.daemons.len();
         attempt += 1;
         let id = format!("{CULPRIT}{number}a{attempt}");
-        let parts = format!("{COMMON_PART}:79,{}:300,{attempt:x}e{number:x}:20", bad_part(number));
+        let parts =
+            format!("{COMMON_PART}:79,{}:300,e{number:04x}{attempt:08x}:20", bad_part(number));
         let sent_site = site.clone();
         site.spawner.detach(async move {
             // An attempt without an answer has no effect here: upstreams record what they run.
@@ -62,7 +63,7 @@
         attempt += 1;
         let daemon = random.random_range(0..site.daemons.len());
         let id = format!("{SOUND}{number}a{attempt}");
-        let parts = format!("{COMMON_PART}:79,{attempt:x}f{number:x}:20");
+        let parts = format!("{COMMON_PART}:79,f{number:04x}{attempt:08x}:20");
         let sent_unix_ms = site.recorder.now_ms();
         let answer = within(TIMEOUT_MS, send(&site, daemon, &id, kind, &parts)).await;
         let events = answer.ok().flatten().unwrap_or_default();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -243,7 +243,7 @@
     let Ok(mut connection) = opened else { return false };
     let sent_ms = site.recorder.now_ms();
     let call = Call {
-        id: format!("probe{daemon:x}c{sent_ms:x}c{tries:x}"),
+        id: format!("probe-{daemon:x}-{sent_ms:x}-{tries:x}"),
         kind: Kind::Safe,
         body: "probe".into(),
         daemon,
