--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -157,7 +157,7 @@
         Ok(Err(BodyError::TooLong { .. })) => return Err(CallError::TooLong),
         Ok(Err(_)) | Err(_) => return Err(CallError::BodyIncomplete),
     };
-    // The body may have taken long, or the connection was idle when all others were closed.
+    // Its head or body was under way when the daemon closed its listener and idle connections.
     if dispatch.takes_no_more() {
         return Err(CallError::stopping());
     }
