Tests and the soak share what callers of streams send and read

Five test files and the soak each wrote the same requests and the same loop over an answer's body. They now use CallerRequest::text, take_up and read_marked. No check has changed.

--- a/crates/fakes/src/platform_documents.rs
+++ b/crates/fakes/src/platform_documents.rs
@@ -247,6 +247,19 @@
         }
         built
     }
+
+    /// The HTTP request as a caller writes it that sends it itself, in parts.
+    #[must_use]
+    pub fn text(&self, method: &str, path: &str, body: &str) -> String {
+        let request = self.request(method, path, body.to_owned());
+        let headers = request.headers().iter().filter_map(|(name, value)| {
+            let value = value.to_str().ok()?;
+            Some(format!("{name}: {value}\r\n"))
+        });
+        let headers: String = headers.collect();
+        let length = body.len();
+        format!("{method} {path} HTTP/1.1\r\n{headers}content-length: {length}\r\n\r\n{body}")
+    }
 }
 
 /// The name of the upstream that signed an answer.
--- a/crates/gateway/tests/all_daemons_restarted.rs
+++ b/crates/gateway/tests/all_daemons_restarted.rs
@@ -8,13 +8,13 @@
 use comfreymast_base::{Service, SoftwareVersion};
 use comfreymast_decide::version_history::ServiceVersion;
 use comfreymast_decide::version_records::record_key;
-use comfreymast_fakes::platform_documents::{CallerRequest, event_versions};
+use comfreymast_fakes::platform_documents::event_versions;
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::GatewayOptions;
-use comfreymast_net::{Body, Spawner};
+use comfreymast_net::Spawner;
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode};
-use support::{Gateway, TestEnv, event_ids, generation, run_test, wait_for};
+use hyper::StatusCode;
+use support::{Gateway, TestEnv, event_ids, generation, run_test, take_up, wait_for};
 
 const EVENTS: u64 = 20;
 /// The last event that a caller gets before all daemons end.
@@ -145,7 +145,11 @@
         let mut taken_up = TakenUp::default();
         for (number, stream) in begun.iter().enumerate() {
             let daemon = &self.daemons[(number + 1) % DAEMONS];
-            let call = take_up(&format!("taken-{}-{number}", self.generation), &stream.attempt);
+            let call = take_up(
+                &format!("taken-{}-{number}", self.generation),
+                Some(&stream.attempt),
+                LAST_EVENT,
+            );
             let (_connection, response) = daemon.open(spawner, call).await;
             let status = response.status();
             let has_retry_after = response.headers().contains_key("retry-after");
@@ -185,17 +189,6 @@
     (LAST_EVENT + 1..=EVENTS).collect()
 }
 
-/// A request that takes up the stream of `attempt`.
-fn take_up(id: &str, attempt: &str) -> Request<Body> {
-    let request = CallerRequest {
-        id,
-        tokens: Some((100, 80)),
-        resumes: Some((attempt, LAST_EVENT)),
-        ..CallerRequest::default()
-    };
-    request.request("POST", "/caption/x", "body")
-}
-
 fn alternating(number: usize) -> &'static str {
     if number.is_multiple_of(2) { "v1" } else { "v2" }
 }
@@ -346,7 +339,7 @@
         let engine = env.upstream("e0", "engines").await;
         let gateway = env.gateway("d0").await;
         gateway.wait_ready(&spawner).await;
-        let answer = gateway.call(&spawner, take_up("id-1", "unknown")).await;
+        let answer = gateway.call(&spawner, take_up("id-1", Some("unknown"), LAST_EVENT)).await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(engine.runs().len(), 0);
     });
@@ -413,7 +406,7 @@
     run_test(async |spawner| {
         let fleet = Fleet::new(&spawner, alternating).await;
         let runs = fleet.runs();
-        let mut call = take_up("id-1", "unknown");
+        let mut call = take_up("id-1", Some("unknown"), LAST_EVENT);
         call.headers_mut().insert("last-event-id", "three".parse().expect("a value"));
         let answer = fleet.daemons[0].call(&spawner, call).await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/gateway/tests/continued_streams.rs
+++ b/crates/gateway/tests/continued_streams.rs
@@ -10,9 +10,9 @@
 use comfreymast_fakes::framed_upstream::{
     AnswerEnd, FramedUpstream, ReceivedRequest, WrittenAnswer,
 };
-use comfreymast_net::{BodyFraming, BodyStep, ResponseBody, Spawner};
+use comfreymast_net::{BodyFraming, Spawner};
 use hyper::StatusCode;
-use support::{Gateway, TestEnv, generation, run_test};
+use support::{Gateway, TestEnv, generation, read_marked, run_test};
 
 const FIRST: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const HALF_AN_EVENT: &str = "id: 3\nda";
@@ -65,15 +65,7 @@
     let (_env, gateway, engines) = start(spawner, broken_body, next).await;
     let (_connection, response) = gateway.open(spawner, generation("/caption/a", "id")).await;
     assert_eq!(response.status(), StatusCode::OK);
-    let (head, body) = response.into_parts();
-    let mut body = ResponseBody::new(&head, body);
-    let mut bytes = Vec::new();
-    let mark = loop {
-        match body.next().await {
-            BodyStep::Data(data) => bytes.extend_from_slice(&data),
-            BodyStep::End(mark) => break mark,
-        }
-    };
+    let (bytes, mark) = read_marked(response).await;
     let asked = engines.iter().map(|engine| engine.requests().len()).sum::<usize>();
     assert!(asked >= 2, "the stream did not go on");
     let text = String::from_utf8(bytes).expect("text");
--- a/crates/gateway/tests/cut_heads.rs
+++ b/crates/gateway/tests/cut_heads.rs
@@ -10,10 +10,10 @@
     AnswerEnd, FramedUpstream, ReceivedRequest, WrittenAnswer,
 };
 use comfreymast_gateway::GatewayOptions;
-use comfreymast_net::{BodyFraming, BodyStep, ResponseBody, Spawner, sleep_ms};
+use comfreymast_net::{BodyFraming, Spawner, sleep_ms};
 use comfreymast_proof::Link;
 use hyper::StatusCode;
-use support::{Gateway, TestEnv, generation, run_test, wait_for};
+use support::{Gateway, TestEnv, generation, read_marked, run_test, wait_for};
 
 /// More than any head of these answers has.
 const MAX_HEAD_BYTES: usize = 160;
@@ -99,16 +99,9 @@
     id: &str,
 ) -> Option<(StatusCode, bool, Vec<u8>)> {
     let (_connection, response) = gateway.try_open(spawner, generation(path, id)).await?;
-    let (head, body) = response.into_parts();
-    let mut body = ResponseBody::new(&head, body);
-    let mut bytes = Vec::new();
-    let mark = loop {
-        match body.next().await {
-            BodyStep::Data(data) => bytes.extend_from_slice(&data),
-            BodyStep::End(mark) => break mark,
-        }
-    };
-    Some((head.status, mark == EndMark::Framed, bytes))
+    let status = response.status();
+    let (body, mark) = read_marked(response).await;
+    Some((status, mark == EndMark::Framed, body))
 }
 
 /// Asks for answers whose heads are cut at each of `places`, counted from their ends. None of them may look complete.
--- a/crates/gateway/tests/out_of_step.rs
+++ b/crates/gateway/tests/out_of_step.rs
@@ -6,13 +6,13 @@
 
 use comfreymast_base::Clock;
 use comfreymast_fakes::log_service::LogFaults;
-use comfreymast_fakes::platform_documents::{CallerRequest, event_versions};
+use comfreymast_fakes::platform_documents::event_versions;
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::GatewayOptions;
-use comfreymast_net::{Body, Spawner, sleep_ms};
+use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_proof::{Direction, Link, PeerNetwork, PeerPort};
-use hyper::{Request, StatusCode};
-use support::{Gateway, TestEnv, generation, run_test, wait_for};
+use hyper::StatusCode;
+use support::{Gateway, TestEnv, generation, run_test, take_up, wait_for};
 
 const DAEMONS: usize = 3;
 /// The daemon that is cut off.
@@ -146,23 +146,11 @@
         id: &str,
         attempt: Option<&str>,
     ) -> Option<BTreeSet<String>> {
-        let answer = self.daemons[daemon].call(spawner, take_up(id, attempt)).await;
+        let answer = self.daemons[daemon].call(spawner, take_up(id, attempt, LAST_EVENT)).await;
         (answer.status == StatusCode::OK).then(|| event_versions(&answer.body))
     }
 }
 
-/// A request that takes up the stream of `attempt`, if that is named.
-fn take_up(id: &str, attempt: Option<&str>) -> Request<Body> {
-    let resumes = Some((attempt.unwrap_or_default(), LAST_EVENT));
-    let tokens = Some((100, 80));
-    let request = CallerRequest { id, tokens, resumes, ..CallerRequest::default() };
-    let mut request = request.request("POST", "/caption/x", "body");
-    if attempt.is_none() {
-        request.headers_mut().remove("resumes");
-    }
-    request
-}
-
 /// Streams that begin at a new version while a daemon is cut off are not joined there, while it is cut off and
 /// after that.
 async fn check_not_joined(spawner: &Spawner, from: CutFrom, naming: Naming) {
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -4,14 +4,16 @@
 
 use std::collections::BTreeSet;
 
-use comfreymast_fakes::platform_documents::{CallerRequest, event_versions};
+use comfreymast_fakes::platform_documents::event_versions;
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::GatewayOptions;
-use comfreymast_net::{Body, Spawner, collect};
-use hyper::{Request, StatusCode};
-use support::{Gateway, TestEnv, event_ids, generation, run_test, wait_for};
+use comfreymast_net::{Spawner, collect};
+use hyper::StatusCode;
+use support::{Gateway, TestEnv, event_ids, generation, run_test, take_up, wait_for};
 
 const EVENTS: u64 = 20;
+/// The last event that a caller has that takes its stream up.
+const LAST_EVENT: u64 = 3;
 const MAX_BYTES: usize = 1 << 20;
 const MIN_STREAMS: usize = 8;
 /// So many do not begin at one of two versions by chance.
@@ -118,17 +120,6 @@
     });
 }
 
-/// A request that takes up the stream of `attempt` after its third event.
-fn take_up(id: &str, attempt: &str) -> Request<Body> {
-    let request = CallerRequest {
-        id,
-        tokens: Some((100, 80)),
-        resumes: Some((attempt, 3)),
-        ..CallerRequest::default()
-    };
-    request.request("POST", "/caption/x", "body")
-}
-
 /// Begins streams at a daemon and leaves them: eight or more, until there are some of `versions` versions.
 /// Placement draws between equal engines. Returns the attempts with the versions that began them.
 async fn begin_streams(
@@ -160,12 +151,13 @@
         for (attempt, version) in &begun {
             let id = format!("taken-{attempt}");
             wait_for("a taken up stream", async || {
-                let (_connection, response) = second.open(&spawner, take_up(&id, attempt)).await;
+                let (_connection, response) =
+                    second.open(&spawner, take_up(&id, Some(attempt), LAST_EVENT)).await;
                 let is_ok = response.status() == StatusCode::OK;
                 let body = support::read_what_arrives(response).await;
                 if is_ok {
                     assert_eq!(event_versions(&body), BTreeSet::from([version.clone()]));
-                    assert_eq!(event_ids(&body), (4..=EVENTS).collect::<Vec<_>>());
+                    assert_eq!(event_ids(&body), (LAST_EVENT + 1..=EVENTS).collect::<Vec<_>>());
                 }
                 is_ok
             })
@@ -179,7 +171,7 @@
     run_test(async |spawner| {
         let fleet = Fleet::new(&spawner, &["v1", "v2"]).await;
         let gateway = fleet.gateway("d0").await;
-        let answer = gateway.call(&spawner, take_up("id-1", "unknown")).await;
+        let answer = gateway.call(&spawner, take_up("id-1", Some("unknown"), LAST_EVENT)).await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(!answer.headers.contains_key("retry-after"), "coming back changes nothing");
         let runs: usize = fleet.engines.iter().map(|engine| engine.runs().len()).sum();
@@ -197,7 +189,7 @@
         let gone = fleet.engines.iter().find(|engine| engine.behaviour().version == *version);
         fleet.env.announce(gone.expect("an engine"), "engines", "draining");
         wait_for("refusal", async || {
-            let answer = gateway.call(&spawner, take_up("id-1", attempt)).await;
+            let answer = gateway.call(&spawner, take_up("id-1", Some(attempt), LAST_EVENT)).await;
             answer.status == StatusCode::SERVICE_UNAVAILABLE
                 && !answer.headers.contains_key("retry-after")
         })
@@ -219,10 +211,10 @@
         });
         let gateway = fleet.gateway("d0").await;
         // A daemon that has just started does not know which versions there were.
-        let answer = gateway.call(&spawner, take_up("id-0", "unknown")).await;
+        let answer = gateway.call(&spawner, take_up("id-0", Some("unknown"), LAST_EVENT)).await;
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         wait_for("a taken up stream", async || {
-            let answer = gateway.call(&spawner, take_up("id-1", "unknown")).await;
+            let answer = gateway.call(&spawner, take_up("id-1", Some("unknown"), LAST_EVENT)).await;
             answer.status == StatusCode::OK
         })
         .await;
--- a/crates/gateway/tests/split_routes.rs
+++ b/crates/gateway/tests/split_routes.rs
@@ -6,17 +6,17 @@
 
 use async_net::UdpSocket;
 use comfreymast_decide::stream_origins::origin_key;
-use comfreymast_fakes::platform_documents::{CallerRequest, RouteEntry, signer};
+use comfreymast_fakes::platform_documents::{RouteEntry, signer};
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::GatewayOptions;
-use comfreymast_net::{Body, Spawner, sleep_ms};
+use comfreymast_net::{Spawner, sleep_ms};
 use comfreymast_proof::Link;
 use comfreymast_wire::news::{News, StreamOrigin, news};
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode};
+use hyper::StatusCode;
 use prost::Message;
 use serde_json::{Value, json};
-use support::{Gateway, TestEnv, call, event_ids, generation, run_test, wait_for};
+use support::{Gateway, TestEnv, call, event_ids, generation, run_test, take_up, wait_for};
 
 const EVENTS: u64 = 20;
 /// The last event that a caller gets before it leaves.
@@ -91,18 +91,6 @@
     name.split_once('-').expect("a service").0.to_owned()
 }
 
-/// A request that takes up the stream of `attempt`, if that is named.
-fn take_up(id: &str, attempt: Option<&str>) -> Request<Body> {
-    let resumes = Some((attempt.unwrap_or_default(), LAST_EVENT));
-    let tokens = Some((100, 80));
-    let request = CallerRequest { id, tokens, resumes, ..CallerRequest::default() };
-    let mut request = request.request("POST", "/caption/x", "body");
-    if attempt.is_none() {
-        request.headers_mut().remove("resumes");
-    }
-    request
-}
-
 impl Fleet {
     /// A fleet whose engines have the versions that `version_of` gives their services.
     async fn new(spawner: &Spawner, version_of: impl Fn(&str) -> String) -> Self {
@@ -209,7 +197,7 @@
         for stream in begun {
             self.taken_up += 1;
             let id = format!("taken-{}", self.taken_up);
-            let call = take_up(&id, names_attempt.then_some(&stream.attempt));
+            let call = take_up(&id, names_attempt.then_some(&stream.attempt), LAST_EVENT);
             let (_connection, response) = self.daemons[daemon].open(spawner, call).await;
             let status = response.status();
             let service = signer(response.headers()).map(service_of);
--- a/crates/gateway/tests/stopping.rs
+++ b/crates/gateway/tests/stopping.rs
@@ -6,6 +6,7 @@
 
 use async_net::TcpStream;
 use comfreymast_fakes::framed_upstream::{FramedUpstream, WrittenAnswer};
+use comfreymast_fakes::platform_documents::CallerRequest;
 use comfreymast_gateway::GatewayOptions;
 use comfreymast_net::{BodyFraming, Spawner, empty, request, sleep_ms, within};
 use comfreymast_proof::Link;
@@ -104,12 +105,10 @@
     }
 }
 
-fn head(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: h.example\r\nx-attempt-id: {id}\r\n\
-         authorization: Bearer key-1\r\nx-deadline-ms: 15000\r\nx-token-counts: 100,80\r\n\
-         content-length: 4\r\n\r\n"
-    )
+/// A request whose body has four bytes.
+fn text(path: &str, id: &str) -> String {
+    CallerRequest { id, tokens: Some((100, 80)), ..CallerRequest::default() }
+        .text("POST", path, "body")
 }
 
 /// A gateway with a grace period of `GRACE_S`, and upstreams whose answers end after `answer_ms`.
@@ -164,14 +163,14 @@
         for path in PATHS {
             let mut caller = SlowCaller::connect(gateway.addresses.callers).await;
             // A connection without a byte of a request is closed.
-            caller.write(&head(path, path)[..HALF_A_HEAD_BYTES]).await;
+            caller.write(&text(path, path)[..HALF_A_HEAD_BYTES]).await;
             callers.push((path, caller));
         }
         sleep_ms(100).await;
         gateway.stop();
         sleep_ms(ACCEPT_MS + 200).await;
         for (path, caller) in &mut callers {
-            caller.write(&format!("{}body", &head(path, path)[HALF_A_HEAD_BYTES..])).await;
+            caller.write(&text(path, path)[HALF_A_HEAD_BYTES..]).await;
             assert_refused(&caller.read().await, path);
             assert!(!ran(&upstreams, path), "{path} ran");
         }
@@ -186,7 +185,7 @@
         let mut callers = Vec::new();
         for path in PATHS {
             let mut caller = SlowCaller::connect(gateway.addresses.callers).await;
-            caller.write(&format!("{}bo", head(path, path))).await;
+            caller.write(text(path, path).strip_suffix("dy").expect("a body")).await;
             callers.push((path, caller));
         }
         sleep_ms(100).await;
@@ -207,7 +206,7 @@
         for path in ["/plain/x", "/safe/x"] {
             let (_env, gateway, _upstreams) = start(&spawner, 3 * GRACE_MS).await;
             let mut caller = SlowCaller::connect(gateway.addresses.callers).await;
-            caller.write(&format!("{}body", head(path, path))).await;
+            caller.write(&text(path, path)).await;
             sleep_ms(100).await;
             gateway.stop();
             // Read for as long as the platform lets the daemon run.
@@ -226,7 +225,7 @@
         let mut callers = Vec::new();
         for path in PATHS {
             let mut caller = SlowCaller::connect(gateway.addresses.callers).await;
-            caller.write(&format!("{}body", head(path, path))).await;
+            caller.write(&text(path, path)).await;
             callers.push((path, caller));
         }
         sleep_ms(100).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -7,6 +7,7 @@
 
 use async_channel::Sender;
 use bytes::Bytes;
+use comfreymast_base::EndMark;
 use comfreymast_fakes::log_service::{LogFaults, LogService};
 use comfreymast_fakes::platform_documents::{
     CONFIGURATION_KEY, CallerRequest, ConfigurationEntry, OPERATORS_TOPIC, RouteEntry,
@@ -15,8 +16,8 @@
 use comfreymast_fakes::platform_upstream::PlatformUpstream;
 use comfreymast_gateway::{GatewayAddresses, GatewayOptions, run};
 use comfreymast_net::{
-    Body, OwnedConnection, ReceivedBody, ServeLimits, Spawner, collect, empty, request, serve,
-    sleep_ms, within,
+    Body, BodyStep, OwnedConnection, ReceivedBody, ResponseBody, ServeLimits, Spawner, collect,
+    empty, request, serve, sleep_ms, within,
 };
 use comfreymast_platform::{KeyedRecord, VmSettings};
 use http_body_util::BodyExt;
@@ -310,6 +311,19 @@
     CallerRequest { id, tokens, ..CallerRequest::default() }.request("POST", path, "body")
 }
 
+/// A request that takes up a stream of `/caption/` after its event `last_event`. It names the attempt that began
+/// it, if there is one.
+pub(crate) fn take_up(id: &str, attempt: Option<&str>, last_event: u64) -> Request<Body> {
+    let resumes = Some((attempt.unwrap_or_default(), last_event));
+    let tokens = Some((100, 80));
+    let request = CallerRequest { id, tokens, resumes, ..CallerRequest::default() };
+    let mut request = request.request("POST", "/caption/x", "body");
+    if attempt.is_none() {
+        request.headers_mut().remove("resumes");
+    }
+    request
+}
+
 /// The ids of the events in a stream, which may be incomplete.
 pub(crate) fn event_ids(body: &[u8]) -> Vec<u64> {
     let text = String::from_utf8_lossy(body);
@@ -368,6 +382,19 @@
     .document()
 }
 
+/// The bytes of an answer that arrive, and what marked their end.
+pub(crate) async fn read_marked(response: Response<ReceivedBody>) -> (Vec<u8>, EndMark) {
+    let (head, body) = response.into_parts();
+    let mut body = ResponseBody::new(&head, body);
+    let mut bytes = Vec::new();
+    loop {
+        match body.next().await {
+            BodyStep::Data(data) => bytes.extend_from_slice(&data),
+            BodyStep::End(mark) => return (bytes, mark),
+        }
+    }
+}
+
 /// The bytes of an answer that arrive, whether it is whole or not.
 pub(crate) async fn read_what_arrives(response: Response<ReceivedBody>) -> Vec<u8> {
     let mut body = response.into_body();
--- a/crates/soak/src/planned_stop.rs
+++ b/crates/soak/src/planned_stop.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_net::TcpStream;
+use comfreymast_fakes::platform_documents::CallerRequest;
 use comfreymast_net::{Spawner, sleep_ms, within};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
@@ -87,13 +88,15 @@
 }
 
 fn request(kind: Kind, id: &str) -> String {
-    let (prompt_tokens, output_tokens) = TOKENS;
-    format!(
-        "POST /{}/late HTTP/1.1\r\nhost: {HOST}\r\nx-attempt-id: {id}\r\nauthorization: Bearer {KEY}\r\n\
-         x-deadline-ms: {TIMEOUT_MS}\r\nx-token-counts: {prompt_tokens},{output_tokens}\r\n\
-         content-length: 4\r\n\r\nbody",
-        kind.path()
-    )
+    let request = CallerRequest {
+        id,
+        host: HOST,
+        key: KEY,
+        deadline_ms: TIMEOUT_MS,
+        tokens: Some(TOKENS),
+        ..CallerRequest::default()
+    };
+    request.text("POST", &format!("/{}/late", kind.path()), "body")
 }
 
 fn io_error(error: std::io::Error) -> comfreymast_proof::ProofError {
