A stream that is aborted is written as far as it came

Cause: the HTTP library drops what it has buffered when a body fails. If events and the abort are ready at the same poll, the caller gets neither the events nor the head. Change: the body reports its abort one poll after it was pending, so that the library writes first.

--- a/crates/gateway/src/generation/relay_body.rs
+++ b/crates/gateway/src/generation/relay_body.rs
@@ -16,13 +16,16 @@
 /// upstream.
 pub(crate) struct RelayBody {
     chunks: Pin<Box<Receiver<Chunk>>>,
+    /// The error that aborts the body at the next poll.
+    abort: Option<BodyError>,
     _relay: Task<()>,
 }
 
 impl RelayBody {
     /// A body of the `chunks` that `relay` sends.
     pub(crate) fn body(chunks: Receiver<Chunk>, relay: Task<()>) -> Body {
-        BodyExt::boxed_unsync(StreamBody::new(Self { chunks: Box::pin(chunks), _relay: relay }))
+        let body = Self { chunks: Box::pin(chunks), abort: None, _relay: relay };
+        BodyExt::boxed_unsync(StreamBody::new(body))
     }
 }
 
@@ -30,9 +33,20 @@
     type Item = Result<Frame<Bytes>, BodyError>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.chunks
-            .as_mut()
-            .poll_next(context)
-            .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+        if let Some(error) = self.abort.take() {
+            return Poll::Ready(Some(Err(error)));
+        }
+        match self.chunks.as_mut().poll_next(context) {
+            Poll::Ready(Some(Err(error))) => {
+                // The HTTP library drops what it has buffered when a body fails, and writes it when a body
+                // is pending. So the error comes one poll later.
+                self.abort = Some(error);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
+            Poll::Ready(Some(Ok(chunk))) => Poll::Ready(Some(Ok(Frame::data(chunk)))),
+            Poll::Ready(None) => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
     }
 }
