Daemons that are gone leave the roster

With more than 23 names, a small fleet takes itself for a large one and leaves reading the store to few of its daemons. Change: members are named with the time since they were heard, and a report without it extends nothing. Three of each data centre are kept however old, so that partitioned data centres find each other again.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`links`] — which peers a daemon keeps connections to.
 //! * [`entry_expiry`] — how long an upstream whose entry was deleted stays in use.
 //! * [`list_guard`] — whether to adopt a VM list from which most VMs are missing.
+//! * [`member_expiry`] — when a daemon forgets another one.
 //! * [`membership`] — which daemons are live, from their heartbeats.
 //! * [`route_history`] — which services a route had in the last while.
 //! * [`routing`] — load balancing that ignores memory, and the subset of upstreams to use.
@@ -54,6 +55,7 @@
 pub mod link_watch;
 pub mod links;
 pub mod list_guard;
+pub mod member_expiry;
 pub mod membership;
 pub mod move_steps;
 pub mod placement;
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -31,7 +31,9 @@
     const PAUSE_MS: u64 = 500;
     let settings = dispatch.settings.load_full();
     let mut client = StoreClient::new(dispatch.spawner.clone(), settings.store_addr);
-    let own = Member { records_versions: true, ..dispatch.peers.own_member() }.encode_to_vec();
+    // The record outlives the daemon, so it does not say when the daemon was heard.
+    let own = dispatch.peers.own_member();
+    let own = Member { records_versions: true, heard_age_ms: None, ..own }.encode_to_vec();
     loop {
         let put = client.put(Topic::Daemons, settings.name.as_str(), &own).await;
         let newest = match put {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -119,8 +119,8 @@
             daemon: self.me.name.as_str().to_owned(),
             data_centre: self.me.data_centre.as_str().to_owned(),
             addr: self.own_addr.to_string(),
-            lost_services: Vec::new(),
-            records_versions: false,
+            heard_age_ms: Some(0),
+            ..news::Member::default()
         }
     }
 
@@ -171,7 +171,8 @@
 
     /// Up to `count` known daemons, starting at another one for each `round`.
     pub(crate) fn sample_members(&self, round: u64, count: usize) -> Vec<news::Member> {
-        self.table().roster.sample(round, count)
+        let now_ms = self.clock.now_ms();
+        self.table().roster.sample(round, count, now_ms)
     }
 
     /// Where the record of a stream is kept, besides here: `count` other daemons.
@@ -193,8 +194,8 @@
             daemon: heartbeat.daemon.clone(),
             data_centre: heartbeat.data_centre.clone(),
             addr: addr.to_string(),
-            lost_services: Vec::new(),
-            records_versions: false,
+            heard_age_ms: Some(0),
+            ..news::Member::default()
         };
         self.add_members(heartbeat.members.iter().filter(|member| member.daemon != sender.daemon));
         self.add_members([&sender]);
@@ -318,7 +319,8 @@
                 data_centre: heartbeat.data_centre.clone(),
                 addr: peer.addr.to_string(),
                 lost_services: heartbeat.lost_services.clone(),
-                records_versions: false,
+                heard_age_ms: Some(now_ms.saturating_sub(peer.received_ms)),
+                ..news::Member::default()
             });
         }
         for services in table.departed.services() {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -3,12 +3,10 @@
 
 use comfreymast_base::{DaemonName, DataCentre};
 use comfreymast_decide::links::{LinkOptions, Member, links};
+use comfreymast_decide::member_expiry::{MemberExpiryOptions, expired, is_fresh, last_seen_ms};
 use comfreymast_decide::stream_origins::{OriginKey, holders};
 use comfreymast_wire::news;
 
-/// How long a member or seed is kept after it was last reported.
-const MEMBER_TTL_MS: u64 = 30_000;
-
 /// The daemons known to this one, directly or through reports of others.
 #[derive(Debug, Default)]
 pub(crate) struct Roster {
@@ -42,7 +40,12 @@
         self.seeds.remove(&addr);
         let name = DaemonName::from(member.daemon.as_str());
         let data_centre = DataCentre::from(member.data_centre.as_str());
-        self.members.insert(name, Entry { data_centre, addr, last_seen_ms: now_ms });
+        let options = MemberExpiryOptions::default();
+        let last_seen_ms = last_seen_ms(member.heard_age_ms, now_ms, &options);
+        let known = self.members.get(&name);
+        if known.is_none_or(|known| known.last_seen_ms < last_seen_ms) {
+            self.members.insert(name, Entry { data_centre, addr, last_seen_ms });
+        }
     }
 
     /// Adds an address at which a daemon may listen.
@@ -50,19 +53,25 @@
         self.seeds.insert(addr, now_ms);
     }
 
-    /// Drops members and seeds that were not reported for [`MEMBER_TTL_MS`].
+    /// Drops members and seeds that have expired.
     pub(crate) fn expire(&mut self, now_ms: u64) {
-        let is_fresh = |last_seen_ms: u64| now_ms.saturating_sub(last_seen_ms) < MEMBER_TTL_MS;
-        self.members.retain(|_, entry| is_fresh(entry.last_seen_ms));
-        self.seeds.retain(|_, last_seen_ms| is_fresh(*last_seen_ms));
+        let options = MemberExpiryOptions::default();
+        self.seeds.retain(|_, last_seen_ms| is_fresh(*last_seen_ms, now_ms, &options));
+        let members = self.members.iter();
+        let members: Vec<_> =
+            members.map(|(name, entry)| (name, &entry.data_centre, entry.last_seen_ms)).collect();
+        for name in expired(&members, now_ms, &options) {
+            self.members.remove(&name);
+        }
     }
 
-    /// Up to `count` members, starting at another one for each `round`.
-    pub(crate) fn sample(&self, round: u64, count: usize) -> Vec<news::Member> {
+    /// Up to `count` members, starting at another one for each `round`, with the age of what is known of them at
+    /// `now_ms`.
+    pub(crate) fn sample(&self, round: u64, count: usize, now_ms: u64) -> Vec<news::Member> {
         let len = self.members.len();
         let from = if len == 0 { 0 } else { usize::try_from(round).unwrap_or(0) % len };
         let members = self.members.iter().cycle().skip(from).take(count.min(len));
-        members.map(|(name, entry)| to_message(name, entry)).collect()
+        members.map(|(name, entry)| to_message(name, entry, now_ms)).collect()
     }
 
     /// The addresses of the `count` members that keep the record of a stream.
@@ -94,12 +103,12 @@
     }
 }
 
-fn to_message(name: &DaemonName, entry: &Entry) -> news::Member {
+fn to_message(name: &DaemonName, entry: &Entry, now_ms: u64) -> news::Member {
     news::Member {
         daemon: name.as_str().to_owned(),
         data_centre: entry.data_centre.as_str().to_owned(),
         addr: entry.addr.to_string(),
-        lost_services: Vec::new(),
-        records_versions: false,
+        heard_age_ms: Some(now_ms.saturating_sub(entry.last_seen_ms)),
+        ..news::Member::default()
     }
 }
