Cold upstreams: the sum of all daemons stays under the rate that they tolerate

Cause: an upstream that starts under traffic, or becomes cold again, crashes at rates well above coldPerS. Nothing limited what daemons send to it together, and a risen coldRemainingMs of the same start was ignored.

Change: each daemon has a share of the rate, by the requests that heartbeats tell of and by the part of the known fleet that is in contact, and uses it in turns that lapse (decide/cold_rate, gateway/cold). Upstreams without a turn are no candidates. X-Cold-Ms of answers counts, and goes to peers with heartbeats. Services without coldPerS are served as before.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,6 @@
 //! Decision logic without I/O: each module takes the current time and state and returns what to do.
 //!
+//! * [`cold_rate`] — how many requests a cold upstream gets from this daemon.
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
 //! * [`forward_choice`] — which daemon takes a call of one that has lost its links to upstreams.
 //! * [`link_watch`] — whether a daemon has lost its links to upstreams.
@@ -43,6 +44,7 @@
 mod admission_work;
 pub mod answer_end;
 pub mod answer_proof;
+pub mod cold_rate;
 pub mod currency;
 pub mod entry_expiry;
 pub mod evacuation;
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -82,6 +82,8 @@
     pub named_limit: Option<String>,
     /// Set while it is brittle.
     pub brittleness: Option<Brittleness>,
+    /// `X-Cold-Ms` of all its answers.
+    pub cold_ms: Option<String>,
     /// How many of the next copies are made without their answers arriving.
     pub lost_copy_answers: u32,
 }
@@ -111,6 +113,7 @@
             crash_after_events: 0,
             named_limit: None,
             brittleness: None,
+            cold_ms: None,
             lost_copy_answers: 0,
         }
     }
@@ -313,13 +316,13 @@
         let Ok(body) = collect(body, MAX_BODY_BYTES).await else {
             return answer_with(StatusCode::BAD_REQUEST, full(""));
         };
-        let (named_limit, says_leaving, retry_after, brittleness) = {
+        let (named_limit, says_leaving, retry_after, brittleness, cold_ms) = {
             let mut state = self.state();
             state.arrivals_unix_ms.push(Clock::system().unix_ms());
             let behaviour = &state.behaviour;
-            let UpstreamBehaviour { named_limit, says_leaving, retry_after, brittleness, .. } =
-                behaviour.clone();
-            (named_limit, says_leaving, retry_after, brittleness)
+            let behaviour = behaviour.clone();
+            let UpstreamBehaviour { named_limit, says_leaving, retry_after, .. } = behaviour;
+            (named_limit, says_leaving, retry_after, behaviour.brittleness, behaviour.cold_ms)
         };
         let mut response = match head.uri.path() {
             "/-/kv-move" => self.copy(&body),
@@ -331,6 +334,9 @@
                 response
             }
         };
+        if let Some(cold_ms) = cold_ms {
+            set(&mut response, "x-cold-ms", &cold_ms);
+        }
         if let Some(limit) = named_limit {
             set(&mut response, "server-limit", &limit);
         }
--- a/crates/fleet/src/service_spec.rs
+++ b/crates/fleet/src/service_spec.rs
@@ -11,6 +11,11 @@
     pub health_path: String,
     /// Set when the upstreams are model engines.
     pub engine: Option<EngineSpec>,
+    /// The requests a second that an upstream tolerates from all daemons together while it is cold; `None` if
+    /// there is no limit.
+    pub cold_per_s: Option<f64>,
+    /// How long an upstream is cold that starts.
+    pub cold_start_ms: u64,
 }
 
 /// Properties common to all engines of one service.
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -68,6 +68,9 @@
     /// The upstreams turned requests away and said when to come back.
     #[display("upstreams pause")]
     Paused,
+    /// The upstreams are cold, and this daemon's part of what they take now is used.
+    #[display("upstreams cold")]
+    Cold,
     /// No engine has room.
     #[display("engines full")]
     Full,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -113,6 +113,7 @@
             let name = record.name.clone();
             match by_name.get(&name) {
                 Some(known) if is_same_start(&known.record, &record) => {
+                    known.cold.apply_entry(&name, record.cold_ms, now_ms);
                     if record.is_leaving {
                         mark_leaving(known, now_ms, "notice");
                     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -10,11 +10,12 @@
 use comfreymast_decide::upstream_limit::FleetNews;
 use comfreymast_fleet::Configuration;
 use comfreymast_net::{Spawner, sleep_ms};
-use comfreymast_platform::VmSettings;
+use comfreymast_platform::{ResponseHead, VmSettings};
 use event_listener::{Event, EventListener};
 
 use crate::GatewayOptions;
 use crate::answer::BufferBudget;
+use crate::cold::ColdFleet;
 use crate::directory::Directory;
 use crate::forward::ForwardPools;
 use crate::metrics::Metrics;
@@ -51,6 +52,8 @@
     pub(crate) directory: Directory,
     /// The retry budget: requests and retries, over all daemons.
     pub(crate) budget: Budget,
+    /// What decides this daemon's share of the requests that cold upstreams tolerate.
+    pub(crate) cold: ColdFleet,
     /// Metrics.
     pub(crate) metrics: Metrics,
     /// The memory of answers that are read whole.
@@ -96,6 +99,7 @@
         let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
         Self {
             budget: Budget::new(settings.retry_window_ms),
+            cold: ColdFleet::default(),
             answer_buffers: BufferBudget::of_vm(settings.memory_bytes),
             directory: Directory::new(clock.clone()),
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
@@ -173,6 +177,21 @@
         }
     }
 
+    /// Records what the head of an answer, to whatever request, says of its upstream. The request was sent at
+    /// `sent_ms`.
+    pub(crate) fn record_head(
+        &self,
+        upstream: &UpstreamState,
+        answer: &ResponseHead,
+        sent_ms: u64,
+    ) {
+        let now_ms = self.clock.now_ms();
+        upstream.record_head(answer, sent_ms, now_ms);
+        if upstream.cold.record_answer(&upstream.record.name, answer.cold, now_ms) {
+            self.notify_peers();
+        }
+    }
+
     /// Completes at the next loss of links to upstreams.
     pub(crate) fn next_link_loss(&self) -> EventListener {
         self.link_loss.listen()
@@ -200,12 +219,26 @@
             upstream.others_prefill_tokens.store(engine.prefill_tokens, Ordering::Release);
             let told = sum.limits.remove(upstream.record.name.as_str()).unwrap_or_default();
             upstream.limit.apply_news(&upstream.record.name, told, self.clock.now_ms());
+            let key = (upstream.record.name.as_str(), upstream.record.started_unix_ms.unwrap_or(0));
+            if let Some(until_ms) = sum.cold.get(key.0).and_then(|starts| starts.get(&key.1)) {
+                upstream.cold.apply_news(&upstream.record.name, *until_ms, self.clock.now_ms());
+            }
         }
         let services = sum.services.into_iter();
         let services = services.map(|(name, traffic)| (Service::from(name), traffic));
         self.budget.set_others(services.collect());
     }
 
+    /// True in a large fleet, where updates from other data centres are delayed.
+    pub(crate) fn is_large_fleet(&self) -> bool {
+        self.is_large_fleet.load(Ordering::Acquire)
+    }
+
+    /// True if the settings name other daemons.
+    pub(crate) fn has_seeds(&self) -> bool {
+        self.has_seeds
+    }
+
     /// What this daemon knows of the others, for limits that they share.
     pub(crate) fn fleet_news(&self) -> FleetNews {
         const LARGE_FLEET_LAG_MS: u64 = 1_000;
@@ -370,6 +403,12 @@
         own.iter_mut().map(|(service, window)| (service.clone(), window.total(now_ms))).collect()
     }
 
+    /// The sum of all other daemons' counts.
+    pub(crate) fn others(&self, service: &Service) -> Traffic {
+        let others = self.others.lock().unwrap_or_else(PoisonError::into_inner);
+        others.get(service).copied().unwrap_or_default()
+    }
+
     /// Replaces the sum of all other daemons' counts.
     pub(crate) fn set_others(&self, others: HashMap<Service, Traffic>) {
         *self.others.lock().unwrap_or_else(PoisonError::into_inner) = others;
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -71,6 +71,9 @@
 }
 
 async fn fetch_report(dispatch: &Dispatch, engine: &UpstreamState) -> Option<EngineReport> {
+    if !dispatch.take_turn(engine) {
+        return None;
+    }
     let addr = engine.record.addr;
     let mut connection = match engine.pool.take(dispatch.clock.now_ms()) {
         Some(connection) => connection,
@@ -85,7 +88,7 @@
         engine.mark_untrusted(dispatch.clock.now_ms());
         return None;
     }
-    engine.record_head(&head, sent_ms, dispatch.clock.now_ms());
+    dispatch.record_head(engine, &head, sent_ms);
     let bytes = collect(body, MAX_REPORT_BYTES).await.ok()?;
     let idle_ms = dispatch.options.idle_connection_ms;
     engine.pool.put(connection, dispatch.clock.now_ms() + idle_ms);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,9 @@
 use async_channel::Receiver;
 use async_net::UdpSocket;
 use comfreymast_net::{Body, empty, sleep_ms, within};
-use comfreymast_wire::news::{EngineUse, Heartbeat, News, ServiceTraffic, Topic, TopicDelta, news};
+use comfreymast_wire::news::{
+    ColdUpstream, EngineUse, Heartbeat, News, ServiceTraffic, Topic, TopicDelta, news,
+};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use prost::Message;
@@ -219,12 +221,21 @@
                 generations: upstream.own_generations().iter().map(generation_use).collect(),
             })
         });
-        let services =
-            self.dispatch.budget.own(now_ms).into_iter().map(|(service, traffic)| ServiceTraffic {
-                service: service.as_str().to_owned(),
-                requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
-                repeats: u32::try_from(traffic.retries).unwrap_or(u32::MAX),
-            });
+        let traffic = self.dispatch.budget.own(now_ms);
+        let (known, heard) = self.dispatch.cold.record_heartbeat(&self.dispatch, &traffic);
+        let services = traffic.into_iter().map(|(service, traffic)| ServiceTraffic {
+            service: service.as_str().to_owned(),
+            requests: u32::try_from(traffic.requests).unwrap_or(u32::MAX),
+            repeats: u32::try_from(traffic.retries).unwrap_or(u32::MAX),
+        });
+        let cold = directory.all().filter_map(|upstream| {
+            let left_ms = upstream.cold.heard_left_ms(now_ms);
+            (left_ms > 0).then(|| ColdUpstream {
+                upstream: upstream.record.name.as_str().to_owned(),
+                started_unix_ms: upstream.record.started_unix_ms.unwrap_or(0),
+                left_ms: u32::try_from(left_ms).unwrap_or(u32::MAX),
+            })
+        });
         let limits = directory.all().filter_map(|upstream| {
             let told = upstream.limit.own_news(now_ms)?;
             Some(told.message(upstream.record.name.as_str().to_owned(), now_ms))
@@ -245,6 +256,9 @@
             engines: engines.collect(),
             services: services.collect(),
             limits: limits.collect(),
+            cold: cold.collect(),
+            known_daemons: u32::try_from(known).unwrap_or(u32::MAX),
+            heard_daemons: if known > 0 { u32::try_from(heard).unwrap_or(u32::MAX) } else { 0 },
             uptime_ms: now_ms,
             lost_services: lost_services.iter().map(|name| name.as_str().to_owned()).collect(),
             is_draining: self.dispatch.is_draining(),
--- a/crates/gateway/src/fleet_sum.rs
+++ b/crates/gateway/src/fleet_sum.rs
@@ -2,7 +2,9 @@
 
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::fleet_budget::Traffic;
-use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic, UpstreamLimit};
+use comfreymast_wire::news::{
+    ColdUpstream, EngineUse, GenerationUse, ServiceTraffic, UpstreamLimit,
+};
 
 use crate::named_limit::LimitNews;
 
@@ -15,6 +17,8 @@
     pub(crate) services: BTreeMap<String, Traffic>,
     /// What was told of upstreams that name limits.
     pub(crate) limits: BTreeMap<String, LimitNews>,
+    /// Until when upstreams are cold, by name and start.
+    pub(crate) cold: BTreeMap<String, BTreeMap<u64, u64>>,
 }
 
 /// The total load of several daemons on one engine.
@@ -56,6 +60,30 @@
         }
     }
 
+    /// Adds what one daemon or data centre told at `received_ms` of upstreams that are cold.
+    pub(crate) fn add_cold(&mut self, cold: &[ColdUpstream], received_ms: u64) {
+        for told in cold {
+            let starts = self.cold.entry(told.upstream.clone()).or_default();
+            let until_ms = starts.entry(told.started_unix_ms).or_default();
+            *until_ms = (*until_ms).max(received_ms + u64::from(told.left_ms));
+        }
+    }
+
+    /// What was told of upstreams that are cold, in the form of a peer message that is sent at `now_ms`.
+    pub(crate) fn cold_news(&self, now_ms: u64) -> Vec<ColdUpstream> {
+        let mut news = Vec::new();
+        for (upstream, starts) in &self.cold {
+            for (started_unix_ms, until_ms) in starts {
+                let left_ms = u32::try_from(until_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
+                if left_ms > 0 {
+                    let (upstream, started_unix_ms) = (upstream.clone(), *started_unix_ms);
+                    news.push(ColdUpstream { upstream, started_unix_ms, left_ms });
+                }
+            }
+        }
+        news
+    }
+
     /// What was told of limits, in the form of a peer message that is sent at `now_ms`.
     pub(crate) fn limit_news(&self, now_ms: u64) -> Vec<UpstreamLimit> {
         let limits = self.limits.iter();
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -115,7 +115,7 @@
                 }
                 Err(failure) => {
                     self.record_not_continued(&target, failure, sent_ms).await;
-                    is_counted = failure == SendFailure::Unreached;
+                    is_counted = matches!(failure, SendFailure::Unreached | SendFailure::Cold);
                     if matches!(failure, SendFailure::Lost(_)) {
                         self.runs += 1;
                     }
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -205,7 +205,8 @@
             prefill_cost: MOVE_PREFILL_COST,
             ..PlacementOptions::default()
         };
-        place(&self.dispatch, &need, &options).map(|placed| placed.upstream)
+        let target = place(&self.dispatch, &need, &options)?.upstream;
+        self.dispatch.take_turn(&target).then_some(target)
     }
 
     async fn copy(
@@ -217,14 +218,14 @@
         let request = move_request(source, &self.id, target.record.addr, is_last);
         let started_ms = self.dispatch.clock.now_ms();
         self.source.limit.record_send(started_ms);
+        self.dispatch.owe_turn(&self.source);
         let exchange = async {
             let open_ms = self.dispatch.options.open_limit_ms;
             let mut connection =
                 OwnedConnection::open(&self.dispatch.spawner, source, open_ms).await.ok()?;
             let (head, body) = connection.send(request).await.ok()?.into_parts();
-            let now_ms = self.dispatch.clock.now_ms();
             let answer = ResponseHead::decode(&head, &self.id);
-            self.source.record_head(&answer, started_ms, now_ms);
+            self.dispatch.record_head(&self.source, &answer, started_ms);
             Some((head.status, collect(body, MAX_REPLY_BYTES).await.ok()?))
         };
         let copied = match within(COPY_LIMIT_MS, exchange).await {
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -6,6 +6,7 @@
 use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::EngineSpec;
 
+use crate::cold::retain_with_turns;
 use crate::dispatch::Dispatch;
 use crate::named_limit::retain_within_limits;
 use crate::places::free_places;
@@ -50,6 +51,7 @@
     let now_ms = dispatch.clock.now_ms();
     candidates.retain(|engine| engine.pause_left_ms(now_ms) == 0);
     candidates.retain(|engine| free_places(dispatch, engine, now_ms) > 0);
+    retain_with_turns(dispatch, &mut candidates);
     retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> = candidates
         .iter()
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -190,6 +190,10 @@
                 let progress = LastProgress { alive_ms: started_ms, ..LastProgress::default() };
                 report_if_ended(self.dispatch, self.call, &upstream, progress).await;
             }
+            if failure == SendFailure::Cold {
+                // Another request took the turn after the choice.
+                continue;
+            }
             self.check_resend(&upstream, failure)?;
         }
     }
@@ -272,7 +276,7 @@
         let may_retry_send = match failure {
             // The upstream received nothing, so the next send does not count as a retry.
             SendFailure::Unreached if has_time => return Ok(()),
-            SendFailure::Unreached => false,
+            SendFailure::Unreached | SendFailure::Cold => false,
             SendFailure::Withheld(reason) => return Err(self.withheld(reason).into()),
             SendFailure::NotRun(_) => {
                 self.sends += 1;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod brittleness;
 mod call;
 mod call_error;
+mod cold;
 mod departed_traffic;
 mod directory;
 mod dispatch;
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -7,6 +7,7 @@
 use comfreymast_net::{OwnedConnection, collect, empty, request, within};
 use comfreymast_platform::ResponseHead;
 
+use crate::cold::retain_with_turns;
 use crate::dispatch::Dispatch;
 use crate::named_limit::retain_within_limits;
 use crate::upstream_state::UpstreamState;
@@ -52,6 +53,7 @@
     };
     let mut candidates: Vec<_> =
         upstreams.of_service(service).iter().filter(takes_requests).collect();
+    retain_with_turns(dispatch, &mut candidates);
     retain_within_limits(dispatch, &mut candidates);
     candidates.sort_by_cached_key(|_| rand::random::<u32>());
     candidates.into_iter().take(PROBES).cloned().collect()
@@ -68,12 +70,13 @@
     let health_path = health_path(dispatch, &upstream.record.service);
     let sent_ms = dispatch.clock.now_ms();
     upstream.limit.record_send(sent_ms);
+    dispatch.owe_turn(upstream);
     let sent = connection.send(request(addr, "GET", &health_path, empty()));
     let Ok(Ok(answer)) = within(ANSWER_LIMIT_MS, sent).await else { return false };
     dispatch.record_link_answer(upstream, ConnectionKind::New);
     let (parts, body) = answer.into_parts();
     let head = ResponseHead::decode(&parts, NO_ID);
-    upstream.record_head(&head, sent_ms, dispatch.clock.now_ms());
+    dispatch.record_head(upstream, &head, sent_ms);
     let body = collect(body, MAX_ANSWER_BYTES);
     if let Ok(Ok(_)) = within(ANSWER_LIMIT_MS, body).await
         && !head.closes_connection
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -95,6 +95,10 @@
     pub(crate) quarantine_refusals: Counter,
     /// Times that an upstream was passed over, as its named limit was used up.
     pub(crate) limit_skips: Counter,
+    /// Times that a cold upstream was passed over, as this daemon had no turn at it.
+    pub(crate) cold_skips: Counter,
+    /// Requests that were sent to cold upstreams of services with a limit.
+    pub(crate) cold_sends: Counter,
     /// Calls that were forwarded to peers, by what became of them.
     pub(crate) forwards: Family<ForwardLabels, Counter>,
     /// Times that the links to the upstreams of a service were lost.
@@ -168,6 +172,18 @@
             "Times that an upstream was passed over, as its named limit was used up",
             limit_skips.clone(),
         );
+        let cold_skips = Counter::default();
+        registry.register(
+            "gateway_cold_skips",
+            "Times that a cold upstream was passed over, as this daemon had no turn at it",
+            cold_skips.clone(),
+        );
+        let cold_sends = Counter::default();
+        registry.register(
+            "gateway_cold_sends",
+            "Requests sent to cold upstreams of services with a limit",
+            cold_sends.clone(),
+        );
         let forwards = Family::default();
         registry.register(
             "gateway_forwards",
@@ -225,6 +241,8 @@
             quarantine_refusals,
             unknown_origins,
             limit_skips,
+            cold_skips,
+            cold_sends,
             forwards,
             link_losses,
             store_returns,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,7 @@
 use comfreymast_decide::topic_source::{SourceView, choose_source};
 use comfreymast_wire::news::{self, Heartbeat, Summary};
 
+use crate::cold::FleetReports;
 use crate::departed_traffic::DepartedTraffic;
 use crate::fleet_sum::FleetSum;
 use crate::roster::{Links, Roster};
@@ -274,6 +275,7 @@
         for peer in table.by_name.values() {
             sum.add(&peer.heartbeat.engines, &peer.heartbeat.services);
             sum.add_limits(&peer.heartbeat.limits, peer.received_ms);
+            sum.add_cold(&peer.heartbeat.cold, peer.received_ms);
         }
         for services in table.departed.services() {
             sum.add(&[], services);
@@ -281,6 +283,7 @@
         for received in table.summaries.values() {
             sum.add(&received.summary.engines, &received.summary.services);
             sum.add_limits(&received.summary.limits, received.received_ms);
+            sum.add_cold(&received.summary.cold, received.received_ms);
         }
         Some(sum)
     }
@@ -292,6 +295,7 @@
         sum.add(&own.engines, &own.services);
         let now_ms = self.clock.now_ms();
         sum.add_limits(&own.limits, now_ms);
+        sum.add_cold(&own.cold, now_ms);
         let mut summary = Summary {
             data_centre: own.data_centre.clone(),
             made_unix_ms: self.clock.unix_ms(),
@@ -310,6 +314,7 @@
             }
             sum.add(&heartbeat.engines, &heartbeat.services);
             sum.add_limits(&heartbeat.limits, peer.received_ms);
+            sum.add_cold(&heartbeat.cold, peer.received_ms);
             positions = positions.max_each(&TopicPositions::of(heartbeat));
             summary.store_heard_age_ms =
                 summary.store_heard_age_ms.min(heartbeat.store_heard_age_ms);
@@ -328,6 +333,7 @@
         summary.engines = sum.engine_uses();
         summary.services = sum.service_traffic();
         summary.limits = sum.limit_news(now_ms);
+        summary.cold = sum.cold_news(now_ms);
         summary
     }
 
@@ -394,6 +400,25 @@
         table.by_name.len() + elsewhere.sum::<usize>()
     }
 
+    /// What heartbeats say of how many daemons there are.
+    pub(crate) fn fleet_reports(&self) -> FleetReports {
+        let table = self.table();
+        let elsewhere = table.summaries.values().flat_map(|received| &received.summary.members);
+        // While a fleet grows large, some daemons send heartbeats and are listed in summaries as well.
+        let elsewhere = elsewhere.filter(|member| {
+            member.daemon != self.me.name.as_str() && !table.by_name.contains_key(&member.daemon)
+        });
+        let peers = (table.by_name.len() + elsewhere.count()) as u64;
+        let heartbeats = table.by_name.values().map(|peer| &peer.heartbeat);
+        let heard = heartbeats.clone().map(|heartbeat| u64::from(heartbeat.heard_daemons));
+        FleetReports {
+            has_addresses: !table.roster.is_empty(),
+            peers,
+            known: heartbeats.map(|heartbeat| heartbeat.known_daemons.into()).max().unwrap_or(0),
+            heard: heard.filter(|heard| *heard > 0).min(),
+        }
+    }
+
     /// How many live daemons that the store answers come before this one by name. A large fleet
     /// counts only those of its own data centre.
     pub(crate) fn readers_before(&self) -> usize {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -9,6 +9,7 @@
 use crate::answer::read_whole;
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
+use crate::cold::{self, retain_with_turns};
 use crate::dispatch::Dispatch;
 use crate::named_limit::{retain_within_limits, usual_wait_ms};
 use crate::pause::shortest_pause_ms;
@@ -45,6 +46,10 @@
                 let wait_ms = usual_wait_ms(dispatch.directory.load().of_service(service));
                 return Ok(give_up(failed, runs, Refusal::Limited, wait_ms)?);
             }
+            Err(Refusal::Cold) => {
+                let wait_ms = cold::wait_ms(dispatch, service);
+                return Ok(give_up(failed, runs, Refusal::Cold, wait_ms)?);
+            }
             Err(Refusal::Paused) => {
                 let wait_ms = pause_ms(dispatch, service);
                 return Ok(give_up(failed, runs, Refusal::Paused, wait_ms)?);
@@ -93,6 +98,11 @@
                 log_attempt(call, &upstream, "not run", "not reached");
                 continue;
             }
+            Err(SendFailure::Cold) => {
+                // Another request took the turn after the choice.
+                tried.pop();
+                continue;
+            }
             Err(SendFailure::Withheld(reason)) => {
                 return Ok(give_up(failed, runs, reason, None)?);
             }
@@ -199,6 +209,10 @@
     if candidates.is_empty() {
         return Err(Refusal::Brittle);
     }
+    retain_with_turns(dispatch, &mut candidates);
+    if candidates.is_empty() {
+        return Err(Refusal::Cold);
+    }
     retain_within_limits(dispatch, &mut candidates);
     let views: Vec<_> =
         candidates.iter().map(|upstream| view(dispatch, upstream, now_ms)).collect();
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -50,6 +50,11 @@
         self.seeds.insert(addr, now_ms);
     }
 
+    /// True if no other daemon is known, nor an address of one.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.members.is_empty() && self.seeds.is_empty()
+    }
+
     /// Drops members and seeds that were not reported for [`MEMBER_TTL_MS`].
     pub(crate) fn expire(&mut self, now_ms: u64) {
         let is_fresh = |last_seen_ms: u64| now_ms.saturating_sub(last_seen_ms) < MEMBER_TTL_MS;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -93,6 +93,8 @@
     NotRun(&'static str),
     /// The upstream may have run the request.
     Lost(&'static str),
+    /// The request was not sent, since the upstream is cold and this daemon has no turn at it.
+    Cold,
     /// The request was not sent, since it may crash upstreams.
     Withheld(Refusal),
 }
@@ -122,6 +124,26 @@
     options: &SendOptions<'_>,
 ) -> Result<Sent, SendFailure> {
     quarantine::check(dispatch, call).map_err(SendFailure::Withheld)?;
+    let taken_ms = dispatch.clock.now_ms();
+    if options.resume_from.is_some() {
+        // Its generation was stopped to go on here.
+        dispatch.owe_turn(upstream);
+    } else if !dispatch.take_turn(upstream) {
+        return Err(SendFailure::Cold);
+    }
+    let sent = exchange(dispatch, call, upstream, options).await;
+    if sent.as_ref().is_err_and(|failure| *failure == SendFailure::Unreached) {
+        upstream.cold.give_back(taken_ms);
+    }
+    sent
+}
+
+async fn exchange(
+    dispatch: &Dispatch,
+    call: &Call,
+    upstream: &Arc<UpstreamState>,
+    options: &SendOptions<'_>,
+) -> Result<Sent, SendFailure> {
     let outstanding = Outstanding::new(upstream);
     let started_ms = dispatch.clock.now_ms();
     upstream.limit.record_send(started_ms);
@@ -168,7 +190,7 @@
             NamedRequest::This | NamedRequest::Other => "answer of another request",
         }));
     }
-    upstream.record_head(&answer, started_ms, dispatch.clock.now_ms());
+    dispatch.record_head(upstream, &answer, started_ms);
     if proof == Proof::NotRun {
         return Err(SendFailure::NotRun("upstream refused"));
     }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -8,6 +8,7 @@
 use comfreymast_platform::{Pause, ResponseHead};
 
 use crate::brittleness::Brittleness;
+use crate::cold::ColdState;
 use crate::directory::SharedState;
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
@@ -52,6 +53,8 @@
     has_named_invalid_pause: AtomicBool,
     /// The limit that it names for all daemons together.
     pub(crate) limit: NamedLimit,
+    /// Until when it is cold, and this daemon's turns at it meanwhile.
+    pub(crate) cold: ColdState,
     /// This daemon's links to all upstreams of its service.
     pub(crate) links: Arc<ServiceLinks>,
     /// Whether the upstreams of its service are brittle.
@@ -76,6 +79,7 @@
     pub(crate) fn new(record: UpstreamRecord, shared: SharedState, now_ms: u64) -> Self {
         let (leave, leaving) = async_channel::bounded(1);
         Self {
+            cold: ColdState::new(record.cold_ms, now_ms),
             record,
             pool: Pool::default(),
             outstanding: AtomicU32::new(0),
@@ -254,9 +258,9 @@
         self.first_seen_ms
     }
 
-    /// How much longer the upstream is slow because it has just started.
+    /// How much longer the upstream is cold: slow, and at some services in need of few requests.
     pub(crate) fn cold_ms(&self, now_ms: u64) -> u64 {
-        self.first_seen_ms.saturating_add(self.record.cold_ms).saturating_sub(now_ms)
+        self.cold.left_ms(now_ms)
     }
 
     /// Records an answer after `latency_ms`; `is_good` is false for an error of the upstream.
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -165,6 +165,10 @@
     max_connections: Option<u32>,
     health_path: Option<String>,
     engine: Option<EngineFields>,
+    #[serde(default)]
+    cold_per_s: f64,
+    #[serde(default)]
+    cold_start_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -185,10 +189,13 @@
     fn into_spec(self) -> ServiceSpec {
         const DEFAULT_CONNECTIONS: u32 = 100;
         const DEFAULT_HEALTH_PATH: &str = "/health";
+        const MS_PER_S: f64 = 1_000.0;
         ServiceSpec {
             name: Service::from(self.name),
             max_connections: self.max_connections.unwrap_or(DEFAULT_CONNECTIONS),
             health_path: self.health_path.unwrap_or_else(|| DEFAULT_HEALTH_PATH.to_owned()),
+            cold_per_s: Some(self.cold_per_s).filter(|per_s| *per_s > 0.0),
+            cold_start_ms: (self.cold_start_s * MS_PER_S) as u64,
             engine: self.engine.map(|engine| EngineSpec {
                 slots: engine.slots,
                 memory_tokens: engine.kv_capacity_tokens,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -37,7 +37,7 @@
     CopyLocation, ForwardOptions, PromptPart, PromptShape, RequestHead, RequestHeadError, Resumes,
     request_id, set_resumption, upstream_headers,
 };
-pub use response_head::{NamedRate, Pause, ResponseHead};
+pub use response_head::{ColdTime, NamedRate, Pause, ResponseHead};
 pub use settings::{SettingsError, VmSettings, settings_path};
 pub use store::{LogRecords, LogTopic, NewestRecords, StoreClient, StoreError, StorePage, Topic};
 pub use store_record::{KeyedRecord, RecordError};
--- a/crates/platform/src/names.rs
+++ b/crates/platform/src/names.rs
@@ -16,6 +16,8 @@
 pub(crate) const SERVER_BRITTLE: &str = "server-brittle";
 /// Set on all answers of an upstream that is leaving.
 pub(crate) const SERVER_LEAVING: &str = "server-leaving";
+/// How much longer the upstream that answers is cold, in milliseconds.
+pub(crate) const COLD_MS: &str = "x-cold-ms";
 /// The upstream's signature, which shows that a response comes from an upstream.
 pub(crate) const SIGNATURE: &str = "x-server-signature";
 /// The number of prompt tokens and the maximum number of output tokens.
--- a/crates/platform/src/response_head.rs
+++ b/crates/platform/src/response_head.rs
@@ -56,6 +56,27 @@
     }
 }
 
+/// How much longer an upstream says that it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdTime {
+    /// It does not say.
+    Absent,
+    /// It names something that is no number of milliseconds.
+    Invalid,
+    /// This long; 0 if it is warm.
+    Ms(u64),
+}
+
+impl ColdTime {
+    fn decode(headers: &HeaderMap) -> Self {
+        const MAX_COLD_MS: f64 = 60_000.0;
+        let Some(value) = headers.get(names::COLD_MS) else { return Self::Absent };
+        let cold_ms = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+        let cold_ms = cold_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
+        cold_ms.map_or(Self::Invalid, |ms| Self::Ms(ms.min(MAX_COLD_MS).ceil() as u64))
+    }
+}
+
 /// The decoded head of an upstream's response.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
@@ -78,6 +99,8 @@
     pub is_brittle: bool,
     /// How long the upstream wants nothing more from this daemon.
     pub pause: Pause,
+    /// How much longer the upstream is cold.
+    pub cold: ColdTime,
     /// True when the upstream closes the connection after this response.
     pub closes_connection: bool,
 }
@@ -103,6 +126,7 @@
             is_leaving: is_leaving(headers),
             is_brittle: headers.contains_key(names::SERVER_BRITTLE),
             pause: Pause::decode(head.status, headers),
+            cold: ColdTime::decode(headers),
             closes_connection: headers.get_all(CONNECTION).iter().any(|value| {
                 value.to_str().is_ok_and(|value| value.to_ascii_lowercase().contains("close"))
             }),
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -58,6 +58,11 @@
     pub retry_slack: f64,
     /// The length of the retry budget's window.
     pub retry_window_ms: u64,
+    /// In no second may a cold upstream get more than `cold_over` times the requests that it tolerates a second, and
+    /// `cold_slack` more, from all daemons together.
+    pub cold_over: f64,
+    /// See `cold_over`.
+    pub cold_slack: f64,
     /// The memory that the process may use.
     pub memory_bytes: u64,
     /// The rate of the VM's link; `None` if it is not known.
@@ -95,6 +100,8 @@
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_slack: file.bounds.budget_slack,
             retry_window_ms: seconds_to_ms(file.bounds.budget_window_s),
+            cold_over: file.bounds.cold_over,
+            cold_slack: file.bounds.cold_slack,
             memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
             link_bytes_per_s: file
                 .limits
@@ -165,6 +172,8 @@
     retry_budget_ratio: f64,
     budget_slack: f64,
     budget_window_s: f64,
+    cold_over: f64,
+    cold_slack: f64,
 }
 
 impl Default for BoundsFields {
@@ -175,6 +184,8 @@
             retry_budget_ratio: 0.1,
             budget_slack: 0.0,
             budget_window_s: 10.0,
+            cold_over: 1.5,
+            cold_slack: 5.0,
         }
     }
 }
