--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -53,6 +53,11 @@
         self.seeds.insert(addr, now_ms);
     }
 
+    /// True if no other daemon is known, nor an address of one.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.members.is_empty() && self.seeds.is_empty()
+    }
+
     /// Drops members and seeds that have expired.
     pub(crate) fn expire(&mut self, now_ms: u64) {
         let options = MemberExpiryOptions::default();
