--- a/crates/proof/src/fleet.rs
+++ b/crates/proof/src/fleet.rs
@@ -38,6 +38,8 @@
     pub engine_flags: Vec<String>,
     /// Additional flags of every daemon.
     pub daemon_flags: Vec<String>,
+    /// Additional environment variables of every daemon, with their values.
+    pub daemon_variables: Vec<(String, String)>,
     /// Executor threads of every daemon.
     pub daemon_threads: u32,
     /// The log filter of daemons, in the format of `RUST_LOG`.
@@ -54,6 +56,7 @@
             daemon_flags: ["--heartbeat-interval-ms", "50", "--vms-interval-ms", "50"]
                 .map(str::to_owned)
                 .to_vec(),
+            daemon_variables: Vec::new(),
             daemon_threads: 2,
             daemon_log: "info".to_owned(),
         }
@@ -215,6 +218,7 @@
         // set another interval, since a flag overrides the environment.
         command.env("COMFREYMAST_SNAPSHOT_INTERVAL_MS", NO_SNAPSHOT_MS);
         command.env("RUST_LOG", &self.options.daemon_log);
+        command.envs(self.options.daemon_variables.iter().cloned());
         command.stderr(std::fs::File::create(self.folder.path().join(format!("{name}.err")))?);
         let process = Process::start(command)?;
         let listening = process.listening().to_owned();
