Bodies of requests share one budget of memory, connections one of descriptors

Cause: callers that send large bodies and stop short of the end took a daemon far over its memory, and nothing limited connections by descriptors.

Change: `serve` and `daemon` read bodies through net/request_body, which takes an announced length before reading, grows in steps otherwise, copies into one buffer, lets bodies wait for room and cancels stalled ones (decide/body_budget). net/connections closes idle or incomplete connections for new ones (decide/connection_choice). Long bodies of plain requests that run once are released with the answer's head. Bodies are sent in slices. Unread parts of streams count together. Messages to peers carry the body without a copy.

--- a/crates/comfreymast/src/daemon.rs
+++ b/crates/comfreymast/src/daemon.rs
@@ -61,6 +61,8 @@
         "drain-grace-ms" => &daemon.drain_grace_ms,
         "drain-limit-ms" => &daemon.drain_limit_ms,
         "max-body-bytes" => &daemon.max_body_bytes,
+        "memory-mb" => &daemon.memory_mb,
+        "max-fds" => &daemon.max_fds,
         _ => &None,
     };
     value.clone()
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -70,6 +70,10 @@
             optional --drain-limit-ms drain_limit_ms: String
             /// The longest request body, 1024 to 268435456; default 4194304.
             optional --max-body-bytes max_body_bytes: String
+            /// The memory of this VM in MB, 16 to 1048576; default 512.
+            optional --memory-mb memory_mb: String
+            /// The descriptors it may have open, 64 to 1048576; default 32768.
+            optional --max-fds max_fds: String
         }
 
         /// Run a daemon on the platform, which writes its settings file.
--- a/crates/daemon/src/callers/answer.rs
+++ b/crates/daemon/src/callers/answer.rs
@@ -2,7 +2,7 @@
 use comfreymast_net::{Body, json};
 use derive_more::Display;
 use hyper::Response;
-use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use serde::Serialize;
 
 use super::call_error::CallError;
@@ -65,6 +65,9 @@
     if let Some(retry_after_ms) = retry_after_ms {
         headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(MS_PER_S)));
     }
+    if error.leaves_body_unread() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     set_outcome(&mut response, outcome);
     response
 }
--- a/crates/daemon/src/callers/call_error.rs
+++ b/crates/daemon/src/callers/call_error.rs
@@ -36,6 +36,12 @@
         /// The time allowed.
         limit_ms: u64,
     },
+    /// The daemon has no memory for the body.
+    #[display("no memory for the body now")]
+    NoMemory {
+        /// The delay before a retry.
+        retry_after_ms: u64,
+    },
     /// The daemon is not ready, or is draining.
     #[display("this daemon takes no new work")]
     NotReady,
@@ -136,6 +142,7 @@
             Self::LimitReached { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
             | Self::NotCurrent
+            | Self::NoMemory { .. }
             | Self::NoUpstream { .. }
             | Self::Overloaded { .. }
             | Self::LogUnavailable { .. }
@@ -152,6 +159,11 @@
         }
     }
 
+    /// True if the rest of the request may still be on its way, so that its connection cannot be used again.
+    pub(crate) fn leaves_body_unread(&self) -> bool {
+        matches!(self, Self::TooLong { .. } | Self::TooSlow { .. } | Self::NoMemory { .. })
+    }
+
     /// The machine-readable error code.
     pub(crate) fn code(&self) -> &'static str {
         match self {
@@ -161,6 +173,7 @@
             Self::Malformed { .. } => "malformed",
             Self::TooLong { .. } => "too_long",
             Self::TooSlow { .. } => "too_slow",
+            Self::NoMemory { .. } => "no_memory",
             Self::NotReady => "not_ready",
             Self::LimitReached { .. } => "limit_reached",
             Self::NotCurrent => "not_current",
@@ -202,6 +215,7 @@
             | Self::Malformed { .. }
             | Self::TooLong { .. }
             | Self::TooSlow { .. }
+            | Self::NoMemory { .. }
             | Self::NotReady
             | Self::NotCurrent
             | Self::LimitReached { .. }
@@ -220,6 +234,7 @@
         match self {
             Self::NotReady | Self::NotCurrent => Some(NOT_READY_RETRY_MS),
             Self::LimitReached { retry_after_ms, .. }
+            | Self::NoMemory { retry_after_ms }
             | Self::NoUpstream { retry_after_ms }
             | Self::Overloaded { retry_after_ms }
             | Self::LogUnavailable { retry_after_ms }
--- a/crates/daemon/src/callers/completion_request.rs
+++ b/crates/daemon/src/callers/completion_request.rs
@@ -1,11 +1,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use comfreymast_base::GenerationId;
+use comfreymast_base::{GenerationId, Organisation};
 use comfreymast_contract::{Contract, Work};
-use comfreymast_net::{BodyError, collect, within};
+use comfreymast_net::{BodyOptions, RequestBodyError, RequestProgress, within};
 use comfreymast_wire::engine::StartGeneration;
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request};
 use serde::Deserialize;
 
@@ -14,6 +15,8 @@
 use crate::claims::RepeatPolicy;
 use crate::daemon::Daemon;
 
+/// The delay before a retry of a request for whose body there was no memory.
+const NO_ROOM_RETRY_MS: u64 = 500;
 const KIND_HEADER: &str = "comfreymast-kind";
 
 /// The body of `POST /v1/completions`; other fields of completion APIs are ignored.
@@ -53,9 +56,8 @@
         contract: &Contract,
         request: Request<Incoming>,
     ) -> Result<Self, CallError> {
-        let (head, body) = request.into_parts();
-        let kind = header(&head.headers, KIND_HEADER).map(str::to_owned);
-        let bytes = read_body(daemon, body).await?;
+        let kind = header(request.headers(), KIND_HEADER).map(str::to_owned);
+        let (head, bytes) = read_body(daemon, &contract.organisation, request).await?;
         let body: CompletionBody = serde_json::from_slice(&bytes)
             .map_err(|error| CallError::Malformed { reason: error.to_string() })?;
         let work = contract.work_for(kind.as_deref(), &body.model).ok_or_else(|| {
@@ -103,14 +105,37 @@
     }
 }
 
-/// Reads the body of a request, limited in length and time.
-pub(crate) async fn read_body(daemon: &Daemon, body: Incoming) -> Result<Bytes, CallError> {
+/// Reads the body of a request, limited in length, memory and time.
+pub(crate) async fn read_body(
+    daemon: &Daemon,
+    organisation: &Organisation,
+    mut request: Request<Incoming>,
+) -> Result<(Parts, Bytes), CallError> {
     let limit_ms = daemon.settings.body_timeout_ms;
-    match within(limit_ms, collect(body, daemon.settings.max_body_bytes)).await {
-        Err(_) => Err(CallError::TooSlow { limit_ms }),
-        Ok(Err(BodyError::TooLong { limit_bytes })) => Err(CallError::TooLong { limit_bytes }),
-        Ok(Err(error)) => Err(CallError::Malformed { reason: error.to_string() }),
-        Ok(Ok(body)) => Ok(body),
+    let progress = RequestProgress::take(&mut request);
+    let (head, body) = request.into_parts();
+    let options = BodyOptions {
+        limit_bytes: daemon.settings.max_body_bytes,
+        stall_ms: limit_ms,
+        organisation: Some(organisation.clone()),
+    };
+    let read = within(limit_ms, daemon.bodies.read(body, options)).await;
+    let result = read.unwrap_or(Err(RequestBodyError::Stalled));
+    if let Some(progress) = progress {
+        if result.is_ok() { progress.mark_whole() } else { progress.mark_refused() }
+    }
+    match result {
+        Ok(body) => Ok((head, body)),
+        Err(RequestBodyError::TooLong { limit_bytes }) => Err(CallError::TooLong { limit_bytes }),
+        Err(RequestBodyError::NoRoom) => {
+            Err(CallError::NoMemory { retry_after_ms: NO_ROOM_RETRY_MS })
+        }
+        Err(RequestBodyError::Stalled | RequestBodyError::Reclaimed) => {
+            Err(CallError::TooSlow { limit_ms })
+        }
+        Err(error @ RequestBodyError::Connection { .. }) => {
+            Err(CallError::Malformed { reason: error.to_string() })
+        }
     }
 }
 
--- a/crates/daemon/src/callers/plain.rs
+++ b/crates/daemon/src/callers/plain.rs
@@ -34,13 +34,13 @@
     caller: Caller,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, CallError> {
-    let (head, body) = request.into_parts();
-    let route =
-        caller.contract.route_for(head.method.as_str(), head.uri.path()).ok_or_else(|| {
-            CallError::NotAllowed { what: format!("{} {}", head.method, head.uri.path()) }
-        })?;
+    let (method, path) = (request.method(), request.uri().path());
+    let route = caller
+        .contract
+        .route_for(method.as_str(), path)
+        .ok_or_else(|| CallError::NotAllowed { what: format!("{method} {path}") })?;
     let route = route.clone();
-    let body = read_body(daemon, body).await?;
+    let (head, body) = read_body(daemon, &caller.contract.organisation, request).await?;
     let organisation = &caller.contract.organisation;
     let repeat_policy = RepeatPolicy::read(organisation, &head, &body, route.repeatable)?;
     let permit = match admit(daemon, &repeat_policy).await? {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,7 +7,9 @@
 use async_channel::{Receiver, Sender};
 use async_net::TcpListener;
 use comfreymast_base::{Clock, DaemonName};
-use comfreymast_net::{Handler, ServeLimits, Spawner, handler, serve, sleep_ms};
+use comfreymast_net::{
+    Connections, Handler, RequestBodies, ServeLimits, Spawner, handler, serve, sleep_ms,
+};
 use comfreymast_platform::{LogClient, VmListClient};
 use derive_more::{Display, Error};
 
@@ -29,6 +31,10 @@
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
+/// The part of the descriptors that callers' connections may take. Each may need another one to an engine, and
+/// the log, peers and operators need the rest.
+const CONNECTION_PARTS: usize = 5;
+const DESCRIPTOR_PARTS: usize = 16;
 
 /// State shared by all tasks of one daemon.
 #[derive(Debug)]
@@ -61,6 +67,8 @@
     pub(crate) quarantine: QuarantineState,
     /// The retry budgets of organisations.
     pub(crate) retry_budgets: RetryBudgets,
+    /// The memory of the bodies of requests.
+    pub(crate) bodies: RequestBodies,
     /// Service level measurements.
     pub(crate) burn: BurnState,
     /// Metrics of this daemon.
@@ -207,7 +215,7 @@
     let (accepting, accept_stop) = async_channel::bounded::<()>(1);
     let _drain = spawner.spawn(drain(daemon.clone(), accepting, streams_running));
     let callers_handler = answer_with(&daemon, callers::front::answer);
-    serve(spawner, callers, callers_handler, caller_limits(&daemon.settings), accept_stop).await;
+    serve(spawner, callers, callers_handler, caller_limits(&daemon), accept_stop).await;
     daemon.claims.flush().await;
     drop(operators_running);
     events::DAEMON_STOPPED.log(format_args!("no request was in flight"));
@@ -227,8 +235,11 @@
     drop(streams_running);
 }
 
-fn caller_limits(settings: &Settings) -> ServeLimits {
+fn caller_limits(daemon: &Daemon) -> ServeLimits {
+    let settings = &daemon.settings;
+    let max_connections = settings.max_descriptors * CONNECTION_PARTS / DESCRIPTOR_PARTS;
     ServeLimits {
+        connections: Some(Connections::new(&daemon.clock, max_connections)),
         header_timeout_ms: settings.header_timeout_ms,
         write_stall_ms: settings.reader_stall_ms,
         ..ServeLimits::default()
@@ -241,10 +252,12 @@
     stop: Receiver<()>,
     streams: Receiver<()>,
 ) -> Daemon {
+    let clock = Clock::system();
     Daemon {
         cursors: CursorSeal::new(settings.fleet_key.expose().as_bytes()),
         streams,
-        clock: Clock::system(),
+        bodies: RequestBodies::of_vm(settings.memory_bytes, &clock),
+        clock,
         log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
         spawner,
         ledger: LedgerState::default(),
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -33,7 +33,7 @@
 }
 
 /// Every setting, in the order of the help text.
-pub const SETTINGS: [SettingSpec; 24] = [
+pub const SETTINGS: [SettingSpec; 26] = [
     required("name", "The name of this VM, as the VM list has it"),
     required("data-centre", "The data centre of this VM"),
     required("log-addr", "The platform's log service, IP:PORT"),
@@ -62,6 +62,8 @@
     optional("drain-grace-ms", "5000", "Time to serve on while not ready, 0 to 600000"),
     optional("drain-limit-ms", "300000", "When a drain hands streams over, 0 to 86400000"),
     optional("max-body-bytes", "4194304", "The longest request body, 1024 to 268435456"),
+    optional("memory-mb", "512", "The memory of this VM in MB, 16 to 1048576"),
+    optional("max-fds", "32768", "The descriptors it may have open, 64 to 1048576"),
 ];
 
 /// The settings of a daemon.
@@ -117,6 +119,10 @@
     pub drain_limit_ms: u64,
     /// The maximum size of a request body.
     pub max_body_bytes: usize,
+    /// The memory that the process may use.
+    pub memory_bytes: u64,
+    /// How many descriptors the process may have open.
+    pub max_descriptors: usize,
 }
 
 /// A secret that is redacted in debug output.
@@ -169,6 +175,7 @@
     }
 }
 
+const BYTES_PER_MB: u64 = 1_000_000;
 const MIN_SECRET_BYTES: usize = 16;
 const INTERVAL_MS: std::ops::RangeInclusive<u64> = 20..=10_000;
 
@@ -215,6 +222,8 @@
         let drain_grace_ms = self.number("drain-grace-ms", 0..=600_000);
         let drain_limit_ms = self.number("drain-limit-ms", 0..=86_400_000);
         let max_body_bytes = self.number("max-body-bytes", 1_024..=268_435_456);
+        let memory_mb = self.number("memory-mb", 16..=1_048_576);
+        let max_descriptors = self.number("max-fds", 64..=1_048_576);
         Some(Settings {
             name: DaemonName::from(name?),
             data_centre: DataCentre::from(data_centre?),
@@ -240,6 +249,8 @@
             drain_grace_ms: drain_grace_ms?,
             drain_limit_ms: drain_limit_ms?,
             max_body_bytes: usize::try_from(max_body_bytes?).ok()?,
+            memory_bytes: memory_mb? * BYTES_PER_MB,
+            max_descriptors: usize::try_from(max_descriptors?).ok()?,
         })
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decision logic without I/O: each module takes the current time and state and returns what to do.
 //!
+//! * [`body_budget`] — which request bodies may take more memory, and which give theirs back.
+//! * [`connection_choice`] — which connection is closed when there are too many.
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
 //! * [`forward_choice`] — which daemon takes a call of one that has lost its links to upstreams.
 //! * [`link_watch`] — whether a daemon has lost its links to upstreams.
@@ -43,6 +45,8 @@
 mod admission_work;
 pub mod answer_end;
 pub mod answer_proof;
+pub mod body_budget;
+pub mod connection_choice;
 pub mod currency;
 pub mod entry_expiry;
 pub mod evacuation;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,6 +1,5 @@
 use std::sync::{Arc, OnceLock};
 
-use bytes::Bytes;
 use comfreymast_base::Clock;
 use comfreymast_decide::quarantine::RequestContent;
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route};
@@ -8,6 +7,7 @@
 use hyper::http::request::Parts;
 
 use crate::call_error::CallError;
+use crate::request_body::CallBody;
 
 /// One caller's request, read whole and admitted by the configuration.
 #[derive(Debug)]
@@ -17,7 +17,7 @@
     /// Its head as received.
     pub(crate) parts: Parts,
     /// Its body.
-    pub(crate) body: Bytes,
+    pub(crate) body: CallBody,
     /// The route that serves it.
     pub(crate) route: Arc<Route>,
     /// The holder of its key; `None` on a public route or while no key is required.
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -71,6 +71,9 @@
     /// No engine has room.
     #[display("engines full")]
     Full,
+    /// This daemon has no memory for the body.
+    #[display("no memory for the body")]
+    Memory,
     /// This daemon stops before the answer would be complete.
     #[display("daemon stops")]
     Stopping,
@@ -130,8 +133,11 @@
         let headers = response.headers_mut();
         match self {
             Self::NotReady => set_retry_after(headers, NOT_READY_RETRY_MS),
-            Self::Refused { retry_after_ms: Some(retry_after_ms), .. } => {
-                set_retry_after(headers, *retry_after_ms)
+            Self::Refused { reason, retry_after_ms: Some(retry_after_ms) } => {
+                set_retry_after(headers, *retry_after_ms);
+                if *reason == Refusal::Memory {
+                    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+                }
             }
             Self::Malformed(_) | Self::TooLong | Self::BodyIncomplete => {
                 headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -9,12 +9,12 @@
 use comfreymast_decide::links::Member;
 use comfreymast_decide::upstream_limit::FleetNews;
 use comfreymast_fleet::Configuration;
-use comfreymast_net::{Spawner, sleep_ms};
+use comfreymast_net::{RequestBodies, Spawner, sleep_ms};
 use comfreymast_platform::VmSettings;
 use event_listener::{Event, EventListener};
 
 use crate::GatewayOptions;
-use crate::answer::BufferBudget;
+use crate::answer::{BufferBudget, UnreadBytes};
 use crate::directory::Directory;
 use crate::forward::ForwardPools;
 use crate::metrics::Metrics;
@@ -55,6 +55,10 @@
     pub(crate) metrics: Metrics,
     /// The memory of answers that are read whole.
     pub(crate) answer_buffers: Arc<BufferBudget>,
+    /// The memory of the bodies of requests.
+    pub(crate) bodies: RequestBodies,
+    /// The memory of streams that their callers have not read.
+    pub(crate) unread: Arc<UnreadBytes>,
     /// The other daemons.
     pub(crate) peers: Peers,
     /// Messages to other daemons that do not wait for the next heartbeat.
@@ -96,6 +100,8 @@
         let me = Member { name: settings.name.clone(), data_centre: settings.data_centre.clone() };
         Self {
             budget: Budget::new(settings.retry_window_ms),
+            bodies: RequestBodies::of_vm(settings.memory_bytes, &clock),
+            unread: UnreadBytes::of_vm(settings.memory_bytes),
             answer_buffers: BufferBudget::of_vm(settings.memory_bytes),
             directory: Directory::new(clock.clone()),
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
--- a/crates/gateway/src/forward/inbound.rs
+++ b/crates/gateway/src/forward/inbound.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use comfreymast_net::{Body, collect, empty};
+use comfreymast_net::{Body, RequestProgress, empty};
 use comfreymast_wire::news::ForwardedCall;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -11,22 +11,32 @@
 use super::{TAKEN, TAKEN_HEADER};
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::request_body::{BodyRead, read_body};
 use crate::request_handler::run_here;
 use crate::stream_origin::destination;
 use crate::unserved::Unserved;
 
 /// Beside the body of the caller's request, which has a limit of its own.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
+/// How long a message of a peer may take to arrive.
+const BODY_LIMIT_MS: u64 = 30_000;
 
 /// Serves a call for a peer that has lost its links to the upstreams of its service.
 pub(crate) async fn answer_forwarded(
     dispatch: Arc<Dispatch>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Response<Body> {
     let limits = dispatch.configuration.load().as_ref().map(|known| known.limits);
     let max_bytes = limits.unwrap_or_default().max_body_bytes + MAX_HEAD_BYTES;
-    let Ok(bytes) = collect(request.into_body(), max_bytes).await else {
-        return not_taken(StatusCode::BAD_REQUEST);
+    let read = BodyRead {
+        limit_bytes: max_bytes,
+        timeout_ms: BODY_LIMIT_MS,
+        organisation: None,
+        progress: RequestProgress::take(&mut request),
+    };
+    let bytes = match read_body(&dispatch, request.into_body(), read).await {
+        Ok(bytes) => bytes,
+        Err(error) => return not_taken(error.status()),
     };
     let message = match ForwardedCall::decode(bytes) {
         Ok(message) => message,
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -1,5 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
+use bytes::Bytes;
 use comfreymast_base::{EventId, Organisation, Service};
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route, Target};
 use comfreymast_platform::{RequestHead, RequestHeadError, set_resumption};
@@ -8,6 +9,8 @@
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Method, Request, Uri};
+use prost::Message;
+use prost::encoding::{WireType, encode_key, encode_varint};
 
 use crate::call::Call;
 use crate::dispatch::Dispatch;
@@ -80,10 +83,21 @@
                 value: value.as_bytes().to_vec().into(),
             })
             .collect(),
-        body: call.body.clone(),
+        // Follows the message; see `with_body`.
+        body: Bytes::new(),
     }
 }
 
+/// The encoded message with the body of its call, which is not copied. A message may have its fields in any
+/// order.
+pub(super) fn with_body(message: &ForwardedCall, body: Bytes) -> [Bytes; 2] {
+    const BODY_FIELD: u32 = 19;
+    let mut encoded = message.encode_to_vec();
+    encode_key(BODY_FIELD, WireType::LengthDelimited, &mut encoded);
+    encode_varint(body.len() as u64, &mut encoded);
+    [encoded.into(), body]
+}
+
 /// The call that a peer forwards, as if it had arrived here at the time at which it arrived there.
 pub(super) fn decode(
     dispatch: &Dispatch,
@@ -118,7 +132,7 @@
     Ok(Call {
         head,
         parts,
-        body: message.body,
+        body: message.body.into(),
         route: Arc::new(route),
         key_holder,
         version: message.version,
--- a/crates/gateway/src/forward/outbound.rs
+++ b/crates/gateway/src/forward/outbound.rs
@@ -6,21 +6,20 @@
 use comfreymast_base::{EndMark, Service};
 use comfreymast_fleet::RetryPolicy;
 use comfreymast_net::{
-    Body, BodyError, BodyStep, OwnedConnection, ResponseBody, full, request, within,
+    Body, BodyError, BodyStep, OwnedConnection, ResponseBody, full, joined, request, within,
 };
 use comfreymast_platform::ResponseHead;
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response::Parts;
-use prost::Message;
 
-use super::message::{Outgoing, encode};
+use super::message::{Outgoing, encode, with_body};
 use super::{FORWARD_PATH, TAKEN_HEADER};
 use crate::answer::EventStream;
 use crate::call::Call;
 use crate::call_error::CallError;
 use crate::dispatch::Dispatch;
-use crate::generation::RelayBody;
+use crate::generation::{RelayBody, send_chunk};
 use crate::metrics::ForwardLabels;
 use crate::pool::Pool;
 
@@ -113,13 +112,13 @@
     let limit_ms = outgoing.call.attempt_limit_ms(&dispatch.clock, outgoing.earlier_runs);
     let until_ms = dispatch.clock.now_ms() + limit_ms;
     let left_ms = || until_ms.saturating_sub(dispatch.clock.now_ms());
-    let message = || encode(dispatch, outgoing).encode_to_vec();
+    let message = || joined(with_body(&encode(dispatch, outgoing), outgoing.call.body.bytes()));
     let mut connection = match pool.take(dispatch.clock.now_ms()) {
         Some(connection) => connection,
         None => open(dispatch, addr, left_ms()).await?,
     };
     let head = loop {
-        let sent = connection.send(request(addr, "POST", FORWARD_PATH, full(message())));
+        let sent = connection.send(request(addr, "POST", FORWARD_PATH, message()));
         match within(left_ms(), sent).await {
             Ok(Ok(head)) => break head,
             Ok(Err(error)) if error.is_unsent => {
@@ -177,7 +176,11 @@
                     BodyStep::End(_) => Err(BodyError::Aborted),
                 };
                 let is_end = chunk.is_err();
-                if chunks.send(chunk).await.is_err() || is_end {
+                let is_sent = match chunk {
+                    Ok(bytes) => send_chunk(&chunks, &self.dispatch.unread, bytes).await,
+                    Err(error) => chunks.send(Err(error)).await.is_ok(),
+                };
+                if !is_sent || is_end {
                     return;
                 }
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,7 +5,7 @@
 use async_channel::{Receiver, Sender};
 use async_net::{TcpListener, UdpSocket};
 use comfreymast_base::Clock;
-use comfreymast_net::{Spawner, empty, handler, sleep_ms};
+use comfreymast_net::{Connections, Spawner, empty, handler, sleep_ms};
 use comfreymast_platform::{READY_PATH, VmSettings};
 use derive_more::{Display, Error};
 use hyper::{Response, StatusCode};
@@ -17,6 +17,7 @@
 use crate::followed_topic::FollowedTopic;
 use crate::quarantine::{follow_suspects, remove_expired};
 use crate::records::{follow_operators, follow_upstreams};
+use crate::request_body::{caller_connections, peer_connections, watch_connections};
 use crate::server::{ConnectionLimits, Server};
 use crate::settings_watch::watch_settings;
 use crate::topic_server::TopicServer;
@@ -105,6 +106,8 @@
         socket,
     });
 
+    let max_descriptors = dispatch.settings.load().max_descriptors;
+    let connections = caller_connections(&dispatch.clock, max_descriptors);
     // Dropped at the end of this function, which ends the tasks and servers.
     let (_ready_open, ready_stop) = async_channel::bounded::<()>(1);
     let (peers_open, peers_stop) = async_channel::bounded::<()>(1);
@@ -127,6 +130,7 @@
         spawner.spawn(exchange.clone().send_heartbeats()),
         spawner.spawn(exchange.clone().push_deltas(delta_receiver)),
         spawner.spawn(exchange.clone().push_messages()),
+        spawner.spawn(watch_connections(dispatch.clone(), connections.clone())),
         spawner.spawn(announce(dispatch.clone())),
         spawner.spawn(watch_settings(dispatch.clone(), settings_path, reload)),
         spawner
@@ -136,7 +140,7 @@
         spawner.spawn(peer_server(&dispatch, &exchange, peers_stop).run(peers_listener));
     let (accepting, accept_stop) = async_channel::bounded::<()>(1);
     let _drain = spawner.spawn(drain(dispatch.clone(), stop, accepting));
-    caller_server(&dispatch, accept_stop).run(callers_listener).await;
+    caller_server(&dispatch, connections, accept_stop).run(callers_listener).await;
     // Calls that peers have forwarded are finished too.
     drop(peers_open);
     peer_server.await;
@@ -154,7 +158,11 @@
     drop(accepting);
 }
 
-fn caller_server(dispatch: &Arc<Dispatch>, stop: Receiver<()>) -> Server {
+fn caller_server(
+    dispatch: &Arc<Dispatch>,
+    connections: Arc<Connections>,
+    stop: Receiver<()>,
+) -> Server {
     let handler_dispatch = dispatch.clone();
     let limits_dispatch = dispatch.clone();
     Server::new(
@@ -168,6 +176,7 @@
                 head_timeout_ms: limits.idle_timeout_ms,
             }
         },
+        connections,
         stop,
     )
 }
@@ -178,6 +187,7 @@
     upstreams: &Arc<FollowedTopic>,
     stop: Receiver<()>,
 ) -> Server {
+    let max_descriptors = dispatch.settings.load().max_descriptors;
     let state = (dispatch.clone(), operators.clone(), upstreams.clone());
     let answer = handler(move |request| {
         let (dispatch, _operators, upstreams) = state.clone();
@@ -193,16 +203,29 @@
             response
         }
     });
-    Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
+    Server::new(
+        dispatch.spawner.clone(),
+        answer,
+        peer_limits,
+        peer_connections(&dispatch.clock, max_descriptors),
+        stop,
+    )
 }
 
 fn peer_server(dispatch: &Arc<Dispatch>, exchange: &Arc<Exchange>, stop: Receiver<()>) -> Server {
+    let max_descriptors = dispatch.settings.load().max_descriptors;
     let exchange = exchange.clone();
     let answer = handler(move |request| {
         let exchange = exchange.clone();
         async move { exchange.answer(request).await }
     });
-    Server::new(dispatch.spawner.clone(), answer, peer_limits, stop)
+    Server::new(
+        dispatch.spawner.clone(),
+        answer,
+        peer_limits,
+        peer_connections(&dispatch.clock, max_descriptors),
+        stop,
+    )
 }
 
 /// Serves metrics on a separate port, if one is configured.
--- a/crates/gateway/src/generation/hand_over.rs
+++ b/crates/gateway/src/generation/hand_over.rs
@@ -36,7 +36,7 @@
             loop {
                 match events.next().await {
                     StreamStep::Event(event) => self.pass_event_on(event).await?,
-                    StreamStep::BlankLines(bytes) => self.chunks.send(Ok(bytes)).await.ok()?,
+                    StreamStep::BlankLines(bytes) => self.send(bytes).await.ok()?,
                     // Between daemons each body has a marked end.
                     StreamStep::End(end) => {
                         let is_whole = end.mark == EndMark::Framed
@@ -62,6 +62,6 @@
         self.lacks_event &= event.is_comment();
         self.record_place(&event);
         self.events += 1;
-        self.chunks.send(Ok(event.bytes)).await.ok()
+        self.send(event.bytes).await.ok()
     }
 }
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -11,6 +11,8 @@
 mod relay_log;
 mod reservation;
 mod start;
+mod unread_chunks;
 
 pub(crate) use relay_body::RelayBody;
 pub(crate) use start::run;
+pub(crate) use unread_chunks::send_chunk;
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -18,6 +18,7 @@
 use super::mover::{MoveOutcome, Mover};
 use super::relay_body::Chunk;
 use super::reservation::{Reservation, expected_tokens, generation_key};
+use super::unread_chunks::send_chunk;
 use crate::answer::{Event, EventStream, StreamStep, check_end};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
@@ -369,8 +370,9 @@
         self.version = VersionNeed::Only(version);
     }
 
-    async fn send(&self, bytes: Bytes) -> Result<(), Interruption> {
-        self.chunks.send(Ok(bytes)).await.map_err(|_| Interruption::CallerDisconnected)
+    pub(super) async fn send(&self, bytes: Bytes) -> Result<(), Interruption> {
+        let is_sent = send_chunk(&self.chunks, &self.dispatch.unread, bytes).await;
+        is_sent.then_some(()).ok_or(Interruption::CallerDisconnected)
     }
 
     /// Aborts the caller's stream, so that it does not look complete.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod quarantine;
 mod records;
 mod removed_keys;
+mod request_body;
 mod request_handler;
 mod roster;
 mod send;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,13 @@
     pub(crate) topic: &'static str,
 }
 
+/// Why a caller's request or connection was rejected for what it takes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RejectionLabels {
+    /// The limit that it met.
+    pub(crate) reason: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -109,6 +116,8 @@
     pub(crate) topic_fetched_bytes: Counter,
     /// How long a peer has been ahead of this daemon.
     pub(crate) topic_behind_ms: Family<TopicLabels, Gauge>,
+    /// Bodies of requests that were not read, and connections that were closed or refused, by reason.
+    rejections: Family<RejectionLabels, Counter>,
     /// Log lines that were dropped because the log queue was full.
     dropped_lines: Counter,
 }
@@ -210,6 +219,12 @@
             "How long a peer has been ahead on a topic, 0 if none is",
             topic_behind_ms.clone(),
         );
+        let rejections = Family::default();
+        registry.register(
+            "gateway_caller_rejections",
+            "Request bodies not read and connections closed or refused, by reason",
+            rejections.clone(),
+        );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
         Self {
@@ -232,10 +247,16 @@
             topic_fetches,
             topic_fetched_bytes,
             topic_behind_ms,
+            rejections,
             dropped_lines,
         }
     }
 
+    /// Counts bodies that were not read, or connections that were closed or refused.
+    pub(crate) fn count_rejections(&self, reason: &'static str, count: usize) {
+        self.rejections.get_or_create(&RejectionLabels { reason }).inc_by(count as u64);
+    }
+
     /// The metrics in the text format of Prometheus.
     pub(crate) fn response(&self) -> Response<Body> {
         let dropped = DROPPED_LINES.load(Ordering::Acquire);
--- a/crates/gateway/src/quarantine/content.rs
+++ b/crates/gateway/src/quarantine/content.rs
@@ -11,6 +11,15 @@
     })
 }
 
+/// Gives up the memory of a long body that cannot be sent again, once what identifies its request is known.
+pub(crate) fn release_body(call: &Call) {
+    const LONG_BODY_BYTES: usize = 64 * 1024;
+    if call.body.bytes().len() > LONG_BODY_BYTES {
+        content(call);
+        call.body.release();
+    }
+}
+
 /// Hashes what a caller sends again when it retries a request: method, host, path, organisation and
 /// body. The identifier of the attempt differs each time.
 fn fingerprint(call: &Call) -> Fingerprint {
@@ -27,6 +36,6 @@
         // A line feed is an unambiguous separator: no part of a head contains one.
         hasher.update(b"\n");
     }
-    hasher.update(&call.body);
+    hasher.update(call.body.bytes());
     hasher.finalize().into()
 }
--- a/crates/gateway/src/quarantine/mod.rs
+++ b/crates/gateway/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! * [`record_begun_answer`] — clears the parts of a request that an upstream has begun to answer.
 //! * [`handle_suspicion`], [`handle_exoneration`] — apply what a peer saw.
 //! * [`check`] — refuses a quarantined request.
+//! * [`release_body`] — gives up a body that cannot be sent again.
 //! * [`follow_suspects`] — applies what other daemons wrote to the store.
 //! * [`remove_expired`] — deletes old records of the store.
 //! * [`QuarantineState`] — the requests that this daemon suspects or refuses.
@@ -22,6 +23,7 @@
 mod suspicion;
 
 pub(crate) use check::check;
+pub(crate) use content::release_body;
 pub(crate) use end::{LastProgress, report_if_ended};
 pub(crate) use exoneration::{handle_exoneration, record_begun_answer, record_success};
 pub(crate) use state::QuarantineState;
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -1,6 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
-use comfreymast_net::{Body, BodyError, collect, within};
+use comfreymast_net::{Body, RequestProgress};
 use comfreymast_platform::{RequestHead, request_id};
 use futures_lite::future;
 use hyper::body::Incoming;
@@ -12,6 +12,7 @@
 use crate::dispatch::Dispatch;
 use crate::forward::forward;
 use crate::metrics::OutcomeLabels;
+use crate::request_body::{BodyRead, read_body};
 use crate::stream_origin::{Destination, destination};
 use crate::unserved::Unserved;
 use crate::{generation, plain};
@@ -133,10 +134,11 @@
 /// Checks a request against the configuration in force and reads its body.
 async fn admit(
     dispatch: &Dispatch,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     started_ms: u64,
 ) -> Result<Call, CallError> {
     let configuration = dispatch.configuration.load_full().ok_or(CallError::NotReady)?;
+    let progress = RequestProgress::take(&mut request);
     let (parts, body) = request.into_parts();
     let head = RequestHead::decode(&parts)?;
     let route =
@@ -151,12 +153,13 @@
         return Err(CallError::VersionTooOld);
     }
     let timeout_ms = head.deadline_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
-    let body = within(timeout_ms, collect(body, configuration.limits.max_body_bytes)).await;
-    let body = match body {
-        Ok(Ok(body)) => body,
-        Ok(Err(BodyError::TooLong { .. })) => return Err(CallError::TooLong),
-        Ok(Err(_)) | Err(_) => return Err(CallError::BodyIncomplete),
+    let read = BodyRead {
+        limit_bytes: configuration.limits.max_body_bytes,
+        timeout_ms,
+        organisation: key_holder.as_ref().map(|holder| holder.organisation.clone()),
+        progress,
     };
+    let body = read_body(dispatch, body, read).await?;
     // Its head or body was under way when the daemon closed its listener and idle connections.
     if dispatch.takes_no_more() {
         return Err(CallError::stopping());
@@ -169,7 +172,7 @@
         timeout_at_ms: started_ms + timeout_ms,
         head,
         parts,
-        body,
+        body: body.into(),
         content: OnceLock::new(),
     })
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -172,6 +172,9 @@
     if proof == Proof::NotRun {
         return Err(SendFailure::NotRun("upstream refused"));
     }
+    if call.route.retry_policy == RetryPolicy::Once && !call.route.is_stream {
+        quarantine::release_body(call);
+    }
     Ok(Sent { connection, parts, answer, body, outstanding })
 }
 
@@ -216,7 +219,7 @@
     upstream: &UpstreamState,
     options: &SendOptions<'_>,
 ) -> Request<Body> {
-    let mut request = Request::new(full(call.body.clone()));
+    let mut request = Request::new(full(call.body.bytes()));
     *request.method_mut() = call.parts.method.clone();
     *request.uri_mut() = call.parts.uri.clone();
     *request.headers_mut() = upstream_headers(
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -6,7 +6,10 @@
 
 use async_channel::Receiver;
 use async_net::{TcpListener, TcpStream};
-use comfreymast_net::{BoundedStream, Handler, Spawner, enable_keepalive, sleep_ms};
+use comfreymast_net::{
+    BoundedStream, CloseRequest, Connections, Entry, Handler, Spawner, enable_keepalive,
+    limit_receive_buffer, sleep_ms,
+};
 use futures_lite::future;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -31,25 +34,32 @@
     handler: Handler,
     limits: Arc<dyn Fn() -> ConnectionLimits + Send + Sync>,
     stop: Receiver<()>,
+    connections: Arc<Connections>,
     open_connections: Arc<AtomicUsize>,
 }
 
 impl Server {
-    /// A server that reads the limits of a connection when it opens. Closing `stop` ends it.
+    /// A server that reads the limits of a connection when it opens, and keeps `connections` within their
+    /// number. Closing `stop` ends it.
     pub(crate) fn new(
         spawner: Spawner,
         handler: Handler,
         limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static,
+        connections: Arc<Connections>,
         stop: Receiver<()>,
     ) -> Self {
-        Self { spawner, handler, limits: Arc::new(limits), stop, open_connections: Arc::default() }
+        let limits = Arc::new(limits);
+        Self { spawner, handler, limits, stop, connections, open_connections: Arc::default() }
     }
 
     /// Serves connections until `stop` closes, then finishes the requests in flight.
     pub(crate) async fn run(self, listener: TcpListener) {
+        if let Err(error) = limit_receive_buffer(&listener) {
+            log::debug!("cannot set socket options: {error}");
+        }
         while let Some(accepted) = self.accept(&listener).await {
             match accepted {
-                Ok((stream, _)) => self.spawner.detach(self.clone().serve(stream)),
+                Ok((stream, _)) => self.start(stream),
                 Err(error) => {
                     log::warn!(target: "comfreymast", error:%; "accept failed");
                     sleep_ms(ACCEPT_PAUSE_MS).await;
@@ -58,7 +68,7 @@
         }
         // Connections still in the kernel's accept queue may have sent their requests already.
         while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-            self.spawner.detach(self.clone().serve(stream));
+            self.start(stream);
         }
         drop(listener);
         sleep_ms(ACCEPT_PAUSE_MS).await;
@@ -78,15 +88,23 @@
         future::or(async { Some(listener.accept().await) }, stopped).await
     }
 
-    async fn serve(self, stream: TcpStream) {
+    /// Serves a connection, or closes it if no other gives way to it.
+    fn start(&self, stream: TcpStream) {
+        if let Some(entry) = self.connections.open() {
+            self.spawner.detach(self.clone().serve(stream, entry));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, entry: Entry) {
         let _open = OpenConnection::new(&self.open_connections);
         if let Err(error) = enable_keepalive(&stream) {
             log::debug!("cannot set socket options: {error}");
         }
         let limits = (self.limits)();
-        let handler = self.handler.clone();
+        let socket = stream.clone();
+        let handler = entry.handler(self.handler.clone());
         let service = service_fn(move |request| {
-            let response = handler(request);
+            let response = handler.respond(request);
             async move { Ok::<_, Infallible>(response.await) }
         });
         let mut builder = http1::Builder::new();
@@ -96,20 +114,47 @@
             .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BYTES));
         let mut connection =
             pin!(builder.serve_connection(FuturesIo::new(BoundedStream::new(stream)), service));
+        let running = async {
+            let _ = connection.as_mut().await;
+            Step::Ended
+        };
         let stopped = async {
             let _ = self.stop.recv().await;
-            None
+            Step::Finish
         };
-        let ended = future::or(async { Some(connection.as_mut().await) }, stopped).await;
-        if ended.is_none() {
-            connection.as_mut().graceful_shutdown();
-            if let Err(error) = connection.await {
-                log::debug!("connection failed: {error}");
+        match future::or(running, future::or(stopped, close_requested(&entry))).await {
+            Step::Ended => entry.linger(socket).await,
+            Step::CloseNow => {}
+            Step::Finish => {
+                connection.as_mut().graceful_shutdown();
+                if let Err(error) = connection.await {
+                    log::debug!("connection failed: {error}");
+                }
             }
         }
     }
 }
 
+/// What a connection's task does next.
+enum Step {
+    /// The connection has ended.
+    Ended,
+    /// Another connection needs its place, and no answer is owed on it.
+    CloseNow,
+    /// It ends once its requests have been answered.
+    Finish,
+}
+
+async fn close_requested(entry: &Entry) -> Step {
+    loop {
+        match entry.close_requested().await {
+            CloseRequest::Now => return Step::CloseNow,
+            CloseRequest::AfterWrites => return Step::Finish,
+            CloseRequest::Cancelled => {}
+        }
+    }
+}
+
 struct OpenConnection(Arc<AtomicUsize>);
 
 impl OpenConnection {
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -3,10 +3,11 @@
 use derive_more::{Display, Error, From};
 use futures_lite::StreamExt;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, LengthLimitError, Limited, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
 
+use crate::sliced_body::SlicedBody;
 use crate::{Elapsed, within};
 
 /// The body type of all outgoing requests and responses.
@@ -41,7 +42,12 @@
 
 /// A body of known length.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
+    joined([bytes.into()])
+}
+
+/// A body of known length that consists of `parts`, without a copy that joins them.
+pub fn joined(parts: impl IntoIterator<Item = Bytes>) -> Body {
+    SlicedBody::new(parts).map_err(|never| match never {}).boxed_unsync()
 }
 
 /// A body with `value` serialized as JSON.
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -60,6 +60,8 @@
     pub retry_window_ms: u64,
     /// The memory that the process may use.
     pub memory_bytes: u64,
+    /// How many descriptors the process may have open; `None` if that is not limited.
+    pub max_descriptors: Option<usize>,
     /// The rate of the VM's link; `None` if it is not known.
     pub link_bytes_per_s: Option<u64>,
 }
@@ -96,6 +98,7 @@
             retry_slack: file.bounds.budget_slack,
             retry_window_ms: seconds_to_ms(file.bounds.budget_window_s),
             memory_bytes: (file.limits.memory_mb * BYTES_PER_MB) as u64,
+            max_descriptors: file.limits.max_fds,
             link_bytes_per_s: file
                 .limits
                 .link_mbps
@@ -148,12 +151,13 @@
 #[serde(rename_all = "camelCase", default)]
 struct LimitsFields {
     memory_mb: f64,
+    max_fds: Option<usize>,
     link_mbps: Option<f64>,
 }
 
 impl Default for LimitsFields {
     fn default() -> Self {
-        Self { memory_mb: 512.0, link_mbps: None }
+        Self { memory_mb: 512.0, max_fds: None, link_mbps: None }
     }
 }
 
