comfreymast check: what is wrong with a configuration, and what it changes

Cause: what daemons reject or misread of a configuration showed only once it was in the store.

Change: the crate check finds, with the decoder and route table of daemons, what they reject, read as something else or can never use, with location and line, and tells the differences from the version in force. The check of contracts is now named check-contract internally, with the alias check, as sub-commands are types with unique names; the command line is unchanged.

--- /dev/null
+++ b/crates/check/src/checks/fields.rs
@@ -0,0 +1,35 @@
+//! Fields that no daemon reads, mostly misspelt ones.
+
+use serde_json::Value;
+
+use crate::document::{Document, elements};
+use crate::{Finding, Severity, known_fields};
+
+pub(crate) fn check(document: &Document) -> Vec<Finding> {
+    let mut objects: Vec<(String, &Value, &[&str])> =
+        vec![(String::new(), &document.value, known_fields::DOCUMENT)];
+    objects.push(("limits".to_owned(), &document.value["limits"], known_fields::LIMITS));
+    for (at, route) in document.list("routes") {
+        for (split_at, split) in elements(route, "trafficSplit", at.clone()) {
+            objects.push((split_at, split, known_fields::SPLIT));
+        }
+        objects.push((at, route, known_fields::ROUTE));
+    }
+    for (at, service) in document.list("services") {
+        objects.push((format!("{at}.engine"), &service["engine"], known_fields::ENGINE));
+        objects.push((at, service, known_fields::SERVICE));
+    }
+    for (at, tenant) in document.list("tenants") {
+        objects.push((at, tenant, known_fields::TENANT));
+    }
+    let mut findings = Vec::new();
+    for (at, object, known) in objects {
+        let names = object.as_object().into_iter().flat_map(serde_json::Map::keys);
+        for name in names.filter(|name| !known.contains(&name.as_str())) {
+            let location = if at.is_empty() { name.clone() } else { format!("{at}.{name}") };
+            let message = "no daemon reads this field; it may be misspelt".to_owned();
+            findings.push(document.finding(Severity::Warning, "unknown-field", location, message));
+        }
+    }
+    findings
+}
--- a/crates/comfreymast/src/contract.rs
+++ b/crates/comfreymast/src/contract.rs
@@ -17,7 +17,7 @@
     format: Format,
 ) -> Result<(), Failure> {
     match command {
-        ContractCmd::Check(check) => check_file(&check.file, format),
+        ContractCmd::CheckContract(check) => check_file(&check.file, format),
         ContractCmd::Put(put) => publish(&ApiClient::new(flags)?, put, format),
         ContractCmd::Get(get) => print_document(&ApiClient::new(flags)?, get, format),
         ContractCmd::List(list) => print_list(&ApiClient::new(flags)?, list.fresh, format),
--- a/crates/comfreymast/src/flags.rs
+++ b/crates/comfreymast/src/flags.rs
@@ -82,6 +82,26 @@
             optional --settings settings: PathBuf
         }
 
+        /// Check a configuration before it is deployed, and tell what it changes. Never writes.
+        ///
+        /// Exit codes: 0 valid, 1 warnings with --deny-warnings, 2 errors, or nothing could be checked.
+        cmd check {
+            /// The document.
+            required file: PathBuf
+            /// The version in force, to tell what changes.
+            optional --against against: PathBuf
+            /// The platform's store, IP:PORT, to read the version in force and the upstreams from.
+            optional --store store: String
+            /// The settings file of a VM, for the regions of data centres.
+            optional --settings settings: PathBuf
+            /// Print JSON.
+            optional --json
+            /// Exit with 1 if there are warnings.
+            optional --deny-warnings
+            /// The memory of the smallest VM that runs a daemon; default 88.
+            optional --memory-mb memory_mb: u64
+        }
+
         /// Tell a request's story from collected logs of `serve`.
         cmd explain {
             /// The identifier that the caller sent.
@@ -117,7 +137,7 @@
             /// Print the latest revisions of a contract.
             cmd history { required organisation: String }
             /// Check a document without publishing it.
-            cmd check { required file: PathBuf }
+            cmd check-contract check { required file: PathBuf }
         }
 
         /// Show what a daemon knows of itself and the fleet.
@@ -155,9 +175,11 @@
 }
 
 /// The macro makes a type of each command, so command names are unique: the second `list` is named
-/// `list-quarantined` with the alias `list`. The help shows only the alias.
-static HELP: LazyLock<String> = LazyLock::new(|| Comfreymast::HELP_.replace(LIST_NAMES, "list"));
+/// `list-quarantined` with the alias `list`, and the `check` of contracts likewise. The help shows only the alias.
+static HELP: LazyLock<String> =
+    LazyLock::new(|| Comfreymast::HELP_.replace(LIST_NAMES, "list").replace(CHECK_NAMES, "check"));
 const LIST_NAMES: &str = "list-quarantined | list";
+const CHECK_NAMES: &str = "check-contract | check";
 
 /// The help text of all commands.
 pub(crate) fn help_text() -> &'static str {
--- a/crates/comfreymast/src/main.rs
+++ b/crates/comfreymast/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod api;
+mod check;
 mod contract;
 mod daemon;
 mod explain;
@@ -33,6 +34,15 @@
         Ok(format) => format,
         Err(failure) => return Format::Table.print_failure(&failure),
     };
+    if let ComfreymastCmd::Check(check) = &flags.subcommand {
+        let is_json = check.json;
+        return check::run(check, format).unwrap_or_else(|failure| {
+            let format = if is_json { Format::Json } else { format };
+            format.print_failure(&failure);
+            // 1 stands for warnings here.
+            ExitCode::from(check::NOT_CHECKED)
+        });
+    }
     match run(&flags, format) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => format.print_failure(&failure),
@@ -57,5 +67,7 @@
         ComfreymastCmd::Report(command) => report::run(flags, &command.subcommand, format),
         ComfreymastCmd::Quarantine(command) => quarantine::run(flags, command, format),
         ComfreymastCmd::Config(_) => admin::config(format),
+        // Its exit code tells what it found.
+        ComfreymastCmd::Check(_) => Ok(()),
     }
 }
