--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -24,6 +24,6 @@
 pub use ids::{GenerationId, OperationId, ParseIdError};
 pub use named_request::NamedRequest;
 pub use names::{
-    DaemonName, DataCentre, Kind, Model, Organisation, Service, SoftwareVersion, Upstream,
+    DaemonName, DataCentre, Kind, Model, Organisation, Region, Service, SoftwareVersion, Upstream,
 };
 pub use store_position::StorePosition;
--- a/crates/base/src/names.rs
+++ b/crates/base/src/names.rs
@@ -58,6 +58,10 @@
     /// The data centre of a VM.
     DataCentre
 }
+name! {
+    /// The region of a data centre.
+    Region
+}
 name! {
     /// A model run by engines.
     Model
--- a/crates/decide/src/evacuation.rs
+++ b/crates/decide/src/evacuation.rs
@@ -35,6 +35,20 @@
     pub fn with_delayed_updates() -> Self {
         Self { max_copy_factor: 1, gap_ms: 10, room_limit_ms: 0, ..Self::default() }
     }
+
+    /// Options for an engine that stays, in a data centre that is evacuated. Times are counted from the start
+    /// of the move. Nothing is lost by waiting, so a generation waits for room for as long as it takes, and
+    /// longer for those before it, so that one at a time is copied.
+    #[must_use]
+    pub fn without_time_limit() -> Self {
+        Self {
+            latest_stop_ms: 3_000,
+            max_copy_factor: 4,
+            gap_ms: 250,
+            room_limit_ms: u64::MAX,
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for EvacuationOptions {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic without I/O: each module takes the current time and state and returns what to do.
 //!
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
+//! * [`data_centres`] — which data centres may get work.
 //! * [`forward_choice`] — which daemon takes a call of one that has lost its links to upstreams.
 //! * [`link_watch`] — whether a daemon has lost its links to upstreams.
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
@@ -44,6 +45,7 @@
 pub mod answer_end;
 pub mod answer_proof;
 pub mod currency;
+pub mod data_centres;
 pub mod entry_expiry;
 pub mod evacuation;
 pub mod fairness;
--- a/crates/fakes/src/platform_upstream.rs
+++ b/crates/fakes/src/platform_upstream.rs
@@ -70,6 +70,11 @@
     pub is_unframed: bool,
     /// Refuses to copy generations with 503, for lack of room.
     pub is_full: bool,
+    /// Stops generations for their last copy, refuses that copy with 503 and keeps it itself. One that it keeps
+    /// is copied once this is no longer set.
+    pub keeps_last_copy: bool,
+    /// How long a copy of a generation takes.
+    pub copy_ms: u64,
     /// Reports that it is about to shut down.
     pub is_leaving: bool,
     /// The bodies of requests that end the upstream.
@@ -105,6 +110,8 @@
             ends_inside_event_after: None,
             is_unframed: false,
             is_full: false,
+            keeps_last_copy: false,
+            copy_ms: 0,
             is_leaving: false,
             crashes_on: Vec::new(),
             crashes_on_parts: Vec::new(),
@@ -166,6 +173,11 @@
     arrivals_unix_ms: Vec<u64>,
     /// Generations with an open stream, by the request's id.
     generations: BTreeMap<String, Generation>,
+    /// The last events of generations that it stopped and keeps.
+    kept: BTreeMap<String, u64>,
+    /// Copies that it makes now, and the most that it made at once.
+    running_copies: usize,
+    max_running_copies: usize,
     /// The number of the next generation.
     next_generation: u64,
     open_streams: usize,
@@ -322,7 +334,7 @@
             (named_limit, says_leaving, retry_after, brittleness)
         };
         let mut response = match head.uri.path() {
-            "/-/kv-move" => self.copy(&body),
+            "/-/kv-move" => self.copy(&body).await,
             "/-/report" => self.report(),
             _ => {
                 let id = header(&head.headers, "x-attempt-id").unwrap_or_default();
@@ -525,14 +537,37 @@
         Ok(())
     }
 
-    /// Answers an order to copy a running generation to another upstream. No data is transferred,
-    /// since [`Self::run`] accepts any handle.
-    fn copy(&self, body: &Bytes) -> Response<Body> {
+    /// The most copies of generations that it made at once.
+    #[must_use]
+    pub fn max_running_copies(&self) -> usize {
+        self.state().max_running_copies
+    }
+
+    /// Answers an order to copy a running generation to another upstream, after the time that a copy takes.
+    async fn copy(&self, body: &Bytes) -> Response<Body> {
         let Ok(request) = serde_json::from_slice::<MoveRequest>(body) else {
             return answer_with(StatusCode::BAD_REQUEST, full(""));
         };
+        let copy_ms = {
+            let mut state = self.state();
+            state.running_copies += 1;
+            state.max_running_copies = state.max_running_copies.max(state.running_copies);
+            state.behaviour.copy_ms
+        };
+        sleep_ms(copy_ms).await;
+        self.state().running_copies -= 1;
+        self.finish_copy(&request)
+    }
+
+    /// The answer to a copy. No data is transferred, since [`Self::run`] accepts any handle.
+    fn finish_copy(&self, request: &MoveRequest) -> Response<Body> {
         let mut state = self.state();
-        let is_full = state.behaviour.is_full;
+        let (is_full, keeps) = (state.behaviour.is_full, state.behaviour.keeps_last_copy);
+        if let Some(events) = state.kept.get(&request.id) {
+            let (status, events) = (if keeps { 503 } else { 200 }, *events);
+            let reply = format!("{{\"handle\":\"copy-{}\",\"createdRev\":{events}}}", request.id);
+            return answer_with(StatusCode::from_u16(status).unwrap_or_default(), full(reply));
+        }
         let Some(generation) = state.generations.get_mut(&request.id) else {
             return answer_with(StatusCode::NOT_FOUND, full("{}"));
         };
@@ -542,6 +577,12 @@
         if is_full {
             return answer_with(StatusCode::SERVICE_UNAVAILABLE, full("{}"));
         }
+        if request.last && keeps {
+            generation.last_event = None;
+            state.kept.insert(request.id.clone(), events);
+            let reply = format!("{{\"handle\":\"copy-{}\",\"createdRev\":{events}}}", request.id);
+            return answer_with(StatusCode::SERVICE_UNAVAILABLE, full(reply));
+        }
         if request.last {
             generation.last_event = None;
         }
--- a/crates/fleet/src/keyring.rs
+++ b/crates/fleet/src/keyring.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use comfreymast_base::Organisation;
+use comfreymast_base::{Organisation, Region};
 
 /// An organisation as the holder of an API key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -10,6 +10,8 @@
     pub organisation: Organisation,
     /// Its priority, where 0 is served first; overrides the priority of a route.
     pub priority: Option<u8>,
+    /// The regions whose upstreams may get its requests; `None` for all. Those of a route apply too.
+    pub allowed_regions: Option<Vec<Region>>,
 }
 
 /// Maps API keys to the organisations that hold them.
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use comfreymast_base::Service;
+use comfreymast_base::{Region, Service};
 
 /// Whether a request may be retried when its outcome is unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +47,8 @@
     pub max_attempts: u32,
     /// True when callers need no key.
     pub is_public: bool,
+    /// The regions whose upstreams may get its requests; `None` for all.
+    pub allowed_regions: Option<Vec<Region>>,
     /// The services that requests are forwarded to; never empty.
     pub targets: Vec<Target>,
 }
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -15,6 +15,7 @@
         priority: 0,
         max_attempts: 1,
         is_public: false,
+        allowed_regions: None,
         targets: vec![
             Target { service: "a".into(), weight: 90 },
             Target { service: "b".into(), weight: 10 },
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use comfreymast_base::Clock;
+use comfreymast_decide::data_centres::RegionNeed;
 use comfreymast_decide::quarantine::RequestContent;
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route};
 use comfreymast_platform::RequestHead;
@@ -22,6 +23,8 @@
     pub(crate) route: Arc<Route>,
     /// The holder of its key; `None` on a public route or while no key is required.
     pub(crate) key_holder: Option<Arc<KeyHolder>>,
+    /// The regions whose upstreams may get it.
+    pub(crate) regions: RegionNeed,
     /// The version of the configuration that admitted it.
     pub(crate) version: u64,
     /// When its head arrived.
--- a/crates/gateway/src/call_error.rs
+++ b/crates/gateway/src/call_error.rs
@@ -86,6 +86,12 @@
     /// The stream was begun at a service to which its route no longer sends requests.
     #[display("service of the stream")]
     Moved,
+    /// All upstreams that may run it are in data centres that are evacuated.
+    #[display("data centres evacuated")]
+    Evacuated,
+    /// No upstream is in a region that the call is limited to.
+    #[display("no upstream in an allowed region")]
+    Region,
     /// The call timed out before it could be sent.
     #[display("time is up")]
     TimedOut,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -33,11 +33,6 @@
         self.of_service(service).first().map(|upstream| upstream.brittleness.clone())
     }
 
-    /// The number of upstreams of a service that do not leave.
-    pub(crate) fn remaining_count(&self, service: &Service) -> usize {
-        self.of_service(service).iter().filter(|upstream| !upstream.is_leaving()).count()
-    }
-
     /// All upstreams.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<UpstreamState>> {
         self.by_name.values()
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwapOption;
-use comfreymast_base::{Clock, Service};
+use comfreymast_base::{Clock, DataCentre, Service};
 use comfreymast_decide::fleet_budget::{FleetBudgetOptions, Traffic, TrafficWindow, may_retry};
 use comfreymast_decide::link_watch::ConnectionKind;
 use comfreymast_decide::links::Member;
@@ -16,6 +16,7 @@
 use crate::GatewayOptions;
 use crate::answer::BufferBudget;
 use crate::directory::Directory;
+use crate::evacuation::EvacuationState;
 use crate::forward::ForwardPools;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
@@ -49,6 +50,8 @@
     pub(crate) configuration: ArcSwapOption<Configuration>,
     /// The upstreams.
     pub(crate) directory: Directory,
+    /// The data centres that operators evacuate.
+    pub(crate) evacuation: EvacuationState,
     /// The retry budget: requests and retries, over all daemons.
     pub(crate) budget: Budget,
     /// Metrics.
@@ -98,6 +101,7 @@
             budget: Budget::new(settings.retry_window_ms),
             answer_buffers: BufferBudget::of_vm(settings.memory_bytes),
             directory: Directory::new(clock.clone()),
+            evacuation: EvacuationState::default(),
             peers: Peers::new(clock.clone(), me, settings.peers_addr),
             outbox: Outbox::new(spawner.clone()),
             quarantine: QuarantineState::new(),
@@ -136,6 +140,34 @@
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
+    /// The evacuated data centres, in the order of their names. One that nobody knows is left out.
+    pub(crate) fn evacuated(&self) -> Vec<DataCentre> {
+        let evacuations = self.evacuation.load();
+        let known = evacuations.evacuated().filter(|name| self.knows_data_centre(name));
+        known.cloned().collect()
+    }
+
+    /// True while the data centre of an upstream is evacuated.
+    pub(crate) fn is_evacuated(&self, upstream: &UpstreamState) -> bool {
+        self.evacuation.load().is_evacuated(&upstream.record.data_centre)
+    }
+
+    /// True if a data centre is this daemon's, has upstreams, or is in the settings.
+    pub(crate) fn knows_data_centre(&self, name: &DataCentre) -> bool {
+        let settings = self.settings.load();
+        settings.data_centre == *name
+            || settings.regions.contains_key(name)
+            || self.directory.load().all().any(|upstream| upstream.record.data_centre == *name)
+    }
+
+    /// The number of upstreams of a service that may get requests: those that neither leave nor are in an
+    /// evacuated data centre.
+    fn remaining_count(&self, service: &Service) -> usize {
+        let upstreams = self.directory.load();
+        let remaining = upstreams.of_service(service).iter();
+        remaining.filter(|upstream| !upstream.is_leaving() && !self.is_evacuated(upstream)).count()
+    }
+
     /// True while this daemon has lost its links to the upstreams of `service`.
     pub(crate) fn has_lost_links(&self, service: &Service) -> bool {
         self.directory.load().has_lost_links(service)
@@ -148,7 +180,7 @@
         if !upstream.links.has_failures() {
             return;
         }
-        let count = self.directory.load().remaining_count(&upstream.links.service);
+        let count = self.remaining_count(&upstream.links.service);
         let name = &upstream.record.name;
         if let Some(lost_ms) = upstream.links.record_answer(name, kind, count, now_ms) {
             log::info!(target: "comfreymast", code = 1315,
@@ -161,7 +193,7 @@
     /// Records that an upstream was not reached, broke off before its answer, or is overdue with it.
     pub(crate) fn record_link_failure(&self, upstream: &UpstreamState, kind: ConnectionKind) {
         let links = &upstream.links;
-        let count = self.directory.load().remaining_count(&links.service);
+        let count = self.remaining_count(&links.service);
         let now_ms = self.clock.now_ms();
         if links.record_failure(&upstream.record.name, kind, count, now_ms) {
             self.metrics.link_losses.inc();
--- a/crates/gateway/src/engine_watch.rs
+++ b/crates/gateway/src/engine_watch.rs
@@ -45,7 +45,8 @@
         for engine in dispatch.directory.load().all() {
             let is_used = engine.reserved_tokens.load(Ordering::Acquire) > 0;
             let is_paused = engine.pause_left_ms(dispatch.clock.now_ms()) > 0;
-            if is_used && !is_paused && !engine.is_leaving() {
+            let is_asked = !engine.is_leaving() && !dispatch.is_evacuated(engine);
+            if is_used && !is_paused && is_asked {
                 dispatch.spawner.detach(check_engine(dispatch.clone(), engine.clone()));
             }
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use crate::end_witness::{DIAL_PATH, answer_dial};
 use crate::fleet_sum::generation_use;
 use crate::followed_topic::FollowedTopic;
-use crate::forward::{FORWARD_PATH, answer_forwarded};
+use crate::forward::{FORWARD_PATH, LIMITED_FORWARD_PATH, answer_forwarded};
 use crate::lag_monitor::{LagMonitor, MonitoredTopic};
 use crate::outbox::{Destination, Origin};
 use crate::quarantine;
@@ -298,7 +298,9 @@
     pub(crate) async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
         match request.uri().path() {
             "/metrics" => self.dispatch.metrics.response(),
-            FORWARD_PATH => answer_forwarded(self.dispatch.clone(), request).await,
+            FORWARD_PATH | LIMITED_FORWARD_PATH => {
+                answer_forwarded(self.dispatch.clone(), request).await
+            }
             OPERATORS_PATH => self.topics.answer(&self.operators, &request),
             QUARANTINES_PATH => self.topics.answer(&self.quarantines, &request),
             UPSTREAMS_PATH => self.topics.answer(&self.upstreams, &request),
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 use comfreymast_base::StorePosition;
 use comfreymast_platform::KeyedRecord;
-use comfreymast_wire::news::{TopicRecord, TopicSnapshot};
+use comfreymast_wire::news::{self, TopicRecord, TopicSnapshot};
 
-use crate::removed_keys::RemovedKeys;
+use crate::removed_keys::{RemovedKey, RemovedKeys};
 
 /// Which of two values of one key is newer, whatever their positions: the one with the higher
 /// revision.
@@ -23,7 +23,11 @@
     first_era: u64,
     records: BTreeMap<String, StoredRecord>,
     removed: RemovedKeys,
+    /// Keys that an older copy of the store has again, although they were removed.
+    resurrected: BTreeSet<String>,
     revision_of: fn(&[u8]) -> Option<Revision>,
+    /// True if the order of positions says whether a removed key comes back, where revisions do not.
+    keeps_removals: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,6 +43,8 @@
     pub(crate) key: String,
     /// The new value; `None` when the key was removed.
     pub(crate) value: Option<Bytes>,
+    /// True if it was read as it was written, and not found in a whole topic, where it may be old.
+    pub(crate) is_news: bool,
 }
 
 /// The store's return from an older copy, as one feed saw it.
@@ -83,15 +89,18 @@
 }
 
 impl Feed {
-    /// An empty feed whose values are compared by `revision_of`.
-    pub(crate) fn new(revision_of: fn(&[u8]) -> Option<Revision>) -> Self {
+    /// An empty feed whose values are compared by `revision_of`. With `keeps_removals`, removed keys whose
+    /// values state no revision do not come back with an older copy of the store.
+    pub(crate) fn new(revision_of: fn(&[u8]) -> Option<Revision>, keeps_removals: bool) -> Self {
         Self {
             position: StorePosition::default(),
             is_loaded: false,
             first_era: 0,
             records: BTreeMap::new(),
             removed: RemovedKeys::default(),
+            resurrected: BTreeSet::new(),
             revision_of,
+            keeps_removals,
         }
     }
 
@@ -119,7 +128,8 @@
         for record in records {
             let position = StorePosition { era: next.era, offset: record.offset };
             if position >= self.position {
-                changes.extend(self.accept(record.key, position, record.value));
+                let change = self.accept(record.key, position, record.value);
+                changes.extend(change.map(|change| FeedChange { is_news: true, ..change }));
             }
         }
         self.position = self.position.max(next);
@@ -127,15 +137,20 @@
     }
 
     /// Replaces the feed with the newest record of each key as of `end`, and removes keys without
-    /// one, unless their records are of an earlier era. Once loaded, the feed ignores a state that
-    /// is older than its own.
-    pub(crate) fn replace(&mut self, records: Vec<KnownRecord>, end: StorePosition) -> Replacement {
+    /// one, unless their records are of an earlier era and not among the `removals` that a peer knows.
+    /// Once loaded, the feed ignores a state that is older than its own.
+    pub(crate) fn replace(
+        &mut self,
+        records: Vec<KnownRecord>,
+        removals: Vec<(String, RemovedKey)>,
+        end: StorePosition,
+    ) -> Replacement {
         if self.is_loaded && end < self.position {
             return Replacement::default();
         }
         let before = self.position;
         let is_new_era = self.is_loaded && end.era > before.era;
-        let kept_lost = self.keeps_lost_records();
+        let kept_lost = self.has_lost_records();
         self.position = self.position.max(end);
         let listed: BTreeSet<_> = records.iter().map(|record| record.key.clone()).collect();
         let removed: Vec<_> = self
@@ -146,15 +161,28 @@
             .collect();
         let mut changes: Vec<_> =
             removed.into_iter().filter_map(|key| self.accept(key, end, None)).collect();
+        for (key, removal) in removals {
+            if !listed.contains(&key) {
+                changes.extend(self.apply_removal(key, removal));
+            }
+        }
         for record in records {
+            let key = record.key.clone();
             changes.extend(self.accept(record.key, record.position, Some(record.value)));
+            if self.keeps_removals && self.removed.get(&key).is_some() {
+                self.resurrected.insert(key);
+            }
+        }
+        if self.keeps_removals {
+            self.removed.confirm(&listed, end);
+            self.resurrected.retain(|key| listed.contains(key));
         }
         if !self.is_loaded {
             self.first_era = end.era;
         }
         self.is_loaded = true;
         // A daemon that started after the return learns from peers what the store lost.
-        let learned_of_return = !kept_lost && self.keeps_lost_records();
+        let learned_of_return = !kept_lost && self.has_lost_records();
         let era_change = (is_new_era || learned_of_return).then(|| EraChange {
             before,
             after: self.position,
@@ -164,8 +192,13 @@
         Replacement { changes, era_change }
     }
 
-    /// True if the feed has records of an earlier era, which the store has lost.
+    /// True if the feed knows more than the store: it has records of an earlier era, which the store has lost,
+    /// or knows of keys which are in the store that they were removed.
     pub(crate) fn keeps_lost_records(&self) -> bool {
+        !self.resurrected.is_empty() || self.has_lost_records()
+    }
+
+    fn has_lost_records(&self) -> bool {
         self.records.values().any(|stored| stored.position.era < self.position.era)
     }
 
@@ -189,7 +222,7 @@
 
     /// True if `key` was removed in an earlier era, and nothing of it was written since.
     pub(crate) fn was_removed_before(&self, key: &str) -> bool {
-        self.removed.get(key).is_some_and(|removed| removed.era < self.position.era)
+        self.removed.get(key).is_some_and(|removed| removed.at.era < self.position.era)
     }
 
     /// True when the feed has a record of `key`.
@@ -205,10 +238,32 @@
             value: stored.value.clone(),
             era: stored.position.era,
         });
+        let removed = self.removed.iter().filter(|_| self.keeps_removals);
+        let removed = removed.map(|(key, removed)| news::RemovedKey {
+            key: key.clone(),
+            offset: removed.at.offset,
+            era: removed.at.era,
+            last_offset: removed.last_offset,
+        });
         TopicSnapshot {
             next_offset: self.position.offset,
             records: records.collect(),
             era: self.position.era,
+            removed: removed.collect(),
+        }
+    }
+
+    /// Applies the removal of a key that a peer knows, unless a later record of it is known here.
+    fn apply_removal(&mut self, key: String, removal: RemovedKey) -> Option<FeedChange> {
+        match self.records.get(&key) {
+            Some(stored) if !removal.replaces(stored.position) => None,
+            Some(_) => self.set(key, removal.at, None),
+            None => {
+                if self.removed.get(&key).is_none_or(|known| known.at < removal.at) {
+                    self.removed.insert(key, removal);
+                }
+                None
+            }
         }
     }
 
@@ -241,22 +296,29 @@
                 return false;
             }
             let revisions = ((self.revision_of)(value), (self.revision_of)(&known.value));
-            let (Some(revision), Some(known_revision)) = revisions else { return false };
+            let (Some(revision), Some(known_revision)) = revisions else {
+                // Without revisions, a record of an earlier era replaces none of a later one.
+                return order == Ordering::Less;
+            };
             return match order {
                 Ordering::Greater => revision < known_revision,
                 Ordering::Equal | Ordering::Less => revision <= known_revision,
             };
         }
-        let removed = self.removed.get(key).filter(|removed| removed.era < self.position.era);
-        if removed.is_none() {
-            return false;
+        let Some(removed) = self.removed.get(key) else { return false };
+        match ((self.revision_of)(value), removed.revision) {
+            (Some(revision), Some(removed_revision)) => {
+                let is_earlier_era = removed.at.era < self.position.era;
+                // The copy may have the very value that was removed.
+                let is_older = if is_appended {
+                    revision < removed_revision
+                } else {
+                    revision <= removed_revision
+                };
+                is_earlier_era && is_older
+            }
+            _ => self.keeps_removals && !is_appended && removed.replaces(position),
         }
-        let Some(revision) = (self.revision_of)(value) else { return false };
-        let removed_revision = removed.and_then(|removed| removed.revision);
-        removed_revision.is_some_and(|removed| {
-            // The copy may have the very value that was removed.
-            if is_appended { revision < removed } else { revision <= removed }
-        })
     }
 
     fn set(
@@ -272,14 +334,22 @@
             }
             None => self.records.remove(&key),
         };
-        let known = known.map(|known| known.value);
+        self.resurrected.remove(&key);
         match (&known, &value) {
-            (Some(removed), None) => {
-                self.removed.insert(key.clone(), position.era, (self.revision_of)(removed));
+            (Some(known), None) => {
+                let removed = RemovedKey {
+                    at: position,
+                    last_offset: known.position.offset,
+                    revision: (self.revision_of)(&known.value),
+                };
+                self.removed.insert(key.clone(), removed);
             }
+            // What was removed before is removed still.
+            (None, None) if self.keeps_removals => {}
             _ => self.removed.remove(&key),
         }
-        (known != value).then_some(FeedChange { key, value })
+        let known = known.map(|known| known.value);
+        (known != value).then_some(FeedChange { key, value, is_news: false })
     }
 }
 
--- a/crates/gateway/src/followed_topic.rs
+++ b/crates/gateway/src/followed_topic.rs
@@ -10,6 +10,7 @@
 use event_listener::{Event, EventListener};
 
 use crate::feed::{Feed, FeedChange, KnownRecord, Replacement, without_superseded};
+use crate::removed_keys::RemovedKey;
 use crate::topic_handlers::TopicHandlers;
 use crate::topic_message::{self, CompressedTopic};
 
@@ -50,7 +51,7 @@
         Self {
             topic,
             clock,
-            feed: Mutex::new(Feed::new(handlers.revision_of)),
+            feed: Mutex::new(Feed::new(handlers.revision_of, handlers.keeps_removals)),
             handlers,
             position: ArcSwap::default(),
             is_loaded: AtomicBool::new(false),
@@ -172,10 +173,14 @@
             position: StorePosition { era: record.era, offset: record.offset },
             value: record.value,
         });
+        let removals = snapshot.removed.into_iter().map(|removed| {
+            let at = StorePosition { era: removed.era, offset: removed.offset };
+            (removed.key, RemovedKey { at, last_offset: removed.last_offset, revision: None })
+        });
         let end = StorePosition { era: snapshot.era, offset: snapshot.next_offset };
         let mut feed = self.feed();
         let is_ahead = feed.is_loaded() && feed.position() > end;
-        let replaced = feed.replace(records.collect(), end);
+        let replaced = feed.replace(records.collect(), removals.collect(), end);
         self.publish_replacement(&feed, &replaced, "peer");
         !is_ahead
     }
@@ -230,7 +235,7 @@
         let (was_loaded, from) = (feed.is_loaded(), feed.position());
         let records = newest.records.into_iter();
         let records = records.filter_map(|record| KnownRecord::of_store(record, newest.end.era));
-        let replaced = feed.replace(records.collect(), newest.end);
+        let replaced = feed.replace(records.collect(), Vec::new(), newest.end);
         // Peers in another era need the whole topic, and learn from heartbeats that they do.
         if was_loaded && replaced.era_change.is_none() {
             let records = replaced.changes.iter().map(|change| TopicRecord {
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -1,9 +1,10 @@
 use std::sync::{Arc, OnceLock};
 
-use comfreymast_base::{EventId, Organisation, Service};
+use comfreymast_base::{EventId, Organisation, Region, Service};
+use comfreymast_decide::data_centres::RegionNeed;
 use comfreymast_fleet::{KeyHolder, RetryPolicy, Route, Target};
 use comfreymast_platform::{RequestHead, RequestHeadError, set_resumption};
-use comfreymast_wire::news::{self, ForwardedCall, HeaderField};
+use comfreymast_wire::news::{self, ForwardedCall, HeaderField, RegionList};
 use derive_more::{Display, Error, From};
 use hyper::header::{AUTHORIZATION, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -81,6 +82,9 @@
             })
             .collect(),
         body: call.body.clone(),
+        allowed_regions: call.regions.allowed().map(|allowed| RegionList {
+            regions: allowed.iter().map(|region| region.as_str().to_owned()).collect(),
+        }),
     }
 }
 
@@ -99,8 +103,13 @@
         Arc::new(KeyHolder {
             organisation: Organisation::from(holder.organisation.as_str()),
             priority: holder.priority.map(priority),
+            // What it allows was put together with what its route does.
+            allowed_regions: None,
         })
     });
+    let allowed_regions: Option<Vec<_>> = message
+        .allowed_regions
+        .map(|list| list.regions.iter().map(|name| Region::from(name.as_str())).collect());
     let route = Route {
         name: message.route.into(),
         host: head.host.as_str().into(),
@@ -113,6 +122,7 @@
         priority: priority(message.priority),
         max_attempts: message.max_attempts,
         is_public: key_holder.is_none(),
+        allowed_regions: allowed_regions.clone(),
         targets: vec![Target { service, weight: 1 }],
     };
     Ok(Call {
@@ -121,6 +131,7 @@
         body: message.body,
         route: Arc::new(route),
         key_holder,
+        regions: RegionNeed::of(allowed_regions.as_deref(), None),
         version: message.version,
         started_ms: now_ms.saturating_sub(message.age_ms),
         timeout_at_ms: now_ms + message.left_ms,
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -21,6 +21,9 @@
 
 /// Where a peer takes forwarded calls.
 pub(crate) const FORWARD_PATH: &str = "/peer/forward";
+/// Where a peer takes calls that are limited to regions. A daemon of an earlier release, which would send them to
+/// upstreams of any region, does not know it and takes none.
+pub(crate) const LIMITED_FORWARD_PATH: &str = "/peer/forward-limited";
 /// The header of a peer's answer that says whether it took the call. An answer without it is not one to a
 /// forwarded call.
 const TAKEN_HEADER: &str = "comfreymast-taken";
--- a/crates/gateway/src/forward/outbound.rs
+++ b/crates/gateway/src/forward/outbound.rs
@@ -3,7 +3,7 @@
 
 use async_channel::bounded;
 use bytes::{Bytes, BytesMut};
-use comfreymast_base::{EndMark, Service};
+use comfreymast_base::{DataCentre, EndMark, Service};
 use comfreymast_fleet::RetryPolicy;
 use comfreymast_net::{
     Body, BodyError, BodyStep, OwnedConnection, ResponseBody, full, request, within,
@@ -15,7 +15,7 @@
 use prost::Message;
 
 use super::message::{Outgoing, encode};
-use super::{FORWARD_PATH, TAKEN_HEADER};
+use super::{FORWARD_PATH, LIMITED_FORWARD_PATH, TAKEN_HEADER};
 use crate::answer::EventStream;
 use crate::call::Call;
 use crate::call_error::CallError;
@@ -78,7 +78,7 @@
 ) -> Option<Result<PeerAnswer, &'static str>> {
     let call = outgoing.call;
     while asked.len() < MAX_PEERS && call.remaining_ms(&dispatch.clock) > 0 {
-        let addr = dispatch.peers.forward_target(outgoing.service, asked)?;
+        let addr = forward_target(dispatch, outgoing, asked)?;
         asked.push(addr);
         match send_to(dispatch, outgoing, addr).await {
             Ok(answer) => {
@@ -97,6 +97,20 @@
     None
 }
 
+/// The peer that is asked next: one in a region to which the call may be sent.
+fn forward_target(
+    dispatch: &Dispatch,
+    outgoing: &Outgoing<'_>,
+    asked: &[SocketAddr],
+) -> Option<SocketAddr> {
+    let settings = dispatch.settings.load();
+    let own = settings.region_of(&settings.data_centre);
+    let regions = &outgoing.call.regions;
+    dispatch.peers.forward_target(outgoing.service, asked, |data_centre| {
+        regions.allows_forward(settings.region_of(&DataCentre::from(data_centre)), own)
+    })
+}
+
 fn may_send_again(dispatch: &Dispatch, outgoing: &Outgoing<'_>) -> bool {
     let route = &outgoing.call.route;
     route.retry_policy == RetryPolicy::Idempotent
@@ -114,12 +128,14 @@
     let until_ms = dispatch.clock.now_ms() + limit_ms;
     let left_ms = || until_ms.saturating_sub(dispatch.clock.now_ms());
     let message = || encode(dispatch, outgoing).encode_to_vec();
+    let is_limited = outgoing.call.regions.allowed().is_some();
+    let path = if is_limited { LIMITED_FORWARD_PATH } else { FORWARD_PATH };
     let mut connection = match pool.take(dispatch.clock.now_ms()) {
         Some(connection) => connection,
         None => open(dispatch, addr, left_ms()).await?,
     };
     let head = loop {
-        let sent = connection.send(request(addr, "POST", FORWARD_PATH, full(message())));
+        let sent = connection.send(request(addr, "POST", path, full(message())));
         match within(left_ms(), sent).await {
             Ok(Ok(head)) => break head,
             Ok(Err(error)) if error.is_unsent => {
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -10,6 +10,7 @@
 use super::relay::{Relay, Source};
 use super::reservation::Reservation;
 use crate::answer::{EventStream, StreamStep};
+use crate::evacuation::may_continue_at;
 use crate::metrics::MoveLabels;
 use crate::quarantine::LastProgress;
 use crate::send::{SendFailure, SendOptions, Sent, send};
@@ -44,6 +45,12 @@
         self.lacks_event |= source.events.unfinished_bytes() > 0;
         drop(source);
         for target in candidates {
+            if !may_continue_at(&self.dispatch, &target) {
+                log::warn!(target: "comfreymast", code = 1324, request = &*self.call.head.id,
+                    upstream = target.record.name.as_str();
+                    "generation not continued in an evacuated data centre");
+                continue;
+            }
             self.dispatch.budget.record_retry(&self.service, self.dispatch.clock.now_ms());
             let sent_ms = self.dispatch.clock.now_ms();
             match self.continue_at(&target, Some(&copy)).await {
@@ -51,6 +58,7 @@
                     self.upstream = target;
                     self.awaits_place = self.last_event.is_some();
                     self.moves += 1;
+                    self.may_evacuate = self.dispatch.options.moves_evacuated;
                     let pause_ms = self.dispatch.clock.now_ms() - started_ms;
                     self.log_moved(&leaving, pause_ms);
                     return Some(next);
@@ -97,6 +105,7 @@
                 service: &self.service,
                 spec: &self.spec,
                 version: &self.version,
+                regions: &self.call.regions,
                 tokens: need_tokens,
                 near: &self.dispatch.settings.load().data_centre,
                 excluded: &tried,
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -4,6 +4,7 @@
 mod answer_start;
 mod continuation;
 mod hand_over;
+mod move_turn;
 mod mover;
 mod placement;
 mod relay;
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -2,11 +2,13 @@
 use std::sync::atomic::Ordering;
 
 use comfreymast_base::{DataCentre, Service, Upstream};
+use comfreymast_decide::data_centres::RegionNeed;
 use comfreymast_decide::placement::{EngineView, PlacementOptions, choose_engine, has_room};
 use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::EngineSpec;
 
 use crate::dispatch::Dispatch;
+use crate::evacuation::{Eligibility, without_returning};
 use crate::named_limit::retain_within_limits;
 use crate::places::free_places;
 use crate::upstream_state::UpstreamState;
@@ -24,6 +26,8 @@
     pub(crate) spec: &'a EngineSpec,
     /// The software versions that may run it.
     pub(crate) version: &'a VersionNeed,
+    /// The regions whose engines may run it.
+    pub(crate) regions: &'a RegionNeed,
     /// The memory it will hold.
     pub(crate) tokens: u64,
     /// The data centre that is preferred.
@@ -38,15 +42,32 @@
     need: &PlacementNeed<'_>,
     options: &PlacementOptions,
 ) -> Option<Placement> {
-    let PlacementNeed { service, spec, tokens: need_tokens, near, .. } = *need;
     dispatch.apply_peer_updates();
     let upstreams = dispatch.directory.load();
+    let eligibility = Eligibility::new(dispatch, need.regions);
     let is_eligible = |engine: &&Arc<UpstreamState>| {
-        !engine.is_leaving()
+        eligibility.allows(engine)
             && !need.excluded.contains(&engine.record.name)
             && need.version.allows(engine.record.version.as_ref())
     };
-    let mut candidates: Vec<_> = upstreams.of_service(service).iter().filter(is_eligible).collect();
+    let of_service = upstreams.of_service(need.service).iter();
+    let candidates: Vec<_> = of_service.filter(is_eligible).collect();
+    if let Some(fewer) = without_returning(dispatch, &candidates)
+        && let Some(placed) = place_among(dispatch, fewer, need, options)
+    {
+        return Some(placed);
+    }
+    place_among(dispatch, candidates, need, options)
+}
+
+/// Chooses one of `candidates`, which may all run the generation.
+fn place_among(
+    dispatch: &Dispatch,
+    mut candidates: Vec<&Arc<UpstreamState>>,
+    need: &PlacementNeed<'_>,
+    options: &PlacementOptions,
+) -> Option<Placement> {
+    let PlacementNeed { spec, tokens: need_tokens, near, .. } = *need;
     let now_ms = dispatch.clock.now_ms();
     candidates.retain(|engine| engine.pause_left_ms(now_ms) == 0);
     candidates.retain(|engine| free_places(dispatch, engine, now_ms) > 0);
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use async_channel::Sender;
 use async_executor::Task;
@@ -49,6 +50,8 @@
     pub(super) version: VersionNeed,
     pub(super) events: u64,
     pub(super) may_move: bool,
+    /// True if it may move when the data centre of its engine is evacuated.
+    pub(super) may_evacuate: bool,
     /// Upstreams that ran or may have run the request, over all of this attempt of its caller.
     pub(super) runs: u32,
     pub(super) last_event_ms: u64,
@@ -112,6 +115,7 @@
             events: 0,
             // A resumable stream needs no move: it is short, or is resumed after its last event.
             may_move: spec.can_move && call.route.retry_policy == RetryPolicy::Once,
+            may_evacuate: dispatch.options.moves_evacuated,
             runs: 1,
             last_event_ms: dispatch.clock.now_ms(),
             longest_pause_ms: 0,
@@ -175,6 +179,7 @@
     /// Relays from one upstream until the stream ends or is interrupted there.
     async fn relay(&mut self, source: &mut Source) -> Result<(), Interruption> {
         let mut mover: Option<Task<MoveOutcome>> = None;
+        let is_stop_asked = Arc::new(AtomicBool::new(false));
         let upstream = self.upstream.clone();
         let left_ms = self.call.remaining_ms(&self.dispatch.clock);
         let mut timeout = std::pin::pin!(sleep_ms(left_ms));
@@ -187,15 +192,21 @@
             may_send_again: true,
         };
         loop {
+            let may_evacuate = self.may_evacuate;
             let wants_move = self.may_move && mover.is_none() && self.events > 0;
             let step = {
                 let part = async { Step::Stream(source.events.next().await) };
                 let leaving = async {
-                    if wants_move {
-                        upstream.wait_leaving().await;
-                    } else {
+                    if !wants_move {
                         future::pending::<()>().await;
                     }
+                    let evacuated = async {
+                        if !may_evacuate {
+                            future::pending::<()>().await;
+                        }
+                        dispatch.evacuation.wait_evacuated(&upstream.record.data_centre).await;
+                    };
+                    future::or(upstream.wait_leaving(), evacuated).await;
                     Step::Leaving
                 };
                 let moved = async {
@@ -223,7 +234,10 @@
                 Step::Stream(StreamStep::Event(event)) => self.deliver(event).await?,
                 Step::Stream(StreamStep::BlankLines(bytes)) => self.send(bytes).await?,
                 Step::Stream(StreamStep::End(end)) => {
-                    if let Some(task) = mover.take() {
+                    // A move that waits for its turn or for room has not ended the stream, and may wait long.
+                    let may_have_ended_it =
+                        upstream.is_leaving() || is_stop_asked.load(Ordering::Acquire);
+                    if let Some(task) = mover.take().filter(|_| may_have_ended_it) {
                         // The stream may have ended because the move stopped its generation.
                         match task.await {
                             MoveOutcome::Stays { may_be_stopped, .. } => {
@@ -239,14 +253,21 @@
                         check_end(&self.dispatch, &self.upstream, framing, end, END_WATCH_MS).await;
                     return checked.map_err(Interruption::Broken);
                 }
-                Step::Leaving => mover = Some(self.start_move()),
-                Step::Moved(MoveOutcome::Stays { reason, may_be_stopped }) => {
+                Step::Leaving => mover = Some(self.start_move(&is_stop_asked)),
+                Step::Moved(MoveOutcome::Stays { reason, may_be_stopped, is_called_off }) => {
                     self.log_not_moved("stays", reason);
                     mover = None;
-                    self.may_move = false;
                     self.may_be_stopped |= may_be_stopped;
-                    self.reservation.unlist_generation();
-                    self.dispatch.notify_peers();
+                    if is_called_off {
+                        continue;
+                    }
+                    // It may still move when an engine that stays now leaves.
+                    self.may_evacuate = false;
+                    if upstream.is_leaving() {
+                        self.may_move = false;
+                        self.reservation.unlist_generation();
+                        self.dispatch.notify_peers();
+                    }
                 }
                 Step::Moved(moved) => return Err(Interruption::Moved(moved)),
                 Step::LinksLost => {
@@ -257,7 +278,7 @@
         }
     }
 
-    fn start_move(&self) -> Task<MoveOutcome> {
+    fn start_move(&self, is_stop_asked: &Arc<AtomicBool>) -> Task<MoveOutcome> {
         let mover = Mover {
             dispatch: self.dispatch.clone(),
             service: self.service.clone(),
@@ -265,7 +286,10 @@
             source: self.upstream.clone(),
             id: self.call.head.id.clone(),
             key: self.key,
+            regions: self.call.regions.clone(),
             need_tokens: self.need_tokens(),
+            is_stop_asked: is_stop_asked.clone(),
+            copying_since_ms: self.dispatch.clock.now_ms(),
         };
         self.dispatch.spawner.spawn(mover.run())
     }
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -19,6 +19,7 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::evacuation::{Eligibility, UNSERVABLE_RETRY_MS};
 use crate::pause::shortest_pause_ms;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
@@ -206,10 +207,14 @@
             PlacementOptions::default()
         };
         loop {
+            if let Some(reason) = self.eligibility_refusal() {
+                return Err(self.refusal(reason, UNSERVABLE_RETRY_MS).into());
+            }
             let need = PlacementNeed {
                 service: self.service,
                 spec: self.spec,
                 version: self.version,
+                regions: &self.call.regions,
                 tokens: need_tokens,
                 near: &self.dispatch.settings.load().data_centre,
                 excluded: &self.tried,
@@ -252,13 +257,23 @@
     /// The upstreams that may run the stream once they have room.
     fn usable_upstreams(&self) -> Vec<Arc<UpstreamState>> {
         let upstreams = self.dispatch.directory.load();
+        let eligibility = Eligibility::new(self.dispatch, &self.call.regions);
         let of_service = upstreams.of_service(self.service).iter();
         let usable = of_service.filter(|upstream| {
-            !upstream.is_leaving() && self.version.allows(upstream.record.version.as_ref())
+            eligibility.allows(upstream) && self.version.allows(upstream.record.version.as_ref())
         });
         usable.cloned().collect()
     }
 
+    /// Why no upstream may run the stream, however long it waits.
+    fn eligibility_refusal(&self) -> Option<Refusal> {
+        let upstreams = self.dispatch.directory.load();
+        let of_service = upstreams.of_service(self.service).iter();
+        let of_version =
+            of_service.filter(|upstream| self.version.allows(upstream.record.version.as_ref()));
+        Eligibility::new(self.dispatch, &self.call.regions).refusal(of_version)
+    }
+
     /// Allows another send after a failed one, or returns the error for the caller.
     fn check_resend(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod end_probe;
 mod end_witness;
 mod engine_watch;
+mod evacuation;
 mod exchange;
 mod feed;
 mod fleet_sum;
--- a/crates/gateway/src/link_probe.rs
+++ b/crates/gateway/src/link_probe.rs
@@ -48,7 +48,9 @@
     let upstreams = dispatch.directory.load();
     let now_ms = dispatch.clock.now_ms();
     let takes_requests = |upstream: &&Arc<UpstreamState>| {
-        !upstream.is_leaving() && upstream.pause_left_ms(now_ms) == 0
+        !upstream.is_leaving()
+            && !dispatch.is_evacuated(upstream)
+            && upstream.pause_left_ms(now_ms) == 0
     };
     let mut candidates: Vec<_> =
         upstreams.of_service(service).iter().filter(takes_requests).collect();
@@ -58,8 +60,11 @@
 }
 
 /// Asks one upstream for its health on a new connection. True if it answers, whatever that is, since that
-/// says that the link is there.
+/// says that the link is there. One in an evacuated data centre is not asked.
 pub(crate) async fn probe(dispatch: &Dispatch, upstream: &UpstreamState) -> bool {
+    if dispatch.is_evacuated(upstream) {
+        return false;
+    }
     let addr = upstream.record.addr;
     let limit_ms = dispatch.options.open_limit_ms;
     let Ok(mut connection) = OwnedConnection::open(&dispatch.spawner, addr, limit_ms).await else {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,13 @@
     pub(crate) topic: &'static str,
 }
 
+/// Why no upstream of its service may get a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct UnservableLabels {
+    /// `evacuated` or `region`.
+    pub(crate) reason: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -109,6 +116,10 @@
     pub(crate) topic_fetched_bytes: Counter,
     /// How long a peer has been ahead of this daemon.
     pub(crate) topic_behind_ms: Family<TopicLabels, Gauge>,
+    /// Data centres that are evacuated.
+    pub(crate) evacuated_data_centres: Gauge,
+    /// Requests that no upstream may get, as their data centres are evacuated or in other regions.
+    pub(crate) unservable: Family<UnservableLabels, Counter>,
     /// Log lines that were dropped because the log queue was full.
     dropped_lines: Counter,
 }
@@ -210,6 +221,18 @@
             "How long a peer has been ahead on a topic, 0 if none is",
             topic_behind_ms.clone(),
         );
+        let evacuated_data_centres = Gauge::default();
+        registry.register(
+            "gateway_evacuated_data_centres",
+            "Data centres that are evacuated",
+            evacuated_data_centres.clone(),
+        );
+        let unservable = Family::default();
+        registry.register(
+            "gateway_unservable",
+            "Requests that no upstream may get, as their data centres are evacuated or in other regions",
+            unservable.clone(),
+        );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
         Self {
@@ -232,6 +255,8 @@
             topic_fetches,
             topic_fetched_bytes,
             topic_behind_ms,
+            evacuated_data_centres,
+            unservable,
             dropped_lines,
         }
     }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -29,6 +29,8 @@
     pub metrics_port: Option<u16>,
     /// How long the daemon accepts new connections after it was told to stop.
     pub drain_grace_ms: u64,
+    /// True if running generations are moved out of data centres that are evacuated.
+    pub moves_evacuated: bool,
 }
 
 impl Default for GatewayOptions {
@@ -47,6 +49,7 @@
             settings_interval_ms: 1_000,
             metrics_port: None,
             drain_grace_ms: 3_000,
+            moves_evacuated: true,
         }
     }
 }
@@ -66,6 +69,13 @@
         self
     }
 
+    /// Moves running generations out of data centres that are evacuated, or leaves them there.
+    #[must_use]
+    pub fn moves_evacuated(mut self, moves_evacuated: bool) -> Self {
+        self.moves_evacuated = moves_evacuated;
+        self
+    }
+
     /// Sends heartbeats every `heartbeat_interval_ms`.
     #[must_use]
     pub fn heartbeat_interval_ms(mut self, heartbeat_interval_ms: u64) -> Self {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -69,11 +69,13 @@
         &'a self,
         me: &'a Member,
         service: &'a Service,
+        may_get: &'a dyn Fn(&str) -> bool,
         now_ms: u64,
     ) -> impl Iterator<Item = (SocketAddr, PeerView)> + 'a {
         let reaches = move |lost: &[String]| !lost.iter().any(|lost| lost == service.as_str());
         let peers = self.by_name.values().filter(move |peer| peer.is_heard(now_ms));
         let peers = peers.filter(|peer| !peer.heartbeat.is_draining);
+        let peers = peers.filter(move |peer| may_get(&peer.heartbeat.data_centre));
         let peers = peers.filter(move |peer| reaches(&peer.heartbeat.lost_services));
         let peers = peers.map(|peer| {
             let is_near = peer.heartbeat.data_centre == me.data_centre.as_str();
@@ -81,6 +83,7 @@
         });
         let elsewhere = self.summaries.values().flat_map(|received| &received.summary.members);
         let elsewhere = elsewhere.filter(move |member| reaches(&member.lost_services));
+        let elsewhere = elsewhere.filter(move |member| may_get(&member.data_centre));
         let elsewhere = elsewhere.filter_map(|member| {
             Some((member.addr.parse().ok()?, PeerView { calls: 0, is_near: false }))
         });
@@ -152,16 +155,17 @@
     }
 
     /// The daemon to which a call of `service` is forwarded: one that was heard lately, reaches upstreams of
-    /// that service and is none of `asked`.
+    /// that service, is none of `asked` and in a data centre that `may_get` the call.
     pub(crate) fn forward_target(
         &self,
         service: &Service,
         asked: &[SocketAddr],
+        may_get: impl Fn(&str) -> bool,
     ) -> Option<SocketAddr> {
         let now_ms = self.clock.now_ms();
         let table = self.table();
         let candidates: Vec<_> = table
-            .forward_candidates(&self.me, service, now_ms)
+            .forward_candidates(&self.me, service, &may_get, now_ms)
             .filter(|(addr, _)| !asked.contains(addr))
             .collect();
         let views: Vec<_> = candidates.iter().map(|(_, view)| *view).collect();
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -21,7 +21,9 @@
 pub(crate) fn own_places(dispatch: &Dispatch, service: &Service) -> u32 {
     let now_ms = dispatch.clock.now_ms();
     let upstreams = dispatch.directory.load();
-    let remaining = upstreams.of_service(service).iter().filter(|upstream| !upstream.is_leaving());
+    let remaining = upstreams.of_service(service).iter();
+    let remaining =
+        remaining.filter(|upstream| !upstream.is_leaving() && !dispatch.is_evacuated(upstream));
     remaining.map(|upstream| places(dispatch, upstream, now_ms)).fold(0, u32::saturating_add)
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -10,6 +10,7 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::evacuation::{Eligibility, UNSERVABLE_RETRY_MS, without_returning};
 use crate::named_limit::{retain_within_limits, usual_wait_ms};
 use crate::pause::shortest_pause_ms;
 use crate::places::{free_places, own_places};
@@ -39,16 +40,19 @@
     let brittleness = dispatch.directory.load().brittleness(service);
     let mut waiting = None;
     loop {
-        let upstream = match choose(dispatch, service, &tried) {
+        let upstream = match choose(dispatch, call, service, &tried) {
             Ok(upstream) => upstream,
             Err(Refusal::Limited) => {
                 let wait_ms = usual_wait_ms(dispatch.directory.load().of_service(service));
                 return Ok(give_up(failed, runs, Refusal::Limited, wait_ms)?);
             }
             Err(Refusal::Paused) => {
-                let wait_ms = pause_ms(dispatch, service);
+                let wait_ms = pause_ms(dispatch, call, service);
                 return Ok(give_up(failed, runs, Refusal::Paused, wait_ms)?);
             }
+            Err(reason @ (Refusal::Evacuated | Refusal::Region)) => {
+                return Ok(give_up(failed, runs, reason, Some(UNSERVABLE_RETRY_MS))?);
+            }
             Err(Refusal::Brittle) => {
                 let waits = waiting.is_some()
                     || brittleness.as_ref().is_some_and(|brittleness| {
@@ -169,28 +173,44 @@
 }
 
 /// The time until an upstream of `service` takes requests again, if they all want none now.
-fn pause_ms(dispatch: &Dispatch, service: &Service) -> Option<u64> {
+fn pause_ms(dispatch: &Dispatch, call: &Call, service: &Service) -> Option<u64> {
     let upstreams = dispatch.directory.load();
-    let live = upstreams.of_service(service).iter().filter(|upstream| !upstream.is_leaving());
+    let eligibility = Eligibility::new(dispatch, &call.regions);
+    let live = upstreams.of_service(service).iter();
+    let live = live.filter(|upstream| eligibility.allows(upstream));
     shortest_pause_ms(live, dispatch.clock.now_ms())
 }
 
 /// Chooses the upstream for the next attempt, none of those already `tried`.
 fn choose(
     dispatch: &Dispatch,
+    call: &Call,
     service: &Service,
     tried: &[Upstream],
 ) -> Result<Arc<UpstreamState>, Refusal> {
-    let now_ms = dispatch.clock.now_ms();
     let upstreams = dispatch.directory.load();
-    let mut candidates: Vec<_> = upstreams
-        .of_service(service)
-        .iter()
-        .filter(|upstream| !upstream.is_leaving() && !tried.contains(&upstream.record.name))
-        .collect();
+    let of_service = upstreams.of_service(service);
+    let eligibility = Eligibility::new(dispatch, &call.regions);
+    let eligible = of_service.iter().filter(|upstream| eligibility.allows(upstream));
+    let candidates: Vec<_> =
+        eligible.filter(|upstream| !tried.contains(&upstream.record.name)).collect();
     if candidates.is_empty() {
-        return Err(Refusal::NoUpstream);
+        return Err(eligibility.refusal(of_service.iter()).unwrap_or(Refusal::NoUpstream));
     }
+    if let Some(fewer) = without_returning(dispatch, &candidates)
+        && let Ok(upstream) = choose_among(dispatch, fewer)
+    {
+        return Ok(upstream);
+    }
+    choose_among(dispatch, candidates)
+}
+
+/// Chooses one of `candidates`, which may all get the call.
+fn choose_among(
+    dispatch: &Dispatch,
+    mut candidates: Vec<&Arc<UpstreamState>>,
+) -> Result<Arc<UpstreamState>, Refusal> {
+    let now_ms = dispatch.clock.now_ms();
     candidates.retain(|upstream| upstream.pause_left_ms(now_ms) == 0);
     if candidates.is_empty() {
         return Err(Refusal::Paused);
--- a/crates/gateway/src/quarantine/stored.rs
+++ b/crates/gateway/src/quarantine/stored.rs
@@ -35,6 +35,7 @@
             on_change: Box::new(on_change),
             on_era_change: Box::new(on_era_change),
             revision_of: suspect_revision,
+            keeps_removals: false,
         };
         // Most daemons of a large fleet leave reading to a few, once they know their peers.
         let wait_ms = FollowedTopic::NOT_READING_MS;
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -11,6 +11,7 @@
 use comfreymast_wire::news::TopicDelta;
 
 use crate::dispatch::Dispatch;
+use crate::evacuation::apply_changes;
 use crate::feed::{EraChange, FeedChange};
 use crate::followed_topic::FollowedTopic;
 use crate::topic_handlers::TopicHandlers;
@@ -19,13 +20,14 @@
 /// those under way to it.
 const LEAVE_MARGIN_MS: u64 = 100;
 
-/// Follows the operators' topic, and puts each configuration in force.
+/// Follows the operators' topic, and puts each configuration and evacuation in force.
 pub(crate) fn follow_operators(
     dispatch: &Arc<Dispatch>,
     deltas: Sender<TopicDelta>,
 ) -> Arc<FollowedTopic> {
     let target = dispatch.clone();
     let on_change = move |changes: &[FeedChange]| {
+        apply_changes(&target, changes);
         for change in changes.iter().filter(|change| change.key == CONFIGURATION_KEY) {
             let Some(value) = &change.value else { continue };
             match decode_configuration(value) {
@@ -44,6 +46,7 @@
         on_change: Box::new(on_change),
         on_era_change: Box::new(on_era_change),
         revision_of: configuration_revision,
+        keeps_removals: true,
     };
     let clock = dispatch.clock.clone();
     Arc::new(FollowedTopic::new(Topic::Operators, clock, wait_ms, handlers, deltas))
@@ -76,6 +79,7 @@
             on_change: Box::new(on_change),
             on_era_change: Box::new(on_era_change),
             revision_of: upstream_revision,
+            keeps_removals: false,
         };
         FollowedTopic::new(Topic::Upstreams, dispatch.clock.clone(), wait_ms, handlers, deltas)
     })
--- a/crates/gateway/src/removed_keys.rs
+++ b/crates/gateway/src/removed_keys.rs
@@ -1,4 +1,6 @@
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use comfreymast_base::StorePosition;
 
 use crate::feed::Revision;
 
@@ -17,16 +19,28 @@
 /// A removed key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct RemovedKey {
-    /// The era in which it was removed.
-    pub(crate) era: u64,
+    /// Where it was removed, or is known to have been missing later.
+    pub(crate) at: StorePosition,
+    /// The offset of its last record.
+    pub(crate) last_offset: u64,
     /// The revision of its last value.
     pub(crate) revision: Option<Revision>,
 }
 
+impl RemovedKey {
+    /// True if a record at `position` is older than the removal, or one that an older copy of the store has
+    /// again. The copy ends before the removal, so what it has of the key is at the offset of the last record
+    /// or before.
+    pub(crate) fn replaces(&self, position: StorePosition) -> bool {
+        let is_later_era = position.era > self.at.era;
+        position < self.at || (is_later_era && position.offset <= self.last_offset)
+    }
+}
+
 impl RemovedKeys {
     /// Remembers a removal.
-    pub(crate) fn insert(&mut self, key: String, era: u64, revision: Option<Revision>) {
-        self.by_key.insert(key.clone(), RemovedKey { era, revision });
+    pub(crate) fn insert(&mut self, key: String, removed: RemovedKey) {
+        self.by_key.insert(key.clone(), removed);
         self.order.push_back(key);
         while self.order.len() > MAX_REMOVED_KEYS {
             if let Some(oldest) = self.order.pop_front() {
@@ -40,6 +54,17 @@
         self.by_key.remove(key);
     }
 
+    /// Notes that no key but those `listed` was there at `end`.
+    pub(crate) fn confirm(&mut self, listed: &BTreeSet<String>, end: StorePosition) {
+        let unlisted = self.by_key.iter_mut().filter(|(key, _)| !listed.contains(*key));
+        unlisted.for_each(|(_, removed)| removed.at = removed.at.max(end));
+    }
+
+    /// All removals.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&String, &RemovedKey)> {
+        self.by_key.iter()
+    }
+
     /// The removal of a key.
     pub(crate) fn get(&self, key: &str) -> Option<RemovedKey> {
         self.by_key.get(key).copied()
--- a/crates/gateway/src/request_handler.rs
+++ b/crates/gateway/src/request_handler.rs
@@ -1,5 +1,6 @@
 use std::sync::{Arc, OnceLock};
 
+use comfreymast_decide::data_centres::RegionNeed;
 use comfreymast_net::{Body, BodyError, collect, within};
 use comfreymast_platform::{RequestHead, request_id};
 use futures_lite::future;
@@ -10,8 +11,9 @@
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
+use crate::evacuation::{UNSERVABLE_RETRY_MS, service_refusal};
 use crate::forward::forward;
-use crate::metrics::OutcomeLabels;
+use crate::metrics::{OutcomeLabels, UnservableLabels};
 use crate::stream_origin::{Destination, destination};
 use crate::unserved::Unserved;
 use crate::{generation, plain};
@@ -87,6 +89,10 @@
     destination: &Destination,
 ) -> Result<Response<Body>, CallError> {
     let service = &destination.service;
+    if let Some(reason) = service_refusal(dispatch, call, service) {
+        // A peer would refuse it too.
+        return Err(unservable(dispatch, reason));
+    }
     let has_lost_links = dispatch.has_lost_links(service);
     if has_lost_links && let Some(answered) = forward(dispatch, call, service, 0).await {
         return answered;
@@ -117,6 +123,13 @@
     }
 }
 
+/// The answer to a call that no upstream may get.
+fn unservable(dispatch: &Dispatch, reason: Refusal) -> CallError {
+    let label = if reason == Refusal::Region { "region" } else { "evacuated" };
+    dispatch.metrics.unservable.get_or_create(&UnservableLabels { reason: label }).inc();
+    CallError::Refused { reason, retry_after_ms: Some(UNSERVABLE_RETRY_MS) }
+}
+
 fn unreached_error(runs: u32) -> CallError {
     const UNREACHED_RETRY_MS: u64 = 150;
     if runs > 0 {
@@ -161,7 +174,9 @@
     if dispatch.takes_no_more() {
         return Err(CallError::stopping());
     }
+    let of_holder = key_holder.as_ref().and_then(|holder| holder.allowed_regions.as_deref());
     Ok(Call {
+        regions: RegionNeed::of(route.allowed_regions.as_deref(), of_holder),
         route: route.clone(),
         key_holder,
         version: configuration.version,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -126,6 +126,10 @@
     let started_ms = dispatch.clock.now_ms();
     upstream.limit.record_send(started_ms);
     let (mut connection, mut kind) = connect(dispatch, call, upstream, options.limit_ms).await?;
+    if options.resume_from.is_none() && dispatch.is_evacuated(upstream) {
+        // The evacuation was heard of while the connection was opened.
+        return Err(SendFailure::Unreached);
+    }
     let mut request = forwarded_request(dispatch, call, upstream, options);
     let head = loop {
         let left_ms = options.limit_ms.saturating_sub(dispatch.clock.now_ms() - started_ms);
--- a/crates/gateway/src/topic_handlers.rs
+++ b/crates/gateway/src/topic_handlers.rs
@@ -11,4 +11,6 @@
     pub(crate) on_era_change: OnEraChange,
     /// The revision of a value, to tell an older value from a newer one across eras.
     pub(crate) revision_of: fn(&[u8]) -> Option<Revision>,
+    /// True if removed keys whose values state no revision do not come back with an older copy of the store.
+    pub(crate) keeps_removals: bool,
 }
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -46,6 +46,8 @@
     has_restarted: AtomicBool,
     /// True once it is known that this start of it has ended.
     has_ended: AtomicBool,
+    /// True while a generation of this daemon is copied off it because its data centre is evacuated.
+    pub(crate) is_move_turn_taken: AtomicBool,
     first_seen_ms: u64,
     /// Until when it wants no requests from this daemon.
     paused_until_ms: AtomicU64,
@@ -91,6 +93,7 @@
             leaving_since_ms: AtomicU64::new(0),
             has_restarted: AtomicBool::new(false),
             has_ended: AtomicBool::new(false),
+            is_move_turn_taken: AtomicBool::new(false),
             first_seen_ms: now_ms,
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -53,6 +53,10 @@
     pub(crate) grace_s: u64,
     /// The rate of the links of the gateways that are started afterwards, in Mbit/s.
     pub(crate) link_mbps: f64,
+    /// The time within which evacuations are in force, for the gateways that are started afterwards.
+    pub(crate) evacuation_ms: Option<u64>,
+    /// The regions of data centres, for the gateways that are started afterwards.
+    pub(crate) regions: Vec<(&'static str, &'static str)>,
 }
 
 /// A running gateway.
@@ -87,6 +91,8 @@
             retry_slack: 50.0,
             grace_s: 8,
             link_mbps: 1_000.0,
+            evacuation_ms: Some(5_000),
+            regions: Vec::new(),
         }
     }
 
@@ -110,12 +116,32 @@
     /// Writes the entry of an upstream to the store.
     pub(crate) fn announce(&self, upstream: &PlatformUpstream, service: &str, state: &str) {
         let version = upstream.behaviour().version;
-        self.write_entry((&upstream.name, upstream.addr), service, state, &version);
+        self.write_entry((&upstream.name, upstream.addr), "z1", service, state, &version);
+    }
+
+    /// Writes the entry of an upstream in `data_centre` to the store, as ready.
+    pub(crate) fn announce_in(
+        &self,
+        data_centre: &str,
+        (name, addr): (&str, SocketAddr),
+        service: &str,
+    ) {
+        self.write_entry((name, addr), data_centre, service, "ready", "v1");
+    }
+
+    /// Begins the evacuation of a data centre.
+    pub(crate) fn evacuate(&self, data_centre: &str) {
+        self.write(OPERATORS_TOPIC, &format!("evacuate/{data_centre}"), b"{}");
+    }
+
+    /// Ends the evacuation of a data centre.
+    pub(crate) fn end_evacuation(&self, data_centre: &str) {
+        self.write(OPERATORS_TOPIC, &format!("evacuate/{data_centre}"), b"");
     }
 
     /// Writes the entry of an upstream at `addr` to the store.
     pub(crate) fn announce_at(&self, name: &str, addr: SocketAddr, service: &str, state: &str) {
-        self.write_entry((name, addr), service, state, "v1");
+        self.write_entry((name, addr), "z1", service, state, "v1");
     }
 
     /// Like [`Self::announce_at`], ready and with this software version.
@@ -125,12 +151,13 @@
         service: &str,
         version: &str,
     ) {
-        self.write_entry(upstream, service, "ready", version);
+        self.write_entry(upstream, "z1", service, "ready", version);
     }
 
     fn write_entry(
         &self,
         (name, addr): (&str, SocketAddr),
+        data_centre: &str,
         service: &str,
         state: &str,
         version: &str,
@@ -138,7 +165,7 @@
         let entry = UpstreamEntry {
             addr,
             service,
-            data_centre: "z1",
+            data_centre,
             slots: SLOTS,
             state,
             version,
@@ -166,6 +193,18 @@
         upstream
     }
 
+    /// Starts an upstream in `data_centre` and writes its entry as ready.
+    pub(crate) async fn upstream_in(
+        &self,
+        data_centre: &str,
+        name: &str,
+        service: &str,
+    ) -> PlatformUpstream {
+        let upstream = PlatformUpstream::start(&self.spawner, name).await.expect("a port");
+        self.announce_in(data_centre, (name, upstream.addr), service);
+        upstream
+    }
+
     /// Starts a gateway that reads this store.
     pub(crate) async fn gateway(&self, name: &str) -> Gateway {
         self.gateway_at(name, self.store_addr, GatewayOptions::default(), &[]).await
@@ -215,7 +254,17 @@
             retry_window_s: 10,
             link_mbps: self.link_mbps,
         };
-        std::fs::write(&path, file.document().to_string()).expect("a settings file");
+        let mut document = file.document();
+        if let Some(evacuation_ms) = self.evacuation_ms {
+            document["bounds"]["evacMs"] = evacuation_ms.into();
+        }
+        for (zone, region) in &self.regions {
+            document["zones"][*zone] = (*region).into();
+            if *zone == data_centre {
+                document["region"] = (*region).into();
+            }
+        }
+        std::fs::write(&path, document.to_string()).expect("a settings file");
         let mut settings = VmSettings::read(&path).expect("good settings");
         settings.seed_addrs = seeds;
         let (stop, stopped) = async_channel::bounded(1);
--- a/crates/gateway/tests/topic_exchange.rs
+++ b/crates/gateway/tests/topic_exchange.rs
@@ -116,7 +116,7 @@
     let value = record.and_then(|record| record.value).expect("a configuration");
     let key = CONFIGURATION_KEY.to_owned();
     let records = vec![TopicRecord { key, offset: 0, value, era: 0 }];
-    TopicSnapshot { next_offset: 1, records, era: 0 }
+    TopicSnapshot { next_offset: 1, records, ..TopicSnapshot::default() }
 }
 
 fn compressed(snapshot: &TopicSnapshot) -> Bytes {
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use comfreymast_base::{Organisation, Service};
+use comfreymast_base::{Organisation, Region, Service};
 use comfreymast_fleet::{
     CallerLimits, Configuration, EngineSpec, KeyHolder, Keyring, RetryPolicy, Route, RouteTable,
     ServiceSpec, Target,
@@ -58,6 +58,7 @@
         let holder = Arc::new(KeyHolder {
             organisation: Organisation::from(tenant.name),
             priority: tenant.priority,
+            allowed_regions: tenant.allowed_regions,
         });
         for key in &tenant.api_keys {
             keyring.insert(key, &holder);
@@ -96,6 +97,7 @@
     max_attempts: Option<u32>,
     #[serde(default)]
     public: bool,
+    allowed_regions: Option<Vec<Region>>,
     service: Option<String>,
     traffic_split: Option<Vec<SplitFields>>,
 }
@@ -139,6 +141,7 @@
             priority: self.priority,
             max_attempts: self.max_attempts.unwrap_or(1).max(1),
             is_public: self.public,
+            allowed_regions: self.allowed_regions,
             targets,
         }
     }
@@ -229,4 +232,5 @@
     #[serde(default)]
     api_keys: Vec<String>,
     priority: Option<u8>,
+    allowed_regions: Option<Vec<Region>>,
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -49,3 +49,5 @@
 pub const READY_PATH: &str = names::READY_PATH;
 /// The key of the configuration in [`Topic::Operators`].
 pub const CONFIGURATION_KEY: &str = "config";
+/// The prefix of the keys in [`Topic::Operators`] that evacuate a data centre, whose name follows.
+pub const EVACUATION_PREFIX: &str = "evacuate/";
--- a/crates/platform/src/settings.rs
+++ b/crates/platform/src/settings.rs
@@ -1,9 +1,11 @@
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
-use comfreymast_base::{DaemonName, DataCentre};
+use comfreymast_base::{DaemonName, DataCentre, Region};
 use derive_more::{Display, Error, From};
 use serde::Deserialize;
+use serde_json::{Map, Value};
 
 /// The environment variable that holds the path of the settings file.
 const SETTINGS_PATH_VARIABLE: &str = "COMFREYMAST_SETTINGS";
@@ -52,6 +54,13 @@
     pub grace_ms: u64,
     /// The time after an upstream announced that it leaves within which it may get new requests.
     pub leave_ms: u64,
+    /// The time after the evacuation of a data centre was written within which its upstreams may still get
+    /// requests; `None` if the platform states no bound.
+    pub evacuation_ms: Option<u64>,
+    /// The region of each data centre, as far as the platform states it.
+    pub regions: BTreeMap<DataCentre, Region>,
+    /// The region of this VM.
+    pub own_region: Option<Region>,
     /// The share of a service's requests that may be retried, over all daemons.
     pub retry_ratio: f64,
     /// The number of retries allowed on top of that share in each window.
@@ -65,6 +74,13 @@
 }
 
 impl VmSettings {
+    /// The region of a data centre; `None` if it is not known.
+    #[must_use]
+    pub fn region_of(&self, data_centre: &DataCentre) -> Option<&Region> {
+        let own = self.own_region.as_ref().filter(|_| *data_centre == self.data_centre);
+        self.regions.get(data_centre).or(own)
+    }
+
     /// Reads the file at `path`. Unknown fields are ignored.
     ///
     /// # Errors
@@ -92,6 +108,9 @@
             seed_addrs: seed_addrs(&file.seeds, peer_port),
             grace_ms: seconds_to_ms(file.bounds.grace_s),
             leave_ms: file.bounds.drain_ms as u64,
+            evacuation_ms: file.bounds.evac_ms.map(|ms| ms as u64),
+            regions: regions(&file.zones),
+            own_region: file.region.as_str().map(Region::from),
             retry_ratio: file.bounds.retry_budget_ratio,
             retry_slack: file.bounds.budget_slack,
             retry_window_ms: seconds_to_ms(file.bounds.budget_window_s),
@@ -111,6 +130,14 @@
     seeds.map(|seed| SocketAddr::new(seed.ip(), peer_port)).collect()
 }
 
+/// The regions of data centres. An entry that names no region is left out, so that its data centre counts as
+/// one of unknown region.
+fn regions(zones: &Value) -> BTreeMap<DataCentre, Region> {
+    let named = zones.as_object().into_iter().flat_map(Map::iter);
+    let named = named.filter_map(|(zone, region)| Some((zone.as_str(), region.as_str()?)));
+    named.map(|(zone, region)| (DataCentre::from(zone), Region::from(region))).collect()
+}
+
 fn seconds_to_ms(seconds: f64) -> u64 {
     const MS_PER_S: f64 = 1_000.0;
     (seconds * MS_PER_S) as u64
@@ -122,6 +149,11 @@
     node: String,
     ip: IpAddr,
     zone: String,
+    /// Any other form than the expected one counts as absent.
+    #[serde(default)]
+    region: Value,
+    #[serde(default)]
+    zones: Value,
     listen: ListenFields,
     port_range: Vec<u16>,
     platform: PlatformFields,
@@ -162,6 +194,7 @@
 struct BoundsFields {
     grace_s: f64,
     drain_ms: f64,
+    evac_ms: Option<f64>,
     retry_budget_ratio: f64,
     budget_slack: f64,
     budget_window_s: f64,
@@ -172,6 +205,7 @@
         Self {
             grace_s: 8.0,
             drain_ms: 2_000.0,
+            evac_ms: None,
             retry_budget_ratio: 0.1,
             budget_slack: 0.0,
             budget_window_s: 10.0,
--- a/crates/platform/tests/decoders.rs
+++ b/crates/platform/tests/decoders.rs
@@ -146,3 +146,52 @@
     entry.as_object_mut().expect("an object").remove("version");
     assert_eq!(decode_upstream("u", entry.to_string().as_bytes()).expect("an entry").version, None);
 }
+
+fn settings_with(change: impl FnOnce(&mut serde_json::Value)) -> VmSettings {
+    let mut document = json!({
+        "node": "d0", "ip": "127.0.0.1", "zone": "z1", "portRange": [7_000],
+        "listen": { "front": "127.0.0.1:0", "ready": "127.0.0.1:0" },
+        "platform": { "address": "127.0.0.1:1" }, "bounds": {},
+    });
+    change(&mut document);
+    VmSettings::decode(document.to_string().as_bytes()).expect("settings")
+}
+
+#[test]
+fn regions_and_the_bound_of_evacuations_are_optional_settings() {
+    let plain = settings_with(|_| ());
+    assert_eq!(plain.evacuation_ms, None);
+    assert_eq!(plain.region_of(&"z1".into()), None);
+    let full = settings_with(|document| {
+        document["bounds"]["evacMs"] = 5_000.into();
+        document["region"] = "eu".into();
+        document["zones"] = json!({ "z2": "us", "z3": 7 });
+    });
+    assert_eq!(full.evacuation_ms, Some(5_000));
+    assert_eq!(full.region_of(&"z1".into()), Some(&"eu".into()), "its own, which is not listed");
+    assert_eq!(full.region_of(&"z2".into()), Some(&"us".into()));
+    assert_eq!(full.region_of(&"z3".into()), None, "no name");
+    assert_eq!(full.region_of(&"z4".into()), None);
+    // A list of names is no map; a daemon starts all the same.
+    assert!(settings_with(|document| document["zones"] = json!(["z1"])).regions.is_empty());
+}
+
+#[test]
+fn allowed_regions_of_routes_and_organisations_are_decoded() {
+    let document = json!({
+        "version": 1,
+        "routes": [
+            { "name": "a", "host": "h", "pathPrefix": "/a/", "kind": "safe", "service": "s",
+              "allowedRegions": ["eu"] },
+            { "name": "b", "host": "h", "pathPrefix": "/b/", "kind": "safe", "service": "s" },
+        ],
+        "tenants": [{ "name": "o", "apiKeys": ["k"], "allowedRegions": ["eu", "us"] }],
+    });
+    let configuration = decode_configuration(document.to_string().as_bytes()).expect("valid");
+    let regions_of =
+        |path| configuration.routes.find("h", path).expect("a route").allowed_regions.clone();
+    assert_eq!(regions_of("/a/x"), Some(vec!["eu".into()]));
+    assert_eq!(regions_of("/b/x"), None);
+    let holder = configuration.keyring.holder("k").expect("a holder");
+    assert_eq!(holder.allowed_regions, Some(vec!["eu".into(), "us".into()]));
+}
