--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`body_budget`] — which request bodies may take more memory, and which give theirs back.
 //! * [`connection_choice`] — which connection is closed when there are too many.
 //! * [`currency`] — whether a daemon may serve on the contracts it holds.
+//! * [`data_centres`] — which data centres may get work.
 //! * [`forward_choice`] — which daemon takes a call of one that has lost its links to upstreams.
 //! * [`link_watch`] — whether a daemon has lost its links to upstreams.
 //! * [`limits`] — how much of an organisation's limits this daemon may use.
@@ -51,6 +52,7 @@
 pub mod cold_rate;
 pub mod connection_choice;
 pub mod currency;
+pub mod data_centres;
 pub mod entry_expiry;
 pub mod evacuation;
 pub mod fairness;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Why no upstream of its service may get a request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct UnservableLabels {
+    /// `evacuated` or `region`.
+    pub(crate) reason: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -122,6 +129,10 @@
     pub(crate) topic_behind_ms: Family<TopicLabels, Gauge>,
     /// Bodies of requests that were not read, and connections that were closed or refused, by reason.
     rejections: Family<RejectionLabels, Counter>,
+    /// Data centres that are evacuated.
+    pub(crate) evacuated_data_centres: Gauge,
+    /// Requests that no upstream may get, as their data centres are evacuated or in other regions.
+    pub(crate) unservable: Family<UnservableLabels, Counter>,
     /// Log lines that were dropped because the log queue was full.
     dropped_lines: Counter,
 }
@@ -241,6 +252,18 @@
             "Request bodies not read and connections closed or refused, by reason",
             rejections.clone(),
         );
+        let evacuated_data_centres = Gauge::default();
+        registry.register(
+            "gateway_evacuated_data_centres",
+            "Data centres that are evacuated",
+            evacuated_data_centres.clone(),
+        );
+        let unservable = Family::default();
+        registry.register(
+            "gateway_unservable",
+            "Requests that no upstream may get, as their data centres are evacuated or in other regions",
+            unservable.clone(),
+        );
         let dropped_lines = Counter::default();
         registry.register("log_lines_dropped", "Log lines dropped", dropped_lines.clone());
         Self {
@@ -266,6 +289,8 @@
             topic_fetched_bytes,
             topic_behind_ms,
             rejections,
+            evacuated_data_centres,
+            unservable,
             dropped_lines,
         }
     }
