Placement counts the speed of engines, which daemons observe and tell each other

Cause: engines of one service differ in speed, and some take four times as long for seconds. Placement treated all alike.

Change: decide/speed estimates the slowness of an engine from observations, combines the reports of several daemons and compares within a service. Relays observe the time between events and to the first one; each daemon tells its estimate in EngineUse of heartbeats and summaries (three new fields), at once after a change by half. EngineView has the speed and the cost counts it; with equal speeds the cost is that of before, by test.

With fakes, a slow engine is judged slow by the daemon with streams there and by a peer without any, whose new streams all go elsewhere. Moves of running streams and a shared estimate of plain upstreams are left.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 //! * [`send_pacer`] — when a daemon sends the next part of what it hands on to peers.
 //! * [`slot_share`] — how many places of a brittle upstream a daemon uses.
 //! * [`software_version`] — at which versions of upstreams a stream may run.
+//! * [`speed`] — how slow each engine of a service is.
 //! * [`stream_origins`] — which service and software version began a stream.
 //! * [`topic_source`] — which peer a daemon that is behind on a topic fetches it from.
 //! * [`version_history`] — the software versions that services had.
@@ -67,6 +68,7 @@
 mod sliding_count;
 pub mod slot_share;
 pub mod software_version;
+pub mod speed;
 pub mod stream_origins;
 pub mod suspension;
 pub mod topic_source;
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -23,6 +23,11 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The upstreams of each service.
+    pub(crate) fn by_services(&self) -> impl Iterator<Item = &[Arc<UpstreamState>]> {
+        self.by_service.values().map(Vec::as_slice)
+    }
+
     /// The upstream of this name.
     pub(crate) fn by_name(&self, name: &str) -> Option<&Arc<UpstreamState>> {
         self.by_name.get(&Upstream::from(name))
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -195,6 +195,7 @@
         for upstream in self.directory.load().all() {
             let engine = sum.engines.remove(upstream.record.name.as_str()).unwrap_or_default();
             upstream.set_others_generations(engine.generations);
+            upstream.speed.set_others(engine.speeds, upstream.first_seen_ms());
             upstream.others_runs.store(engine.runs, Ordering::Release);
             upstream.others_reserved_tokens.store(engine.reserved_tokens, Ordering::Release);
             upstream.others_prefill_tokens.store(engine.prefill_tokens, Ordering::Release);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,6 +19,7 @@
 use crate::outbox::{Destination, Origin};
 use crate::quarantine;
 use crate::roster::Links;
+use crate::speed::{ReportFields, update_speeds};
 use crate::stream_origin;
 use crate::topic_positions::TopicPositions;
 use crate::topic_server::TopicServer;
@@ -138,6 +139,7 @@
             let window_ms = self.dispatch.settings.load().retry_window_ms;
             self.dispatch.peers.expire(options.peer_silence_ms, window_ms);
             self.dispatch.apply_peer_updates();
+            update_speeds(&self.dispatch);
             self.close_expired();
             self.update_store_wait(&links);
             lag_monitors.iter_mut().for_each(LagMonitor::check);
@@ -211,12 +213,16 @@
         let directory = self.dispatch.directory.load();
         let engines = directory.all().filter_map(|upstream| {
             let reserved_tokens = upstream.reserved_tokens.load(Ordering::Acquire);
-            (reserved_tokens > 0).then(|| EngineUse {
+            let speed = ReportFields::of(upstream.speed.own_report(), now_ms);
+            (reserved_tokens > 0 || speed.is_notable()).then(|| EngineUse {
                 upstream: upstream.record.name.as_str().to_owned(),
                 runs: upstream.outstanding.load(Ordering::Acquire),
                 reserved_tokens,
                 prefill_tokens: upstream.prefill_tokens.load(Ordering::Acquire),
                 generations: upstream.own_generations().iter().map(generation_use).collect(),
+                slowness_percent: speed.slowness_percent,
+                speed_age_ms: speed.age_ms,
+                speed_weight_ms: speed.weight_ms,
             })
         });
         let services =
--- a/crates/gateway/src/fleet_sum.rs
+++ b/crates/gateway/src/fleet_sum.rs
@@ -2,9 +2,11 @@
 
 use comfreymast_decide::evacuation::RunView;
 use comfreymast_decide::fleet_budget::Traffic;
+use comfreymast_decide::speed::{SpeedReport, combine};
 use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic, UpstreamLimit};
 
 use crate::named_limit::LimitNews;
+use crate::speed::ReportFields;
 
 /// The total load and traffic of several daemons.
 #[derive(Clone, Debug, Default)]
@@ -28,17 +30,25 @@
     pub(crate) prefill_tokens: u64,
     /// Generations that move away when the engine shuts down.
     pub(crate) generations: Vec<RunView>,
+    /// How slow it is, as each of them has observed it.
+    pub(crate) speeds: Vec<SpeedReport>,
 }
 
 impl FleetSum {
-    /// Adds the report of one daemon or data centre.
-    pub(crate) fn add(&mut self, engines: &[EngineUse], services: &[ServiceTraffic]) {
+    /// Adds the report of one daemon or data centre, received at `received_ms`.
+    pub(crate) fn add(
+        &mut self,
+        engines: &[EngineUse],
+        services: &[ServiceTraffic],
+        received_ms: u64,
+    ) {
         for engine in engines {
             let sum = self.engines.entry(engine.upstream.clone()).or_default();
             sum.runs += engine.runs;
             sum.reserved_tokens += engine.reserved_tokens;
             sum.prefill_tokens += engine.prefill_tokens;
             sum.generations.extend(engine.generations.iter().map(run_view));
+            sum.speeds.extend(ReportFields::read(engine, received_ms));
         }
         for service in services {
             let sum = self.services.entry(service.service.clone()).or_default();
@@ -62,14 +72,20 @@
         limits.map(|(upstream, told)| told.message(upstream.clone(), now_ms)).collect()
     }
 
-    /// The sums by engine, in the form of a peer message.
-    pub(crate) fn engine_uses(&self) -> Vec<EngineUse> {
-        let uses = self.engines.iter().map(|(upstream, sum)| EngineUse {
-            upstream: upstream.clone(),
-            runs: sum.runs,
-            reserved_tokens: sum.reserved_tokens,
-            prefill_tokens: sum.prefill_tokens,
-            generations: sum.generations.iter().map(generation_use).collect(),
+    /// The sums by engine, in the form of a peer message that is sent at `now_ms`.
+    pub(crate) fn engine_uses(&self, now_ms: u64) -> Vec<EngineUse> {
+        let uses = self.engines.iter().map(|(upstream, sum)| {
+            let speed = ReportFields::of(combine(&sum.speeds, now_ms), now_ms);
+            EngineUse {
+                upstream: upstream.clone(),
+                runs: sum.runs,
+                reserved_tokens: sum.reserved_tokens,
+                prefill_tokens: sum.prefill_tokens,
+                generations: sum.generations.iter().map(generation_use).collect(),
+                slowness_percent: speed.slowness_percent,
+                speed_age_ms: speed.age_ms,
+                speed_weight_ms: speed.weight_ms,
+            }
         });
         uses.collect()
     }
--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -101,5 +101,6 @@
         has_neighbour: false,
         cold_ms: engine.cold_ms(now_ms),
         failure_rate: if is_suspect { SUSPECT_FAILURE_RATE } else { engine.failure_rate() },
+        speed: engine.speed.speed(),
     }
 }
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -24,6 +24,7 @@
 use crate::head_wait::HeadWait;
 use crate::quarantine::{LastProgress, record_begun_answer, record_success, report_if_ended};
 use crate::send::{Outstanding, Sent};
+use crate::speed::{StreamPace, StreamSend};
 use crate::stream_origin::record_origin;
 use crate::upstream_state::UpstreamState;
 use crate::version_records::confirm;
@@ -56,6 +57,10 @@
     pub(super) moves: u32,
     /// The start of the current answer.
     pub(super) answer_start: AnswerStart,
+    /// How the request was sent, until its answer is relayed.
+    pub(super) timing: Option<StreamSend>,
+    /// The times between the events of the current answer.
+    pub(super) pace: StreamPace,
     /// How the end of the current answer is marked.
     pub(super) framing: BodyFraming,
     /// True once the engine may have stopped the generation for a move that was not confirmed.
@@ -117,6 +122,8 @@
             longest_pause_ms: 0,
             moves: 0,
             answer_start: AnswerStart::default(),
+            timing: None,
+            pace: StreamPace::default(),
             framing: BodyFraming::Chunked,
             may_be_stopped: false,
             lacks_event: false,
@@ -129,6 +136,7 @@
         loop {
             self.framing = source.events.framing();
             self.answer_start = AnswerStart::default();
+            self.pace = StreamPace::new(self.timing.take());
             match self.relay(&mut source).await {
                 Ok(()) => {
                     let Source { connection, answer, .. } = source;
@@ -314,6 +322,7 @@
     /// Relays an event unless it was already delivered.
     pub(super) async fn deliver(&mut self, event: Event) -> Result<(), Interruption> {
         self.dispatch.record_link_answer(&self.upstream, ConnectionKind::Kept);
+        self.record_pace(&event);
         if let Some(begun_ms) = self.answer_start.record_event(self.dispatch.clock.now_ms()) {
             record_begun_answer(&self.dispatch, &self.call, begun_ms);
         }
@@ -342,6 +351,16 @@
         Ok(())
     }
 
+    /// Observes the engine's speed on an event that has arrived.
+    fn record_pace(&mut self, event: &Event) {
+        if event.is_comment() {
+            return;
+        }
+        let is_held_up = self.chunks.is_full();
+        let tokens = self.spec.tokens_per_event;
+        self.pace.record_event(&self.dispatch, &self.upstream, tokens, is_held_up);
+    }
+
     /// True if the caller has the event.
     pub(super) fn is_delivered(&self, event: &Event) -> bool {
         match (&event.id, &self.last_event) {
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -22,6 +22,7 @@
 use crate::pause::shortest_pause_ms;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
 use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::speed::StreamSend;
 use crate::stream_origin::Destination;
 use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
@@ -61,7 +62,7 @@
         runs: earlier_runs,
         room_ms: 0,
     };
-    let Started { sent, upstream, reservation } = match start.first_answer().await? {
+    let Started { sent, upstream, reservation, timing } = match start.first_answer().await? {
         FirstAnswer::Stream(started) => started,
         FirstAnswer::Whole(response) => return Ok(response),
     };
@@ -78,6 +79,7 @@
         Relay::new(dispatch, call, service, &spec, &shape, upstream, reservation, chunks);
     relay.runs += earlier_runs;
     relay.version = version.clone();
+    relay.timing = Some(timing);
     let events = EventStream::new(body);
     let source = Source { events, connection, answer, _outstanding: outstanding };
     let task = dispatch.spawner.spawn(relay.run(source));
@@ -97,6 +99,7 @@
     sent: Sent,
     upstream: Arc<UpstreamState>,
     reservation: Reservation,
+    timing: StreamSend,
 }
 
 fn engine_spec(dispatch: &Dispatch, service: &Service) -> EngineSpec {
@@ -154,6 +157,7 @@
             let reservation =
                 Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
             let prefill = Prefill::new(&upstream, self.shape.prompt_tokens);
+            let timing = StreamSend::now(self.dispatch, &upstream);
             self.dispatch.notify_peers();
             let started_ms = self.dispatch.clock.now_ms();
             let limit_ms = self.call.remaining_ms(&self.dispatch.clock);
@@ -167,7 +171,8 @@
                     upstream.record_answer(is_good, self.dispatch.clock.now_ms() - started_ms);
                     self.log_started(&placed, sent.parts.status.as_u16(), need_tokens);
                     if sent.is_event_stream() {
-                        return Ok(FirstAnswer::Stream(Started { sent, upstream, reservation }));
+                        let started = Started { sent, upstream, reservation, timing };
+                        return Ok(FirstAnswer::Stream(started));
                     }
                     let left_ms = self.call.remaining_ms(&self.dispatch.clock);
                     match read_whole(self.dispatch, &upstream, sent, left_ms).await {
@@ -322,7 +327,8 @@
             room_ms = self.room_ms, started_ms = self.call.age_ms(&self.dispatch.clock),
             is_near = view.is_near, reserved_tokens = view.reserved_tokens,
             prefill_tokens = view.prefill_tokens, runs = view.runs,
-            near_with_room = *near_with_room, far_with_room = *far_with_room;
+            near_with_room = *near_with_room, far_with_room = *far_with_room, speed = view.speed,
+            speed_age_ms:? = upstream.speed.age_ms(self.dispatch.clock.now_ms());
             "stream started");
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,7 @@
 mod server;
 mod service_links;
 mod settings_watch;
+mod speed;
 mod stream_origin;
 mod suspension_watch;
 mod topic_fetch;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,10 @@
     pub(crate) forwards: Family<ForwardLabels, Counter>,
     /// Times that the links to the upstreams of a service were lost.
     pub(crate) link_losses: Counter,
+    /// Upstreams that are judged slow now.
+    pub(crate) slow_upstreams: Gauge,
+    /// Times that an upstream was judged slow.
+    pub(crate) slow_judgements: Counter,
     /// Returns of the store from an older copy.
     pub(crate) store_returns: Counter,
     /// The era of the store since its last return, 0 before the first.
@@ -180,6 +184,18 @@
             "Times that the links to the upstreams of a service were lost",
             link_losses.clone(),
         );
+        let slow_upstreams = Gauge::default();
+        registry.register(
+            "gateway_slow_upstreams",
+            "Upstreams that are judged slow relative to their service",
+            slow_upstreams.clone(),
+        );
+        let slow_judgements = Counter::default();
+        registry.register(
+            "gateway_slow_judgements",
+            "Times that an upstream was judged slow",
+            slow_judgements.clone(),
+        );
         let store_returns = Counter::default();
         registry.register(
             "gateway_store_returns",
@@ -227,6 +243,8 @@
             limit_skips,
             forwards,
             link_losses,
+            slow_upstreams,
+            slow_judgements,
             store_returns,
             store_era,
             topic_fetches,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -272,14 +272,14 @@
         let table = self.table();
         let mut sum = FleetSum::default();
         for peer in table.by_name.values() {
-            sum.add(&peer.heartbeat.engines, &peer.heartbeat.services);
+            sum.add(&peer.heartbeat.engines, &peer.heartbeat.services, peer.received_ms);
             sum.add_limits(&peer.heartbeat.limits, peer.received_ms);
         }
         for services in table.departed.services() {
-            sum.add(&[], services);
+            sum.add(&[], services, 0);
         }
         for received in table.summaries.values() {
-            sum.add(&received.summary.engines, &received.summary.services);
+            sum.add(&received.summary.engines, &received.summary.services, received.received_ms);
             sum.add_limits(&received.summary.limits, received.received_ms);
         }
         Some(sum)
@@ -289,8 +289,8 @@
     pub(crate) fn summary(&self, own: &Heartbeat) -> Summary {
         let table = self.table();
         let mut sum = FleetSum::default();
-        sum.add(&own.engines, &own.services);
         let now_ms = self.clock.now_ms();
+        sum.add(&own.engines, &own.services, now_ms);
         sum.add_limits(&own.limits, now_ms);
         let mut summary = Summary {
             data_centre: own.data_centre.clone(),
@@ -308,7 +308,7 @@
             if heartbeat.data_centre != own.data_centre {
                 continue;
             }
-            sum.add(&heartbeat.engines, &heartbeat.services);
+            sum.add(&heartbeat.engines, &heartbeat.services, peer.received_ms);
             sum.add_limits(&heartbeat.limits, peer.received_ms);
             positions = positions.max_each(&TopicPositions::of(heartbeat));
             summary.store_heard_age_ms =
@@ -322,10 +322,10 @@
             });
         }
         for services in table.departed.services() {
-            sum.add(&[], services);
+            sum.add(&[], services, 0);
         }
         positions.write_to(&mut summary);
-        summary.engines = sum.engine_uses();
+        summary.engines = sum.engine_uses(now_ms);
         summary.services = sum.service_traffic();
         summary.limits = sum.limit_news(now_ms);
         summary
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -12,6 +12,7 @@
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
 use crate::service_links::ServiceLinks;
+use crate::speed::EngineSpeed;
 
 const FAILURE_WEIGHT: f64 = 0.15;
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -52,6 +53,8 @@
     has_named_invalid_pause: AtomicBool,
     /// The limit that it names for all daemons together.
     pub(crate) limit: NamedLimit,
+    /// How slow it is.
+    pub(crate) speed: EngineSpeed,
     /// This daemon's links to all upstreams of its service.
     pub(crate) links: Arc<ServiceLinks>,
     /// Whether the upstreams of its service are brittle.
@@ -95,6 +98,7 @@
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
             limit: NamedLimit::default(),
+            speed: EngineSpeed::default(),
             links: shared.links,
             brittleness: shared.brittleness,
             own_slots: Mutex::default(),
