--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -13,6 +13,7 @@
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
 use crate::service_links::ServiceLinks;
+use crate::speed::EngineSpeed;
 
 const FAILURE_WEIGHT: f64 = 0.15;
 const LATENCY_WEIGHT: f64 = 0.1;
@@ -57,6 +58,8 @@
     pub(crate) limit: NamedLimit,
     /// Until when it is cold, and this daemon's turns at it meanwhile.
     pub(crate) cold: ColdState,
+    /// How slow it is.
+    pub(crate) speed: EngineSpeed,
     /// This daemon's links to all upstreams of its service.
     pub(crate) links: Arc<ServiceLinks>,
     /// Whether the upstreams of its service are brittle.
@@ -102,6 +105,7 @@
             paused_until_ms: AtomicU64::new(0),
             has_named_invalid_pause: AtomicBool::new(false),
             limit: NamedLimit::default(),
+            speed: EngineSpeed::default(),
             links: shared.links,
             brittleness: shared.brittleness,
             own_slots: Mutex::default(),
