Bodies take a quarter of the memory at `comfreymast daemon`

Change: the budget is a third of three quarters of the memory there, since contracts and claims need the rest.

The other 14 tests of untrusted_callers were not run on this commit.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -31,6 +31,8 @@
 };
 
 const APPEND_TIMEOUT_MS: u64 = 2_000;
+/// The quarters of the memory of which bodies have their share; contracts and claims need the rest.
+const BODY_MEMORY_QUARTERS: u64 = 3;
 /// The part of the descriptors that callers' connections may take. Each may need another one to an engine, and
 /// the log, peers and operators need the rest.
 const CONNECTION_PARTS: usize = 5;
@@ -256,7 +258,7 @@
     Daemon {
         cursors: CursorSeal::new(settings.fleet_key.expose().as_bytes()),
         streams,
-        bodies: RequestBodies::of_vm(settings.memory_bytes, &clock),
+        bodies: RequestBodies::of_vm(settings.memory_bytes / 4 * BODY_MEMORY_QUARTERS, &clock),
         clock,
         log: LogClient::new(spawner.clone(), settings.log_addr, APPEND_TIMEOUT_MS),
         spawner,
