Calls without allowed regions look up no region for each upstream

Cause: the region of each upstream was looked up for every call. Change: only for calls that are limited to regions.

--- a/crates/gateway/src/evacuation/eligibility.rs
+++ b/crates/gateway/src/evacuation/eligibility.rs
@@ -57,7 +57,9 @@
     }
 
     fn is_in_region(&self, upstream: &UpstreamState) -> bool {
-        self.regions.allows(self.settings.region_of(&upstream.record.data_centre))
+        // Most calls have no limit, and need no look-up for each upstream.
+        self.regions.allowed().is_none()
+            || self.regions.allows(self.settings.region_of(&upstream.record.data_centre))
     }
 }
 
