--- a/crates/gateway/tests/engine_speed.rs
+++ b/crates/gateway/tests/engine_speed.rs
@@ -70,6 +70,8 @@
 #[test]
 fn a_slow_engine_is_noticed_told_to_a_peer_and_avoided_by_it() {
     const STREAMS: usize = 6;
+    /// All of so many miss one of three engines in one of 100,000 runs.
+    const MAX_STREAMS: usize = 30;
     run_test(async |spawner| {
         let env = TestEnv::new(&spawner).await;
         env.publish(1, |_| ());
@@ -80,11 +82,12 @@
         wait_serving(&spawner, &engines, &first).await;
         wait_serving(&spawner, &engines, &second).await;
         let mut streams = Vec::new();
-        for number in 0..STREAMS {
-            let call = generation("/caption/x", &format!("early-{number}"));
+        // Placement draws between engines with equal load, so any six streams may all miss one of three.
+        while streams.len() < STREAMS || runs(&engines[0], "early") == 0 {
+            assert!(streams.len() < MAX_STREAMS, "no stream starts at the slow engine");
+            let call = generation("/caption/x", &format!("early-{}", streams.len()));
             streams.push(first.open(&spawner, call).await);
         }
-        assert!(runs(&engines[0], "early") > 0);
         wait_for("judgement", async || slow_upstreams(&spawner, &first).await == 1).await;
         wait_for("judgement of the peer", async || slow_upstreams(&spawner, &second).await == 1)
             .await;
