An empty list of regions limits nothing in a configuration, and allows none between daemons

Cause: two lists without a common region allow none, and a peer that gets the empty list would have taken it for no limit. Change: what another daemon decided is taken as it is.

--- a/crates/decide/src/data_centres/regions.rs
+++ b/crates/decide/src/data_centres/regions.rs
@@ -24,6 +24,13 @@
         Self { allowed }
     }
 
+    /// What another daemon decided. Unlike in a configuration, an empty list allows no region: it is what two
+    /// lists without a common region allow.
+    #[must_use]
+    pub fn decided(allowed: Option<Vec<Region>>) -> Self {
+        Self { allowed }
+    }
+
     /// The allowed regions; `None` for all.
     #[must_use]
     pub fn allowed(&self) -> Option<&[Region]> {
--- a/crates/gateway/src/forward/message.rs
+++ b/crates/gateway/src/forward/message.rs
@@ -145,7 +145,7 @@
         body: message.body.into(),
         route: Arc::new(route),
         key_holder,
-        regions: RegionNeed::of(allowed_regions.as_deref(), None),
+        regions: RegionNeed::decided(allowed_regions),
         version: message.version,
         started_ms: now_ms.saturating_sub(message.age_ms),
         timeout_at_ms: now_ms + message.left_ms,
