Streams wait for an engine in an ordered queue, woken by events

Cause: each waiting stream polled for an engine every 40 ms, in no order, and was rejected after 0.6 of its target latency with a fixed Retry-After.

Change: one queue for each service (decide/room, gateway/room). It is walked when a reservation ends or shrinks, a prefill or request ends, a peer's heartbeat arrives, an upstream joins, leaves or pauses, or a deadline is due. Order: priority, streams that can still be on time, due time weighed by work, service of the organisation. Memory is kept for a stream that has waited its share. A stream is rejected when the forecast from learned holding times exceeds its useful time. Engines get a priority derived from the call's priority and its work.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`list_guard`] — whether to adopt a VM list from which most VMs are missing.
 //! * [`membership`] — which daemons are live, from their heartbeats.
 //! * [`route_history`] — which services a route had in the last while.
+//! * [`room`] — which waiting stream starts next, and which is rejected.
 //! * [`routing`] — load balancing that ignores memory, and the subset of upstreams to use.
 //! * [`lengths`] — how long an answer will be.
 //! * [`admission`] — which engine runs a generation, when it starts, and what is refused.
@@ -61,6 +62,7 @@
 pub mod quarantine;
 mod queue;
 pub mod retry;
+pub mod room;
 pub mod route_history;
 pub mod routing;
 pub mod send_pacer;
--- a/crates/fleet/src/keyring.rs
+++ b/crates/fleet/src/keyring.rs
@@ -37,6 +37,11 @@
         self.is_enforced
     }
 
+    /// The holders of all keys. One with several keys comes several times.
+    pub fn holders(&self) -> impl Iterator<Item = &Arc<KeyHolder>> {
+        self.holders.values()
+    }
+
     /// The holder of `key`.
     #[must_use]
     pub fn holder(&self, key: &str) -> Option<&Arc<KeyHolder>> {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,6 +7,7 @@
 use comfreymast_fleet::UpstreamRecord;
 
 use crate::brittleness::Brittleness;
+use crate::room::RoomSignal;
 use crate::service_links::ServiceLinks;
 use crate::upstream_state::UpstreamState;
 
@@ -73,11 +74,14 @@
     pub(crate) links: Arc<ServiceLinks>,
     /// Whether they say that they are brittle.
     pub(crate) brittleness: Arc<Brittleness>,
+    /// Notified when room on them may have become free.
+    pub(crate) room: Arc<RoomSignal>,
 }
 
 impl SharedState {
     fn new(service: Service) -> Self {
-        Self { links: Arc::new(ServiceLinks::new(service)), brittleness: Arc::default() }
+        let links = Arc::new(ServiceLinks::new(service));
+        Self { links, brittleness: Arc::default(), room: Arc::default() }
     }
 }
 
@@ -180,12 +184,18 @@
     }
 
     /// What the upstreams of a service share, whichever these are.
-    fn shared_state(&self, service: &Service) -> SharedState {
+    pub(crate) fn shared_state(&self, service: &Service) -> SharedState {
         let mut shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
         let shared = shared.entry(service.clone());
         shared.or_insert_with(|| SharedState::new(service.clone())).clone()
     }
 
+    /// Wakes the streams of all services that wait for room.
+    pub(crate) fn notify_rooms(&self) {
+        let shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        shared.values().for_each(|shared| shared.room.notify());
+    }
+
     fn update(&self, change: impl FnOnce(&mut HashMap<Upstream, Arc<UpstreamState>>, u64)) {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = self.clock.now_ms();
@@ -195,6 +205,8 @@
         let mut by_name = known.by_name.clone();
         change(&mut by_name, now_ms);
         self.upstreams.store(Arc::new(Upstreams::new(by_name)));
+        drop(versions);
+        self.notify_rooms();
     }
 }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::outbox::Outbox;
 use crate::peers::Peers;
 use crate::quarantine::QuarantineState;
+use crate::room::Rooms;
 use crate::stream_origin::OriginState;
 use crate::upstream_state::UpstreamState;
 use crate::version_records::VersionRecordState;
@@ -65,6 +66,8 @@
     pub(crate) origins: OriginState,
     /// What the store has of the software versions of services.
     pub(crate) version_records: VersionRecordState,
+    /// Streams that wait for an engine with room.
+    pub(crate) rooms: Rooms,
     /// Connections to peers that serve calls for this daemon.
     pub(crate) forward_pools: ForwardPools,
     /// True if the settings name other daemons.
@@ -103,6 +106,7 @@
             quarantine: QuarantineState::new(),
             origins: OriginState::new(clock.clone()),
             version_records: VersionRecordState::new(clock.clone()),
+            rooms: Rooms::default(),
             forward_pools: ForwardPools::default(),
             has_seeds: settings.seed_addrs.iter().any(|addr| *addr != settings.peers_addr),
             link_loss: Event::new(),
@@ -130,6 +134,7 @@
         }
         log::info!(target: "comfreymast", code = 1203, version = configuration.version,
             previous = known, routes = configuration.routes.len(); "configuration in force");
+        self.rooms.apply_configuration(&configuration);
         self.version_records.apply_configuration(&configuration);
         let take_up_ms = self.version_records.take_up_ms();
         self.origins.apply_configuration(&configuration, take_up_ms, self.clock.now_ms());
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -74,10 +74,12 @@
     fn apply(&self, addr: SocketAddr, message: News) {
         match message.body {
             Some(news::Body::Heartbeat(heartbeat)) => {
-                self.dispatch.peers.apply_heartbeat(addr, heartbeat)
+                self.dispatch.peers.apply_heartbeat(addr, heartbeat);
+                self.dispatch.directory.notify_rooms();
             }
             Some(news::Body::Summary(summary)) => {
-                self.dispatch.peers.apply_summary(addr, summary, true)
+                self.dispatch.peers.apply_summary(addr, summary, true);
+                self.dispatch.directory.notify_rooms();
             }
             Some(news::Body::Delta(delta)) => match delta.topic() {
                 Topic::Operators => self.operators.apply_delta(delta),
--- a/crates/gateway/src/generation/continuation.rs
+++ b/crates/gateway/src/generation/continuation.rs
@@ -12,6 +12,7 @@
 use crate::answer::{EventStream, StreamStep};
 use crate::metrics::MoveLabels;
 use crate::quarantine::LastProgress;
+use crate::room::continued_priority;
 use crate::send::{SendFailure, SendOptions, Sent, send};
 use crate::upstream_state::UpstreamState;
 
@@ -103,8 +104,8 @@
             };
             let target = place(&self.dispatch, &need, &options)?.upstream;
             tried.push(target.record.name.clone());
-            let reservation = Reservation::new(&target, self.key, need_tokens);
             let sent_ms = self.dispatch.clock.now_ms();
+            let reservation = Reservation::new(&target, self.key, need_tokens, sent_ms);
             match self.continue_at(&target, None).await {
                 Ok(next) => {
                     self.runs += 1;
@@ -133,7 +134,12 @@
         let left_ms = self.call.remaining_ms(&self.dispatch.clock);
         let options = SendOptions {
             limit_ms: if resume_from.is_some() { left_ms.min(CONTINUE_LIMIT_MS) } else { left_ms },
-            priority: Some(self.call.priority()),
+            priority: Some(continued_priority(
+                &self.dispatch,
+                &self.call,
+                &self.service,
+                &self.shape,
+            )),
             last_event: self.last_event.as_ref(),
             resume_from,
         };
--- a/crates/gateway/src/generation/mod.rs
+++ b/crates/gateway/src/generation/mod.rs
@@ -12,5 +12,7 @@
 mod reservation;
 mod start;
 
+pub(crate) use placement::{Placement, PlacementNeed, place};
 pub(crate) use relay_body::RelayBody;
+pub(crate) use reservation::{Reservation, expected_tokens, generation_key};
 pub(crate) use start::run;
--- a/crates/gateway/src/generation/mover.rs
+++ b/crates/gateway/src/generation/mover.rs
@@ -94,7 +94,8 @@
         progress: &mut MoveProgress,
     ) -> Option<MoveOutcome> {
         let options = self.options();
-        let reservation = Reservation::new(&target, self.key, self.need_tokens);
+        let now_ms = self.dispatch.clock.now_ms();
+        let reservation = Reservation::new(&target, self.key, self.need_tokens, now_ms);
         loop {
             if !self.wait_pause().await {
                 let may_be_stopped = progress.is_last();
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -135,6 +135,11 @@
                     Sent::return_to_pool(connection, &answer, &self.dispatch, &self.upstream);
                     let begun_ms = self.answer_start.begun_ms(self.dispatch.clock.now_ms());
                     record_success(&self.dispatch, &self.call, begun_ms);
+                    self.dispatch.rooms.record_end(
+                        &self.dispatch,
+                        &self.service,
+                        &self.reservation,
+                    );
                     return self.log_end("done");
                 }
                 Err(Interruption::Moved(moved)) => match self.continue_moved(moved, source).await {
--- a/crates/gateway/src/generation/reservation.rs
+++ b/crates/gateway/src/generation/reservation.rs
@@ -19,13 +19,15 @@
     upstream: Arc<UpstreamState>,
     key: u32,
     tokens: AtomicU64,
+    since_ms: u64,
 }
 
 impl Reservation {
-    /// Reserves `tokens` on `upstream` for the generation `key`.
-    pub(crate) fn new(upstream: &Arc<UpstreamState>, key: u32, tokens: u64) -> Self {
+    /// Reserves `tokens` on `upstream` for the generation `key`, at `now_ms`.
+    pub(crate) fn new(upstream: &Arc<UpstreamState>, key: u32, tokens: u64, now_ms: u64) -> Self {
         upstream.reserved_tokens.fetch_add(tokens, Ordering::AcqRel);
-        Self { upstream: upstream.clone(), key, tokens: AtomicU64::new(tokens) }
+        let upstream = upstream.clone();
+        Self { upstream, key, tokens: AtomicU64::new(tokens), since_ms: now_ms }
     }
 
     /// Changes the reservation to `expected_tokens`.
@@ -33,6 +35,19 @@
         let before = self.tokens.swap(expected_tokens, Ordering::AcqRel);
         self.upstream.reserved_tokens.fetch_add(expected_tokens, Ordering::AcqRel);
         self.upstream.reserved_tokens.fetch_sub(before, Ordering::AcqRel);
+        if expected_tokens < before {
+            self.upstream.room.notify();
+        }
+    }
+
+    /// The memory that is reserved.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.tokens.load(Ordering::Acquire)
+    }
+
+    /// How long it has been reserved.
+    pub(crate) fn held_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.since_ms)
     }
 
     /// Lists the generation among those that move when the engine leaves, or updates its entry.
@@ -55,6 +70,7 @@
         let tokens = self.tokens.load(Ordering::Acquire);
         self.upstream.reserved_tokens.fetch_sub(tokens, Ordering::AcqRel);
         self.unlist_generation();
+        self.upstream.room.notify();
     }
 }
 
@@ -76,6 +92,7 @@
 impl Drop for Prefill {
     fn drop(&mut self) {
         self.upstream.prefill_tokens.fetch_sub(self.tokens, Ordering::AcqRel);
+        self.upstream.room.notify();
     }
 }
 
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -1,27 +1,26 @@
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use async_channel::bounded;
 use comfreymast_base::{Service, Upstream};
-use comfreymast_decide::placement::PlacementOptions;
+use comfreymast_decide::room::order::TOKEN_MS;
 use comfreymast_decide::software_version::VersionNeed;
 use comfreymast_fleet::{EngineSpec, RetryPolicy};
-use comfreymast_net::{Body, sleep_ms};
+use comfreymast_net::Body;
 use comfreymast_platform::{PromptShape, ResponseHead};
 use hyper::Response;
 use hyper::header::CONTENT_LENGTH;
 
-use super::placement::{Placement, PlacementNeed, place};
+use super::placement::Placement;
 use super::relay::{Relay, Source};
 use super::relay_body::RelayBody;
-use super::reservation::{Prefill, Reservation, expected_tokens, generation_key};
+use super::reservation::{Prefill, Reservation, expected_tokens};
 use crate::answer::{EventStream, read_whole};
 use crate::call::Call;
 use crate::call_error::{CallError, Refusal};
 use crate::dispatch::Dispatch;
-use crate::pause::shortest_pause_ms;
 use crate::quarantine::{self, LastProgress, record_success, report_if_ended};
-use crate::send::{SendFailure, SendOptions, Sent, send};
+use crate::room::{Granted, RoomOutcome, StreamNeed, first_priority, room_request, wait_for_room};
+use crate::send::{SendFailure, SendOptions, Sent, send_counted};
 use crate::stream_origin::Destination;
 use crate::unserved::Unserved;
 use crate::upstream_state::UpstreamState;
@@ -30,13 +29,7 @@
 const UNREAD_CHUNKS: usize = 64;
 const MAX_SENDS: u32 = 4;
 const MS_PER_S: f64 = 1_000.0;
-const ROOM_POLL_MS: u64 = 40;
-const FULL_RETRY_MS: u64 = 700;
-/// The typical time per token on a busy engine.
-const TOKEN_MS: u64 = 9;
 const NOT_RUN_RETRY_MS: u64 = 300;
-/// The share of the target latency that a generation may wait for an engine with room.
-const WAIT_SHARE: f64 = 0.6;
 
 /// Starts a stream on an upstream of its destination and relays it. `earlier_runs` upstreams may have run it
 /// already.
@@ -48,6 +41,8 @@
 ) -> Result<Response<Body>, Unserved> {
     let Destination { service, version } = destination;
     let spec = engine_spec(dispatch, service);
+    let has_engine = spec.is_some();
+    let spec = spec.unwrap_or_else(unlimited_engine);
     let shape = call.head.prompt.clone().unwrap_or_default();
     let mut start = StreamStart {
         dispatch,
@@ -55,6 +50,7 @@
         service,
         version,
         spec: &spec,
+        has_engine,
         shape: &shape,
         tried: Vec::new(),
         sends: 0,
@@ -99,17 +95,23 @@
     reservation: Reservation,
 }
 
-fn engine_spec(dispatch: &Dispatch, service: &Service) -> EngineSpec {
+/// What the engines of a service are; `None` if the configuration does not say.
+fn engine_spec(dispatch: &Dispatch, service: &Service) -> Option<EngineSpec> {
     let configuration = dispatch.configuration.load();
     let spec = configuration.as_ref().and_then(|configuration| configuration.service(service));
-    spec.and_then(|spec| spec.engine.clone()).unwrap_or(EngineSpec {
+    spec.and_then(|spec| spec.engine.clone())
+}
+
+/// What upstreams are assumed to be that the configuration does not describe.
+fn unlimited_engine() -> EngineSpec {
+    EngineSpec {
         slots: u32::MAX,
         memory_tokens: u64::MAX / 4,
         token_bytes: 0,
         link_mbps: 0.0,
         can_move: false,
         tokens_per_event: 1,
-    })
+    }
 }
 
 /// A stream that has not been answered yet.
@@ -118,6 +120,8 @@
     call: &'a Arc<Call>,
     service: &'a Service,
     spec: &'a EngineSpec,
+    /// True if the configuration describes the engines.
+    has_engine: bool,
     shape: &'a PromptShape,
     version: &'a VersionNeed,
     tried: Vec<Upstream>,
@@ -148,18 +152,18 @@
         // A request that will not be sent does not wait for an engine.
         quarantine::check(self.dispatch, self.call).map_err(|reason| self.withheld(reason))?;
         loop {
-            let placed = self.wait_for_room().await?;
+            let Granted { placement: placed, reservation, outstanding } =
+                self.wait_for_room().await?;
             let upstream = placed.upstream.clone();
-            let need_tokens = expected_tokens(self.shape, 0);
-            let reservation =
-                Reservation::new(&upstream, generation_key(&self.call.head.id), need_tokens);
+            let need_tokens = reservation.tokens();
             let prefill = Prefill::new(&upstream, self.shape.prompt_tokens);
             self.dispatch.notify_peers();
             let started_ms = self.dispatch.clock.now_ms();
             let limit_ms = self.call.remaining_ms(&self.dispatch.clock);
-            let priority = Some(self.call.priority());
+            let priority = Some(first_priority(self.dispatch, self.call, self.service, self.shape));
             let options = SendOptions { limit_ms, priority, ..SendOptions::default() };
-            let sent = send(self.dispatch, self.call, &upstream, &options).await;
+            let sent =
+                send_counted(self.dispatch, self.call, &upstream, &options, outstanding).await;
             drop(prefill);
             let failure = match sent {
                 Ok(sent) => {
@@ -194,71 +198,35 @@
         }
     }
 
-    /// Waits for an engine with room, for `WAIT_SHARE` of the target latency at most: after that,
-    /// the answer would come too late to be of use.
-    async fn wait_for_room(&mut self) -> Result<Placement, Unserved> {
-        let need_tokens = expected_tokens(self.shape, 0);
-        let wait_ms = (self.call.route.target_latency_ms as f64 * WAIT_SHARE) as u64;
-        let has_delayed_updates = self.dispatch.is_large_fleet.load(Ordering::Acquire);
-        let options = if has_delayed_updates {
-            PlacementOptions::with_delayed_updates()
-        } else {
-            PlacementOptions::default()
+    /// Waits for an engine with room for as long as a start is expected to be of use.
+    async fn wait_for_room(&mut self) -> Result<Granted, Unserved> {
+        let need = StreamNeed {
+            request: room_request(self.call, self.shape),
+            id: self.call.head.id.clone(),
+            spec: self.spec.clone(),
+            has_engine: self.has_engine,
+            version: self.version.clone(),
+            excluded: self.tried.clone(),
+            is_unsent: self.sends == 0,
         };
-        loop {
-            let need = PlacementNeed {
-                service: self.service,
-                spec: self.spec,
-                version: self.version,
-                tokens: need_tokens,
-                near: &self.dispatch.settings.load().data_centre,
-                excluded: &self.tried,
-            };
-            let found = place(self.dispatch, &need, &options);
-            if let Some(placed) = found {
-                self.room_ms = self.call.age_ms(&self.dispatch.clock);
+        let outcome = wait_for_room(self.dispatch, self.service, need).await;
+        self.room_ms = self.call.age_ms(&self.dispatch.clock);
+        match outcome {
+            RoomOutcome::Placed(granted) => {
                 self.dispatch.metrics.wait_s.observe(self.room_ms as f64 / MS_PER_S);
-                return Ok(placed);
-            }
-            if self.is_unreached() {
-                return Err(Unserved::Unreached { runs: self.runs });
-            }
-            if *self.version != VersionNeed::Any && self.usable_upstreams().is_empty() {
-                // None of another version will do, however long it waits.
-                return Err(self.refused(Refusal::Version, None).into());
+                Ok(*granted)
             }
-            let now_ms = self.dispatch.clock.now_ms();
-            let pause_ms = shortest_pause_ms(self.usable_upstreams().iter(), now_ms);
-            if let Some(pause_ms) =
-                pause_ms.filter(|ms| self.call.age_ms(&self.dispatch.clock) + ms >= wait_ms)
-            {
-                return Err(self.refusal(Refusal::Paused, pause_ms).into());
+            RoomOutcome::Unreached => Err(Unserved::Unreached { runs: self.runs }),
+            RoomOutcome::NoVersion => Err(self.refused(Refusal::Version, None).into()),
+            RoomOutcome::Paused { retry_after_ms } => {
+                Err(self.refusal(Refusal::Paused, retry_after_ms).into())
             }
-            if self.call.age_ms(&self.dispatch.clock) >= wait_ms {
-                return Err(self.refusal(Refusal::Full, FULL_RETRY_MS).into());
+            RoomOutcome::Full { retry_after_ms } => {
+                Err(self.refusal(Refusal::Full, retry_after_ms).into())
             }
-            sleep_ms(ROOM_POLL_MS).await;
         }
     }
 
-    /// True if each upstream that may run the stream was tried and none was reached, so that waiting for
-    /// room is of no use.
-    fn is_unreached(&self) -> bool {
-        let usable = self.usable_upstreams();
-        let mut names = usable.iter().map(|upstream| &upstream.record.name);
-        self.sends == 0 && !self.tried.is_empty() && names.all(|name| self.tried.contains(name))
-    }
-
-    /// The upstreams that may run the stream once they have room.
-    fn usable_upstreams(&self) -> Vec<Arc<UpstreamState>> {
-        let upstreams = self.dispatch.directory.load();
-        let of_service = upstreams.of_service(self.service).iter();
-        let usable = of_service.filter(|upstream| {
-            !upstream.is_leaving() && self.version.allows(upstream.record.version.as_ref())
-        });
-        usable.cloned().collect()
-    }
-
     /// Allows another send after a failed one, or returns the error for the caller.
     fn check_resend(
         &mut self,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod records;
 mod removed_keys;
 mod request_handler;
+mod room;
 mod roster;
 mod send;
 mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -60,6 +60,17 @@
     pub(crate) topic: &'static str,
 }
 
+/// The class of a stream that waited for an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WaitLabels {
+    /// Its priority.
+    pub(crate) priority: u32,
+    /// `small`, or `large`.
+    pub(crate) size: &'static str,
+    /// `started`, or `rejected`.
+    pub(crate) outcome: &'static str,
+}
+
 /// How an answer broke off.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct BreakLabels {
@@ -85,6 +96,8 @@
     pub(crate) move_pause_s: Histogram,
     /// The time that generations waited for an engine.
     pub(crate) wait_s: Histogram,
+    /// The same by class, with those that were rejected after it.
+    pub(crate) class_wait_s: Family<WaitLabels, Histogram, fn() -> Histogram>,
     /// Answers of upstreams that broke off, by framing and reason.
     pub(crate) broken_answers: Family<BreakLabels, Counter>,
     /// Requests during which their upstream ended.
@@ -138,6 +151,13 @@
             "Pause of a stream during a move",
         );
         let wait_s = histogram(&mut registry, "gateway_wait_seconds", "Wait for an engine");
+        let new_histogram: fn() -> Histogram = || Histogram::new(LATENCY_BOUNDS_S);
+        let class_wait_s = Family::new_with_constructor(new_histogram);
+        registry.register(
+            "gateway_class_wait_seconds",
+            "Wait for an engine by priority, size and outcome",
+            class_wait_s.clone(),
+        );
         let broken_answers = Family::default();
         registry.register(
             "gateway_broken_answers",
@@ -220,6 +240,7 @@
             latency_s,
             move_pause_s,
             wait_s,
+            class_wait_s,
             broken_answers,
             upstream_ends,
             quarantine_refusals,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -102,7 +102,7 @@
 pub(crate) struct Outstanding(Arc<UpstreamState>);
 
 impl Outstanding {
-    fn new(upstream: &Arc<UpstreamState>) -> Self {
+    pub(crate) fn new(upstream: &Arc<UpstreamState>) -> Self {
         upstream.outstanding.fetch_add(1, Ordering::AcqRel);
         Self(upstream.clone())
     }
@@ -111,6 +111,7 @@
 impl Drop for Outstanding {
     fn drop(&mut self) {
         self.0.outstanding.fetch_sub(1, Ordering::AcqRel);
+        self.0.room.notify();
     }
 }
 
@@ -120,9 +121,19 @@
     call: &Call,
     upstream: &Arc<UpstreamState>,
     options: &SendOptions<'_>,
+) -> Result<Sent, SendFailure> {
+    send_counted(dispatch, call, upstream, options, Outstanding::new(upstream)).await
+}
+
+/// Like [`send`], for a call that counts as running there already.
+pub(crate) async fn send_counted(
+    dispatch: &Dispatch,
+    call: &Call,
+    upstream: &Arc<UpstreamState>,
+    options: &SendOptions<'_>,
+    outstanding: Outstanding,
 ) -> Result<Sent, SendFailure> {
     quarantine::check(dispatch, call).map_err(SendFailure::Withheld)?;
-    let outstanding = Outstanding::new(upstream);
     let started_ms = dispatch.clock.now_ms();
     upstream.limit.record_send(started_ms);
     let (mut connection, mut kind) = connect(dispatch, call, upstream, options.limit_ms).await?;
--- a/crates/gateway/src/upstream_state.rs
+++ b/crates/gateway/src/upstream_state.rs
@@ -11,6 +11,7 @@
 use crate::directory::SharedState;
 use crate::named_limit::NamedLimit;
 use crate::pool::Pool;
+use crate::room::RoomSignal;
 use crate::service_links::ServiceLinks;
 
 const FAILURE_WEIGHT: f64 = 0.15;
@@ -56,6 +57,8 @@
     pub(crate) links: Arc<ServiceLinks>,
     /// Whether the upstreams of its service are brittle.
     pub(crate) brittleness: Arc<Brittleness>,
+    /// Notified when room on the engines of its service may have become free.
+    pub(crate) room: Arc<RoomSignal>,
     /// The places of it that this daemon uses meanwhile, and until when that is known.
     own_slots: Mutex<(u32, u64)>,
     last_heard_ms: AtomicU64,
@@ -97,6 +100,7 @@
             limit: NamedLimit::default(),
             links: shared.links,
             brittleness: shared.brittleness,
+            room: shared.room,
             own_slots: Mutex::default(),
             last_heard_ms: AtomicU64::new(0),
             outcomes: Mutex::default(),
@@ -231,6 +235,7 @@
             self.pool.clear();
             log::info!(target: "comfreymast", code = 1302, upstream = self.record.name.as_str(),
                 reason = "answer"; "upstream is leaving");
+            self.room.notify();
         }
     }
 
@@ -241,6 +246,7 @@
         if before_ms <= now_ms && pause_ms > 0 {
             log::info!(target: "comfreymast", code = 1312, upstream = self.record.name.as_str(),
                 pause_ms; "upstream wants no requests for a while");
+            self.room.notify();
         }
     }
 
