Daemons tell each other what waits for engines

Cause: a daemon started less urgent streams while more urgent ones waited elsewhere, and its forecast counted its own queue only, with holding times of the short streams that end first.

Change: heartbeats and summaries carry the waiting streams by service, priority and size (news.proto, fields added only). A stream leaves room to more urgent ones elsewhere for half of its target latency at most, and alone if the news are older than a second. Holding times are learned from starts and corrected by ends.

--- a/crates/decide/src/room/mod.rs
+++ b/crates/decide/src/room/mod.rs
@@ -7,10 +7,12 @@
 //! * [`queue`] — the waiting streams, and the walk over them when room may have become free.
 //! * [`forecast`] — when room is expected.
 //! * [`turn_away`] — which stream is rejected at once, and when its caller is told to come back.
+//! * [`peers`] — what waits at other daemons, and when it goes first.
 //! * [`engine_priority`] — the priority that an engine is given.
 
 pub mod engine_priority;
 pub mod forecast;
 pub mod order;
+pub mod peers;
 pub mod queue;
 pub mod turn_away;
--- a/crates/decide/src/room/order.rs
+++ b/crates/decide/src/room/order.rs
@@ -70,6 +70,12 @@
         self.work_ms() <= self.target_latency_ms
     }
 
+    /// The time by which it is ordered among those of its priority.
+    #[must_use]
+    pub fn due_ms(&self) -> u64 {
+        self.on_time_start_ms() + self.work_ms() * WORK_WEIGHT
+    }
+
     /// Its place in the order. `served_tokens` is what its organisation received lately.
     ///
     /// A stream that can no longer be on time loses less by waiting longer than one that still can. The time
@@ -78,7 +84,7 @@
     #[must_use]
     pub fn order_key(&self, served_tokens: f64, now_ms: u64) -> OrderKey {
         let on_time_start_ms = self.on_time_start_ms();
-        let due_ms = on_time_start_ms + self.work_ms() * WORK_WEIGHT;
+        let due_ms = self.due_ms();
         let grid_ms = (self.target_latency_ms / TIE_DIVISOR).max(1);
         OrderKey {
             priority: self.priority,
--- a/crates/decide/src/room/queue.rs
+++ b/crates/decide/src/room/queue.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use super::order::RoomRequest;
+use super::peers::{ClassLoad, WaitClass, WaitLoads};
 use crate::fairness::{FairShares, FairnessOptions};
 
 /// The part of its target latency after which a stream gets the memory that becomes free.
@@ -35,6 +36,9 @@
     pub count: u64,
     /// The memory that they need.
     pub tokens: u64,
+    /// The same of all streams that wait and are of its priority or before, and due no later. A stream that
+    /// arrives now counts them all, so that those which wait already are not passed by too many.
+    pub backlog: ClassLoad,
     /// The memory that one of them needs for which an engine is to be kept free.
     pub held_tokens: Option<u64>,
 }
@@ -82,6 +86,29 @@
         self.waiting.len()
     }
 
+    /// What waits, by class.
+    #[must_use]
+    pub fn loads(&self) -> WaitLoads {
+        let mut loads = WaitLoads::new();
+        for request in self.waiting.values() {
+            let load = loads.entry(WaitClass::of(request)).or_default();
+            *load = load.plus(ClassLoad { count: 1, tokens: request.need_tokens });
+        }
+        loads
+    }
+
+    fn backlog(&self, request: &RoomRequest, ticket: Ticket) -> ClassLoad {
+        let due_ms = request.due_ms();
+        let is_before = |other: &RoomRequest| {
+            other.priority < request.priority
+                || (other.priority == request.priority && other.due_ms() <= due_ms)
+        };
+        let others = self.waiting.iter().filter(|(one, other)| **one != ticket && is_before(other));
+        others.fold(ClassLoad::default(), |sum, (_, other)| {
+            sum.plus(ClassLoad { count: 1, tokens: other.need_tokens })
+        })
+    }
+
     /// The waiting streams.
     pub fn requests(&self) -> impl Iterator<Item = &RoomRequest> {
         self.waiting.values()
@@ -115,7 +142,8 @@
         let mut ahead = Ahead::default();
         for ticket in self.order(now_ms) {
             let Some(request) = self.waiting.get(&ticket) else { continue };
-            match attempt(ticket, request, ahead) {
+            let backlog = self.backlog(request, ticket);
+            match attempt(ticket, request, Ahead { backlog, ..ahead }) {
                 Attempt::Waits => {
                     ahead.count += 1;
                     ahead.tokens += request.need_tokens;
--- a/crates/decide/tests/room_model/mod.rs
+++ b/crates/decide/tests/room_model/mod.rs
@@ -7,6 +7,7 @@
 use comfreymast_decide::room::engine_priority::PriorityLevels;
 use comfreymast_decide::room::forecast::{Capacity, HoldingTime};
 use comfreymast_decide::room::order::RoomRequest;
+use comfreymast_decide::room::peers::{ClassLoad, Elsewhere, WaitClass, WaitLoads};
 use comfreymast_decide::room::queue::{Ahead, Attempt, RoomQueue, Ticket};
 use comfreymast_decide::room::turn_away::{Verdict, judge};
 use rand::rngs::StdRng;
@@ -50,6 +51,8 @@
     Rejected { wait_ms: u64 },
     /// Its caller gave up.
     GaveUp,
+    /// It waited at an engine that failed.
+    Lost,
 }
 
 /// A stream at an engine, which waits there while the memory that really is free does not suffice.
@@ -68,6 +71,9 @@
     jobs: BTreeMap<Ticket, Job>,
     fifo: VecDeque<Job>,
     holding: HoldingTime,
+    elsewhere: Elsewhere,
+    /// What it told last.
+    told: WaitLoads,
     paused_until_ms: u64,
 }
 
@@ -77,6 +83,8 @@
     engines: Vec<bool>,
     daemons: Vec<Daemon>,
     runs: Vec<Run>,
+    /// Streams that ended, of which other daemons do not know yet.
+    untold_ends: Vec<Run>,
     arrivals: BTreeMap<u64, Vec<Job>>,
     pub(crate) ended: Vec<(Job, End)>,
     /// Rejections within 100 ms, and all.
@@ -92,6 +100,7 @@
             engines: vec![true; engines],
             daemons: (0..daemons).map(|_| Daemon::default()).collect(),
             runs: Vec::new(),
+            untold_ends: Vec::new(),
             arrivals: BTreeMap::new(),
             ended: Vec::new(),
             early_rejections: (0, 0),
@@ -111,7 +120,7 @@
         self.engines[..count].fill(false);
         for run in self.runs.extract_if(.., |run| run.engine < count) {
             if run.ends_ms.is_none() {
-                self.ended.push((run.job, End::GaveUp));
+                self.ended.push((run.job, End::Lost));
             }
         }
     }
@@ -125,6 +134,9 @@
             self.now_ms += STEP_MS;
             self.end_runs();
             self.begin_runs();
+            if self.now_ms.is_multiple_of(NEWS_AGE_MS) {
+                self.exchange();
+            }
             while let Some(entry) = self.arrivals.first_entry().filter(|e| *e.key() <= self.now_ms)
             {
                 entry.remove().into_iter().for_each(|job| self.arrive(job));
@@ -139,13 +151,35 @@
         }
     }
 
+    /// Gives each daemon what all others told an interval ago.
+    fn exchange(&mut self) {
+        let mut all = WaitLoads::new();
+        add_loads(&mut all, self.daemons.iter().flat_map(|daemon| &daemon.told));
+        for daemon in &mut self.daemons {
+            let mut others = all.clone();
+            for (class, told) in &daemon.told {
+                if let Some(load) = others.get_mut(class) {
+                    load.count -= told.count;
+                    load.tokens -= told.tokens;
+                }
+            }
+            others.retain(|_, load| load.count > 0);
+            daemon.elsewhere = Elsewhere::new(others, self.now_ms);
+            daemon.told = daemon.queue.loads();
+        }
+    }
+
     fn end_runs(&mut self) {
         let now_ms = self.now_ms;
-        for run in self.runs.extract_if(.., |run| run.ends_ms.is_some_and(|at_ms| at_ms <= now_ms))
-        {
+        let is_over =
+            |run: &mut Run, age_ms: u64| run.ends_ms.is_some_and(|at_ms| at_ms + age_ms <= now_ms);
+        for run in self.runs.extract_if(.., |run| is_over(run, 0)) {
             let held_ms = now_ms - run.placed_ms;
-            self.daemons[run.daemon].holding.observe(run.job.request.need_tokens, held_ms);
+            let work_ms = run.job.request.work_ms();
+            self.daemons[run.daemon].holding.observe_end(work_ms, held_ms);
+            self.untold_ends.push(run);
         }
+        self.untold_ends.retain_mut(|run| !is_over(run, NEWS_AGE_MS));
     }
 
     /// Starts what waits at engines, the lowest priority number first.
@@ -187,7 +221,7 @@
     fn serve(&mut self, daemon: usize) {
         match self.policy {
             Policy::Room => self.serve_room(daemon),
-            Policy::Polling if self.now_ms % 40 != 0 => {}
+            Policy::Polling if !self.now_ms.is_multiple_of(40) => {}
             _ => self.serve_in_turn(daemon),
         }
     }
@@ -195,14 +229,17 @@
     fn serve_room(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let mut daemon = std::mem::take(&mut self.daemons[index]);
-        let (jobs, holding) = (&mut daemon.jobs, daemon.holding);
+        let (jobs, mut holding) = (&mut daemon.jobs, daemon.holding);
+        let elsewhere = daemon.elsewhere.clone();
         daemon.queue.walk(now_ms, |ticket, request, ahead| {
             let held = ahead.held_tokens.and_then(|_| self.freest(index));
-            if self.start(index, &jobs[&ticket], held) {
+            let must_yield = elsewhere.must_yield(request, &self.capacity(index), now_ms);
+            if !must_yield && self.start(index, &jobs[&ticket], held) {
+                holding.observe_start(request.need_tokens, request.work_ms());
                 jobs.remove(&ticket);
                 return Attempt::Started;
             }
-            match self.judge(index, request, ahead, &holding) {
+            match self.judge(index, request, ahead, (&holding, &elsewhere)) {
                 Verdict::Wait => Attempt::Waits,
                 Verdict::TurnAway { retry_after_ms } => {
                     let job = jobs.remove(&ticket).expect("a job");
@@ -211,6 +248,7 @@
                 }
             }
         });
+        daemon.holding = holding;
         self.daemons[index] = daemon;
     }
 
@@ -219,21 +257,27 @@
         daemon: usize,
         request: &RoomRequest,
         ahead: Ahead,
-        holding: &HoldingTime,
+        (holding, elsewhere): (&HoldingTime, &Elsewhere),
     ) -> Verdict {
+        let capacity = self.capacity(daemon);
+        let is_new = self.now_ms - request.arrived_ms <= STEP_MS;
+        let own = ClassLoad { count: ahead.count, tokens: ahead.tokens };
+        let own = if is_new { ahead.backlog } else { own };
+        let ahead = own.plus(elsewhere.as_urgent(request, self.now_ms));
+        let wait_ms = holding.wait_ms(&capacity, ahead, request.need_tokens);
+        judge(request, wait_ms, is_new, self.now_ms, self.random.random())
+    }
+
+    fn capacity(&self, daemon: usize) -> Capacity {
         let views = self.views(daemon);
         let free = |view: &EngineView| usable().saturating_sub(view.reserved_tokens);
-        let capacity = Capacity {
+        Capacity {
             usable_tokens: usable() * views.len() as u64,
             reserved_tokens: views.iter().map(|view| view.reserved_tokens).sum(),
             largest_free_tokens: views.iter().map(free).max().unwrap_or(0),
             slots: u64::from(SLOTS) * views.len() as u64,
             runs: views.iter().map(|view| u64::from(view.runs)).sum(),
-        };
-        let ahead = (ahead.count, ahead.tokens);
-        let wait_ms = holding.wait_ms(&capacity, ahead, request.need_tokens);
-        let is_new = self.now_ms - request.arrived_ms <= STEP_MS;
-        judge(request, wait_ms, is_new, self.now_ms, self.random.random())
+        }
     }
 
     fn serve_in_turn(&mut self, index: usize) {
@@ -292,7 +336,9 @@
         let mut views: Vec<_> = self.engines.iter().map(engine).collect();
         let is_known =
             |run: &&Run| run.daemon == daemon || run.placed_ms + NEWS_AGE_MS <= self.now_ms;
-        for run in self.runs.iter().filter(is_known) {
+        let is_of_others = |run: &&Run| run.daemon != daemon;
+        let ended = self.untold_ends.iter().filter(is_of_others);
+        for run in self.runs.iter().chain(ended).filter(is_known) {
             views[run.engine].reserved_tokens += run.job.request.need_tokens;
             views[run.engine].runs += 1;
         }
@@ -321,6 +367,13 @@
     }
 }
 
+fn add_loads<'a>(sum: &mut WaitLoads, loads: impl Iterator<Item = (&'a WaitClass, &'a ClassLoad)>) {
+    for (class, load) in loads {
+        let sum = sum.entry(*class).or_default();
+        *sum = sum.plus(*load);
+    }
+}
+
 fn usable() -> u64 {
     (MEMORY_TOKENS as f64 * PlacementOptions::default().memory_share) as u64
 }
@@ -343,10 +396,10 @@
             let on_time = if first_ms <= job.request.target_latency_ms { 1.0 } else { 0.5 };
             worth(job) * if is_done { on_time } else { 0.0 }
         }
-        End::Rejected { .. } | End::GaveUp => 0.0,
+        End::Rejected { .. } | End::GaveUp | End::Lost => 0.0,
     };
     let all: f64 = jobs.iter().map(|(job, _)| worth(job)).sum();
-    1.0 - jobs.iter().map(|one| kept(one)).sum::<f64>() / all
+    1.0 - jobs.iter().map(kept).sum::<f64>() / all
 }
 
 /// A short stream of priority 0.
--- a/crates/decide/tests/room_order.rs
+++ b/crates/decide/tests/room_order.rs
@@ -4,6 +4,7 @@
 
 use comfreymast_decide::room::engine_priority::PriorityLevels;
 use comfreymast_decide::room::forecast::{Capacity, HoldingTime};
+use comfreymast_decide::room::peers::ClassLoad;
 use comfreymast_decide::room::queue::{Attempt, RoomQueue};
 use comfreymast_decide::room::turn_away::{Verdict, judge, latest_start_ms};
 use room_model::{long, request, short};
@@ -109,6 +110,10 @@
     assert_eq!(held, [None, Some(8_115)]);
 }
 
+fn load(count: u64, tokens: u64) -> ClassLoad {
+    ClassLoad { count, tokens }
+}
+
 fn full() -> Capacity {
     Capacity {
         usable_tokens: 10_000,
@@ -121,7 +126,10 @@
 
 fn learned(held_ms: u64) -> HoldingTime {
     let mut holding = HoldingTime::default();
-    (0..20).for_each(|_| holding.observe(1_000, held_ms));
+    for _ in 0..20 {
+        holding.observe_start(1_000, held_ms / 2);
+        holding.observe_end(held_ms / 2, held_ms);
+    }
     holding
 }
 
@@ -129,15 +137,16 @@
 #[test]
 fn nothing_is_rejected_before_enough_streams_have_ended() {
     let mut holding = HoldingTime::default();
-    (0..3).for_each(|_| holding.observe(1_000, 60_000));
-    assert_eq!(holding.wait_ms(&full(), (0, 0), 1_000), None);
+    (0..20).for_each(|_| holding.observe_start(1_000, 60_000));
+    (0..3).for_each(|_| holding.observe_end(60_000, 60_000));
+    assert_eq!(holding.wait_ms(&full(), load(0, 0), 1_000), None);
     assert_eq!(judge(&short(0), None, true, 0, 0.5), Verdict::Wait);
 }
 
 // Guards against callers who wait until their time is up for room that is not expected before.
 #[test]
 fn a_stream_is_rejected_at_once_if_the_wait_does_not_fit() {
-    let wait_ms = learned(4_000).wait_ms(&full(), (20, 20_000), 1_000);
+    let wait_ms = learned(4_000).wait_ms(&full(), load(20, 20_000), 1_000);
     assert_eq!(wait_ms, Some(8_400));
     let Verdict::TurnAway { retry_after_ms } = judge(&short(0), wait_ms, true, 0, 0.5) else {
         panic!("a stream that waits");
@@ -148,7 +157,7 @@
 // Guards against a rejection while room is expected in time.
 #[test]
 fn a_stream_waits_as_long_as_its_start_is_of_use() {
-    let wait_ms = learned(2_000).wait_ms(&full(), (5, 5_000), 1_000);
+    let wait_ms = learned(2_000).wait_ms(&full(), load(5, 5_000), 1_000);
     assert_eq!(judge(&short(0), wait_ms, true, 0, 0.5), Verdict::Wait);
     let last_ms = latest_start_ms(&short(0));
     assert!(last_ms > 5_000, "longer than 0.6 of the target latency: {last_ms}");
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -197,6 +197,7 @@
     /// call.
     pub(crate) fn apply_peer_updates(&self) {
         let Some(mut sum) = self.peers.new_sum() else { return };
+        self.rooms.set_elsewhere(self, std::mem::take(&mut sum.queues).into_loads());
         for upstream in self.directory.load().all() {
             let engine = sum.engines.remove(upstream.record.name.as_str()).unwrap_or_default();
             upstream.set_others_generations(engine.generations);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -18,6 +18,7 @@
 use crate::lag_monitor::{LagMonitor, MonitoredTopic};
 use crate::outbox::{Destination, Origin};
 use crate::quarantine;
+use crate::room::queue_message;
 use crate::roster::Links;
 use crate::stream_origin;
 use crate::topic_positions::TopicPositions;
@@ -232,6 +233,8 @@
             Some(told.message(upstream.record.name.as_str().to_owned(), now_ms))
         });
         let lost_services = directory.lost_services();
+        let queues = self.dispatch.rooms.loads().into_iter();
+        let queues = queues.map(|(service, loads)| queue_message(service.as_str(), &loads, 0));
         let calls = directory.all().map(|upstream| upstream.outstanding.load(Ordering::Acquire));
         let own = self.dispatch.peers.own_member();
         let positions = TopicPositions {
@@ -247,6 +250,7 @@
             engines: engines.collect(),
             services: services.collect(),
             limits: limits.collect(),
+            queues: queues.collect(),
             uptime_ms: now_ms,
             lost_services: lost_services.iter().map(|name| name.as_str().to_owned()).collect(),
             is_draining: self.dispatch.is_draining(),
--- a/crates/gateway/src/fleet_sum.rs
+++ b/crates/gateway/src/fleet_sum.rs
@@ -5,6 +5,7 @@
 use comfreymast_wire::news::{EngineUse, GenerationUse, ServiceTraffic, UpstreamLimit};
 
 use crate::named_limit::LimitNews;
+use crate::room::QueueNews;
 
 /// The total load and traffic of several daemons.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +16,8 @@
     pub(crate) services: BTreeMap<String, Traffic>,
     /// What was told of upstreams that name limits.
     pub(crate) limits: BTreeMap<String, LimitNews>,
+    /// What waits for an engine.
+    pub(crate) queues: QueueNews,
 }
 
 /// The total load of several daemons on one engine.
--- a/crates/gateway/src/generation/relay.rs
+++ b/crates/gateway/src/generation/relay.rs
@@ -18,11 +18,13 @@
 use super::mover::{MoveOutcome, Mover};
 use super::relay_body::Chunk;
 use super::reservation::{Reservation, expected_tokens, generation_key};
+use super::start::UNLIMITED_TOKENS;
 use crate::answer::{Event, EventStream, StreamStep, check_end};
 use crate::call::Call;
 use crate::dispatch::Dispatch;
 use crate::head_wait::HeadWait;
 use crate::quarantine::{LastProgress, record_begun_answer, record_success, report_if_ended};
+use crate::room::room_request;
 use crate::send::{Outstanding, Sent};
 use crate::stream_origin::record_origin;
 use crate::upstream_state::UpstreamState;
@@ -135,11 +137,7 @@
                     Sent::return_to_pool(connection, &answer, &self.dispatch, &self.upstream);
                     let begun_ms = self.answer_start.begun_ms(self.dispatch.clock.now_ms());
                     record_success(&self.dispatch, &self.call, begun_ms);
-                    self.dispatch.rooms.record_end(
-                        &self.dispatch,
-                        &self.service,
-                        &self.reservation,
-                    );
+                    self.record_holding();
                     return self.log_end("done");
                 }
                 Err(Interruption::Moved(moved)) => match self.continue_moved(moved, source).await {
@@ -170,6 +168,15 @@
         }
     }
 
+    /// Learns how long a finished stream held its memory. One that moved has another reservation.
+    fn record_holding(&self) {
+        if self.moves == 0 && self.spec.memory_tokens < UNLIMITED_TOKENS {
+            let request = room_request(&self.call, &self.shape);
+            let rooms = &self.dispatch.rooms;
+            rooms.record_end(&self.dispatch, &self.service, &request, &self.reservation);
+        }
+    }
+
     /// True if the stream may be resumed, but not from here.
     fn may_be_handed_over(&self) -> bool {
         self.call.route.retry_policy == RetryPolicy::Resumable
--- a/crates/gateway/src/generation/start.rs
+++ b/crates/gateway/src/generation/start.rs
@@ -28,6 +28,8 @@
 /// The most chunks of a stream that are buffered for a slow reader.
 const UNREAD_CHUNKS: usize = 64;
 const MAX_SENDS: u32 = 4;
+/// The memory of an engine that the configuration does not describe.
+pub(super) const UNLIMITED_TOKENS: u64 = u64::MAX / 4;
 const MS_PER_S: f64 = 1_000.0;
 const NOT_RUN_RETRY_MS: u64 = 300;
 
@@ -106,7 +108,7 @@
 fn unlimited_engine() -> EngineSpec {
     EngineSpec {
         slots: u32::MAX,
-        memory_tokens: u64::MAX / 4,
+        memory_tokens: UNLIMITED_TOKENS,
         token_bytes: 0,
         link_mbps: 0.0,
         can_move: false,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -270,10 +270,13 @@
             return None;
         }
         let table = self.table();
+        let now_ms = self.clock.now_ms();
         let mut sum = FleetSum::default();
         for peer in table.by_name.values() {
             sum.add(&peer.heartbeat.engines, &peer.heartbeat.services);
             sum.add_limits(&peer.heartbeat.limits, peer.received_ms);
+            let age_ms = now_ms.saturating_sub(peer.received_ms);
+            sum.queues.add(&peer.heartbeat.queues, age_ms);
         }
         for services in table.departed.services() {
             sum.add(&[], services);
@@ -281,6 +284,8 @@
         for received in table.summaries.values() {
             sum.add(&received.summary.engines, &received.summary.services);
             sum.add_limits(&received.summary.limits, received.received_ms);
+            let age_ms = now_ms.saturating_sub(received.received_ms);
+            sum.queues.add(&received.summary.queues, age_ms);
         }
         Some(sum)
     }
@@ -292,6 +297,7 @@
         sum.add(&own.engines, &own.services);
         let now_ms = self.clock.now_ms();
         sum.add_limits(&own.limits, now_ms);
+        sum.queues.add(&own.queues, 0);
         let mut summary = Summary {
             data_centre: own.data_centre.clone(),
             made_unix_ms: self.clock.unix_ms(),
@@ -310,6 +316,7 @@
             }
             sum.add(&heartbeat.engines, &heartbeat.services);
             sum.add_limits(&heartbeat.limits, peer.received_ms);
+            sum.queues.add(&heartbeat.queues, now_ms.saturating_sub(peer.received_ms));
             positions = positions.max_each(&TopicPositions::of(heartbeat));
             summary.store_heard_age_ms =
                 summary.store_heard_age_ms.min(heartbeat.store_heard_age_ms);
@@ -328,6 +335,7 @@
         summary.engines = sum.engine_uses();
         summary.services = sum.service_traffic();
         summary.limits = sum.limit_news(now_ms);
+        summary.queues = sum.queues.messages();
         summary
     }
 
--- a/crates/gateway/src/room/rooms.rs
+++ b/crates/gateway/src/room/rooms.rs
@@ -1,9 +1,11 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use comfreymast_base::Service;
 use comfreymast_decide::room::engine_priority::PriorityLevels;
+use comfreymast_decide::room::order::RoomRequest;
+use comfreymast_decide::room::peers::{Elsewhere, WaitLoads};
 use comfreymast_fleet::Configuration;
 
 use super::drive::drive;
@@ -33,15 +35,46 @@
         PriorityLevels::from_bits(self.priority_levels.load(Ordering::Acquire))
     }
 
-    /// Learns from a stream that ended and held `reservation`.
+    /// Learns from the stream `request` that ended and held `reservation`.
     pub(crate) fn record_end(
         &self,
         dispatch: &Dispatch,
         service: &Service,
+        request: &RoomRequest,
         reservation: &Reservation,
     ) {
         let held_ms = reservation.held_ms(dispatch.clock.now_ms());
-        self.of_service(dispatch, service).record_end(reservation.tokens(), held_ms);
+        self.of_service(dispatch, service).record_end(request.work_ms(), held_ms);
+    }
+
+    /// What waits here, by service.
+    pub(crate) fn loads(&self) -> Vec<(Service, WaitLoads)> {
+        let by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
+        let rooms: Vec<_> = by_service.values().cloned().collect();
+        // Not held while a queue is locked: news are applied while one is.
+        drop(by_service);
+        let loads = rooms.iter().map(|room| (room.service.clone(), room.loads()));
+        loads.filter(|(_, loads)| !loads.is_empty()).collect()
+    }
+
+    /// Replaces what is known to wait at other daemons.
+    pub(crate) fn set_elsewhere(
+        &self,
+        dispatch: &Dispatch,
+        mut queues: BTreeMap<String, WaitLoads>,
+    ) {
+        let now_ms = dispatch.clock.now_ms();
+        let by_service = self.by_service.lock().unwrap_or_else(PoisonError::into_inner);
+        for (service, room) in by_service.iter() {
+            let loads = queues.remove(service.as_str()).unwrap_or_default();
+            room.set_elsewhere(Elsewhere::new(loads, now_ms));
+        }
+        drop(by_service);
+        // These have no queue here yet.
+        for (service, loads) in queues {
+            let room = self.of_service(dispatch, &Service::from(service));
+            room.set_elsewhere(Elsewhere::new(loads, now_ms));
+        }
     }
 
     fn of_service(&self, dispatch: &Dispatch, service: &Service) -> Arc<ServiceRoom> {
--- a/crates/gateway/src/room/service_room.rs
+++ b/crates/gateway/src/room/service_room.rs
@@ -7,6 +7,7 @@
 use comfreymast_decide::placement::PlacementOptions;
 use comfreymast_decide::room::forecast::HoldingTime;
 use comfreymast_decide::room::order::RoomRequest;
+use comfreymast_decide::room::peers::{ClassLoad, Elsewhere, WaitLoads};
 use comfreymast_decide::room::queue::{Ahead, Attempt, RoomQueue, Ticket};
 use comfreymast_decide::room::turn_away::{
     MIN_WAIT_SHARE, Verdict, judge, latest_start_ms, unknown_retry_ms,
@@ -70,6 +71,8 @@
     pub(super) service: Service,
     pub(super) signal: Arc<RoomSignal>,
     state: Mutex<State>,
+    /// What waits at other daemons. It has a lock of its own, since news are applied during a walk too.
+    elsewhere: Mutex<Arc<Elsewhere>>,
 }
 
 #[derive(Debug, Default)]
@@ -109,12 +112,26 @@
 
 impl ServiceRoom {
     pub(super) fn new(service: Service, signal: Arc<RoomSignal>) -> Self {
-        Self { service, signal, state: Mutex::default() }
+        Self { service, signal, state: Mutex::default(), elsewhere: Mutex::default() }
     }
 
     /// Learns from a stream that ended.
-    pub(super) fn record_end(&self, tokens: u64, held_ms: u64) {
-        self.state().holding.observe(tokens, held_ms);
+    pub(super) fn record_end(&self, work_ms: u64, held_ms: u64) {
+        self.state().holding.observe_end(work_ms, held_ms);
+    }
+
+    /// What waits here, by class.
+    pub(super) fn loads(&self) -> WaitLoads {
+        self.state().queue.loads()
+    }
+
+    /// Replaces what is known to wait at other daemons.
+    pub(super) fn set_elsewhere(&self, elsewhere: Elsewhere) {
+        *self.elsewhere.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(elsewhere);
+    }
+
+    fn elsewhere(&self) -> Arc<Elsewhere> {
+        self.elsewhere.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Starts a stream if none waits and an engine has room.
@@ -126,9 +143,21 @@
         if !self.state().queue.is_empty() {
             return None;
         }
+        let elsewhere = self.elsewhere();
+        if need.has_engine && !elsewhere.is_empty() {
+            let now_ms = dispatch.clock.now_ms();
+            let view = UpstreamsView::new(dispatch, &self.service, now_ms);
+            let capacity = view.capacity(&need.version, &need.spec);
+            if elsewhere.must_yield(&need.request, &capacity, now_ms) {
+                return None;
+            }
+        }
         let granted = self.place(dispatch, need, None)?;
         let now_ms = dispatch.clock.now_ms();
-        self.state().queue.record_start(&need.request, now_ms);
+        let mut state = self.state();
+        state.queue.record_start(&need.request, now_ms);
+        state.holding.observe_start(need.request.need_tokens, need.request.work_ms());
+        drop(state);
         Some(RoomOutcome::Placed(Box::new(granted)))
     }
 
@@ -149,6 +178,7 @@
     pub(super) fn walk(&self, dispatch: &Dispatch) -> Option<u64> {
         let now_ms = dispatch.clock.now_ms();
         let view = UpstreamsView::new(dispatch, &self.service, now_ms);
+        let elsewhere = self.elsewhere();
         let mut state = self.state();
         let State { queue, waiters, holding, is_driven } = &mut *state;
         let mut walk = Walk {
@@ -156,25 +186,31 @@
             dispatch,
             view: &view,
             holding: *holding,
+            elsewhere: &elsewhere,
             now_ms,
             next_ms: u64::MAX,
             held: None,
             least_unfit_tokens: u64::MAX,
         };
         let mut ended = Vec::new();
-        queue.walk(now_ms, |ticket, _, ahead| {
+        queue.walk(now_ms, |ticket, request, ahead| {
             let Some(waiter) = waiters.get_mut(&ticket) else { return Attempt::Left };
             let Some(outcome) = walk.attempt(waiter, ahead) else { return Attempt::Waits };
             let is_placed = matches!(outcome, RoomOutcome::Placed(_));
             ended.push((ticket, outcome));
+            if is_placed {
+                walk.holding.observe_start(request.need_tokens, request.work_ms());
+            }
             if is_placed { Attempt::Started } else { Attempt::Left }
         });
         queue.forget_idle(now_ms);
         let next_ms = walk.next_ms;
+        let learned = walk.holding;
         let ended: Vec<_> = ended
             .into_iter()
             .filter_map(|(ticket, outcome)| Some((waiters.remove(&ticket)?, outcome)))
             .collect();
+        *holding = learned;
         let is_empty = queue.is_empty();
         *is_driven = !is_empty;
         drop(state);
@@ -227,6 +263,7 @@
     dispatch: &'a Dispatch,
     view: &'a UpstreamsView,
     holding: HoldingTime,
+    elsewhere: &'a Elsewhere,
     now_ms: u64,
     /// When the next decision is due without an event.
     next_ms: u64,
@@ -272,6 +309,13 @@
         if is_plain && tokens >= self.least_unfit_tokens {
             return None;
         }
+        if need.has_engine && !self.elsewhere.is_empty() {
+            let capacity = self.view.capacity(&need.version, &need.spec);
+            if self.elsewhere.must_yield(&need.request, &capacity, self.now_ms) {
+                self.next_ms = self.next_ms.min(Elsewhere::yields_until_ms(&need.request));
+                return None;
+            }
+        }
         let placed = self.room.place(self.dispatch, need, self.held.as_ref());
         if placed.is_none() && is_plain {
             self.least_unfit_tokens = tokens;
@@ -312,7 +356,13 @@
         }
         let capacity = self.view.capacity(&need.version, &need.spec);
         let tokens = need.request.need_tokens;
-        let wait_ms = self.holding.wait_ms(&capacity, (ahead.count, ahead.tokens), tokens);
+        let own = if is_new {
+            ahead.backlog
+        } else {
+            ClassLoad { count: ahead.count, tokens: ahead.tokens }
+        };
+        let elsewhere = self.elsewhere.as_urgent(&need.request, self.now_ms);
+        let wait_ms = self.holding.wait_ms(&capacity, own.plus(elsewhere), tokens);
         match judge(&need.request, wait_ms, is_new, self.now_ms, rand::random()) {
             Verdict::TurnAway { retry_after_ms } => Some(retry_after_ms),
             Verdict::Wait => {
