--- a/crates/decide/src/room/queue.rs
+++ b/crates/decide/src/room/queue.rs
@@ -37,7 +37,7 @@
     /// The memory that they need.
     pub tokens: u64,
     /// The same of all streams that wait and are of its priority or before, and due no later. A stream that
-    /// arrives now counts them all, so that those which wait already are not passed by too many.
+    /// arrives now counts them all (they are told in its first walk), so that those which wait already are not passed by too many.
     pub backlog: ClassLoad,
     /// The memory that one of them needs for which an engine is to be kept free.
     pub held_tokens: Option<u64>,
@@ -50,6 +50,8 @@
     shares: FairShares,
     last_ticket: u64,
     starts: u64,
+    /// The newest stream of the last walk.
+    last_walked: Option<Ticket>,
     /// The stream that goes first until it starts or leaves.
     favoured: Option<Ticket>,
 }
@@ -140,9 +142,12 @@
         mut attempt: impl FnMut(Ticket, &RoomRequest, Ahead) -> Attempt,
     ) {
         let mut ahead = Ahead::default();
+        let last_walked = self.last_walked.replace(Ticket(self.last_ticket));
         for ticket in self.order(now_ms) {
             let Some(request) = self.waiting.get(&ticket) else { continue };
-            let backlog = self.backlog(request, ticket);
+            // Found for new ones only, since it takes a look at all others.
+            let is_new = Some(ticket) > last_walked;
+            let backlog = if is_new { self.backlog(request, ticket) } else { ClassLoad::default() };
             match attempt(ticket, request, Ahead { backlog, ..ahead }) {
                 Attempt::Waits => {
                     ahead.count += 1;
--- a/crates/gateway/src/room/service_room.rs
+++ b/crates/gateway/src/room/service_room.rs
@@ -5,7 +5,7 @@
 use async_channel::{Receiver, Sender};
 use comfreymast_base::{Service, Upstream};
 use comfreymast_decide::placement::PlacementOptions;
-use comfreymast_decide::room::forecast::HoldingTime;
+use comfreymast_decide::room::forecast::{Capacity, HoldingTime};
 use comfreymast_decide::room::order::RoomRequest;
 use comfreymast_decide::room::peers::{ClassLoad, Elsewhere, WaitLoads};
 use comfreymast_decide::room::queue::{Ahead, Attempt, RoomQueue, Ticket};
@@ -190,6 +190,7 @@
             now_ms,
             next_ms: u64::MAX,
             held: None,
+            capacity: None,
             least_unfit_tokens: u64::MAX,
         };
         let mut ended = Vec::new();
@@ -269,6 +270,8 @@
     next_ms: u64,
     /// The engine that is kept for a stream which has waited its share.
     held: Option<Upstream>,
+    /// What the engines have for a stream of any version, once it was asked for.
+    capacity: Option<Capacity>,
     /// The least that a stream without further needs did not get.
     least_unfit_tokens: u64,
 }
@@ -310,19 +313,29 @@
             return None;
         }
         if need.has_engine && !self.elsewhere.is_empty() {
-            let capacity = self.view.capacity(&need.version, &need.spec);
+            let capacity = self.capacity(need);
             if self.elsewhere.must_yield(&need.request, &capacity, self.now_ms) {
                 self.next_ms = self.next_ms.min(Elsewhere::yields_until_ms(&need.request));
                 return None;
             }
         }
         let placed = self.room.place(self.dispatch, need, self.held.as_ref());
+        if placed.is_some() {
+            self.capacity = None;
+        }
         if placed.is_none() && is_plain {
             self.least_unfit_tokens = tokens;
         }
         placed
     }
 
+    fn capacity(&mut self, need: &StreamNeed) -> Capacity {
+        if need.version != VersionNeed::Any {
+            return self.view.capacity(&need.version, &need.spec);
+        }
+        *self.capacity.get_or_insert_with(|| self.view.capacity(&need.version, &need.spec))
+    }
+
     /// Ends a wait that is of no use, whatever becomes free.
     fn check_upstreams(&mut self, need: &StreamNeed) -> Option<RoomOutcome> {
         let mut usable = self.view.usable(&need.version).peekable();
@@ -354,7 +367,7 @@
             self.next_ms = self.next_ms.min(until_ms);
             return (self.now_ms >= until_ms).then(|| unknown_retry_ms(&need.request, self.now_ms));
         }
-        let capacity = self.view.capacity(&need.version, &need.spec);
+        let capacity = self.capacity(need);
         let tokens = need.request.need_tokens;
         let own = if is_new {
             ahead.backlog
