--- a/crates/gateway/src/generation/placement.rs
+++ b/crates/gateway/src/generation/placement.rs
@@ -15,6 +15,8 @@
 use crate::upstream_state::UpstreamState;
 
 const CHOICE_NOISE: f64 = 0.03;
+/// The speed of an engine relative to its service while speeds are not counted.
+const USUAL_SPEED: f64 = 1.0;
 /// The failure rate that is assumed for an engine that could not be reached recently.
 const SUSPECT_FAILURE_RATE: f64 = 1.0;
 
@@ -81,7 +83,10 @@
             let same_centre =
                 candidates.iter().filter(|other| other.record.data_centre == *data_centre);
             let has_neighbour = same_centre.count() > 1;
-            EngineView { has_neighbour, is_near: data_centre == near, ..view(engine, spec, now_ms) }
+            let speed =
+                if dispatch.options.places_by_speed { engine.speed.speed() } else { USUAL_SPEED };
+            let is_near = data_centre == near;
+            EngineView { has_neighbour, is_near, speed, ..view(engine, spec, now_ms) }
         })
         .collect();
     let noise = |_| rand::random::<f64>() * CHOICE_NOISE;
@@ -124,6 +129,6 @@
         has_neighbour: false,
         cold_ms: engine.cold_ms(now_ms),
         failure_rate: if is_suspect { SUSPECT_FAILURE_RATE } else { engine.failure_rate() },
-        speed: engine.speed.speed(),
+        speed: USUAL_SPEED,
     }
 }
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -31,6 +31,9 @@
     pub drain_grace_ms: u64,
     /// True if running generations are moved out of data centres that are evacuated.
     pub moves_evacuated: bool,
+    /// True if placement counts the estimated speeds of engines. Off, as engines of equal speed are placed worse
+    /// with it; see docs/design/uneven-upstreams.md.
+    pub places_by_speed: bool,
 }
 
 impl Default for GatewayOptions {
@@ -50,6 +53,7 @@
             metrics_port: None,
             drain_grace_ms: 3_000,
             moves_evacuated: true,
+            places_by_speed: false,
         }
     }
 }
@@ -76,6 +80,13 @@
         self
     }
 
+    /// Counts the estimated speeds of engines in placement, or places as if they were equal.
+    #[must_use]
+    pub fn places_by_speed(mut self, places_by_speed: bool) -> Self {
+        self.places_by_speed = places_by_speed;
+        self
+    }
+
     /// Sends heartbeats every `heartbeat_interval_ms`.
     #[must_use]
     pub fn heartbeat_interval_ms(mut self, heartbeat_interval_ms: u64) -> Self {
