Check: fields that the platform defines are not called misspelt

The list also stood outside the platform's crate. Change: the list has them, and is in crates/platform.

--- a/crates/check/src/lib.rs
+++ b/crates/check/src/lib.rs
@@ -12,7 +12,6 @@
 mod difference;
 mod document;
 mod finding;
-mod known_fields;
 mod line_index;
 mod surroundings;
 
--- a/crates/check/tests/findings.rs
+++ b/crates/check/tests/findings.rs
@@ -102,6 +102,21 @@
     assert_finds(|all| all["tenant"] = json!([]), Warning, "unknown-field", "tenant");
 }
 
+/// Guards against warnings on what each configuration of the platform has, daemons reading it or not.
+#[test]
+fn fields_that_daemons_do_not_read_are_no_misspelt_ones() {
+    let with_all = |all: &mut Value| {
+        all["routes"][0]["sticky"] = json!(true);
+        all["services"][0]["protocol"] = json!("h1");
+        all["services"][0]["tls"] = json!(false);
+        for name in ["backups", "most", "pinMs", "holdMs", "handleS", "models"] {
+            all["services"][1]["engine"][name] = json!(1);
+        }
+    };
+    let findings = findings_in(with_all, &Surroundings::default());
+    assert!(findings.iter().all(|finding| finding.code != "unknown-field"), "{findings:?}");
+}
+
 #[test]
 fn routes_that_can_never_match_are_found() {
     use Severity::Error;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`VmListClient`] — client of the VM list; [`Vm`] is one entry.
 
 mod configuration;
+pub mod configuration_fields;
 mod engine_move;
 mod engine_report;
 mod log_client;
