Daemons with a small share of a cold upstream's rate have their turn when a request comes

Cause: a daemon of 76 has a third of a turn a second at a cold upstream, and a turn lapses after 200 ms, so requests and moves hardly ever found one: engines that had just started, with all their memory free, got no work while they were cold. Change: of daemons with less than one turn a second, as many as their turns come to may send at any time, one request a second each.

--- a/crates/decide/tests/cold_rate.rs
+++ b/crates/decide/tests/cold_rate.rs
@@ -277,6 +277,27 @@
     assert!(turns.take(1.0, 3_050));
 }
 
+/// Guards against cold upstreams that no daemon of a large fleet uses, as its turns have lapsed when requests come.
+#[test]
+fn daemons_with_few_turns_have_them_when_a_request_comes() {
+    const PER_S: f64 = 0.3;
+    const DAEMONS: u32 = 1_000;
+    let draws = (0..DAEMONS).map(|number| f64::from(number) / f64::from(DAEMONS));
+    let mut daemons: Vec<_> = draws.map(|draw| Turns::new(draw, 0)).collect();
+    let mut free = |now_ms| {
+        let is_free = daemons.iter_mut().map(|turns| turns.is_free(PER_S, now_ms));
+        is_free.filter(|is_free| *is_free).count()
+    };
+    assert_eq!((free(0), free(500)), (300, 300));
+    let mut turns = Turns::new(0.2, 0);
+    assert!(turns.take(PER_S, 100) && !turns.take(PER_S, 1_099) && turns.take(PER_S, 1_100));
+    turns.give_back(1_100);
+    assert!(turns.is_free(PER_S, 1_150), "given back");
+    turns.owe(PER_S, 1_200);
+    turns.owe(PER_S, 1_300);
+    assert!(!turns.take(PER_S, 3_199) && turns.take(PER_S, 3_200), "owed");
+}
+
 /// An entry that is read again must not make a warm upstream cold, and one that rises must.
 #[test]
 fn only_a_risen_time_makes_an_upstream_cold_again() {
