--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io::{Result, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -29,9 +29,16 @@
     pub max_fds: u64,
 }
 
-/// A free port of a loopback address.
-pub fn free_port(ip: &str) -> Result<u16> {
-    Ok(TcpListener::bind((ip, 0))?.local_addr()?.port())
+/// Three different free ports of a loopback address, the last one free for datagrams too.
+fn free_ports(ip: &str) -> Result<[u16; 3]> {
+    let [front, ready] = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
+    loop {
+        let control = TcpListener::bind((ip, 0))?;
+        let port = control.local_addr()?.port();
+        if UdpSocket::bind((ip, port)).is_ok() {
+            return Ok([front.local_addr()?.port(), ready.local_addr()?.port(), port]);
+        }
+    }
 }
 
 /// A new temporary folder.
@@ -47,7 +54,7 @@
         let ips: Vec<_> = (1..=count).map(|number| format!("127.0.17.{number}")).collect();
         let mut ports = Vec::new();
         for ip in &ips {
-            ports.push([free_port(ip)?, free_port(ip)?, free_port(ip)?]);
+            ports.push(free_ports(ip)?);
         }
         let seeds: Vec<_> = ips
             .iter()
