Review: show that daemons stay with the store's old address

The platform's store moves to another address, the settings files say so and SIGHUP is sent; the daemons reload their settings, keep asking the old address, and go on with the old configuration.

--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -9,9 +9,8 @@
 use std::time::{Duration, Instant};
 
 use standins::daemon::{
-    Deployment, Machine, configuration, request_head, route, server_entry, temporary_folder,
+    Deployment, Machine, ask, configuration, request_head, route, server_entry, temporary_folder,
 };
-use standins::http::read_head;
 use standins::record::Record;
 use standins::server::Server;
 use standins::store::Store;
@@ -102,16 +101,6 @@
     }
 }
 
-/// An ordinary request; the status of its answer.
-fn ordinary(addr: SocketAddr, id: &str) -> Result<String> {
-    const LIMIT: Duration = Duration::from_secs(2);
-    let mut stream = TcpStream::connect_timeout(&addr, LIMIT)?;
-    stream.set_read_timeout(Some(LIMIT))?;
-    let head = request_head("/save/x", id, 2_000, "Content-Length: 5");
-    write!(stream, "{head}hello")?;
-    Ok(read_head(&mut stream, &mut Vec::new())?.second_word().to_owned())
-}
-
 /// The state of one machine during the play.
 #[derive(Default)]
 struct Seen {
@@ -139,7 +128,7 @@
         }
     }
     for machine in &machines {
-        let status = ordinary(machine.front, "calm")?;
+        let status = ask(machine.front, "key-1", "/save/x", "calm")?;
         record.line(&format!("{}: an ordinary request in calm: {status}", machine.name));
         if status != "200" {
             return Ok(NOT_RUN);
@@ -176,7 +165,7 @@
             for machine in machines.iter() {
                 let addr = machine.front;
                 let (name, kib) = (machine.name.clone(), machine.memory_kib());
-                let status = match ordinary(addr, &format!("ordinary-{number}")) {
+                let status = match ask(addr, "key-1", "/save/x", &format!("ordinary-{number}")) {
                     Ok(status) => status,
                     Err(error) => error.kind().to_string(),
                 };
--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -123,6 +123,22 @@
         Ok(())
     }
 
+    /// Replaces a text in its settings file, and tells its process with SIGHUP that the file has changed.
+    pub fn change_settings(&self, old: &str, new: &str) -> Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        let changed = self.settings.with_extension("new");
+        fs::write(&changed, text.replace(old, new))?;
+        fs::rename(changed, &self.settings)?;
+        self.signal("HUP")
+    }
+
+    /// Sends a signal to its process.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let Some(process) = &self.process else { return Ok(()) };
+        Command::new("kill").arg(format!("-{name}")).arg(process.id().to_string()).status()?;
+        Ok(())
+    }
+
     /// Kills its process.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -185,8 +201,15 @@
 /// The first configuration of the operator, with these routes, all of the service `svc`.
 #[must_use]
 pub fn configuration(routes: &str) -> String {
+    configuration_version(1, routes, &["key-1"])
+}
+
+/// A version of the configuration with these routes, and these keys of the only tenant.
+#[must_use]
+pub fn configuration_version(version: u64, routes: &str, keys: &[&str]) -> String {
+    let keys = keys.join("\",\"");
     format!(
-        r#"{{"version":1,"routes":[{routes}],"services":[{{"name":"svc","healthPath":"/health","maxConnections":690,"protocol":"h1","tls":false}}],"limits":{LIMITS},"tenants":[{{"name":"tenant-1","apiKeys":["key-1"],"priority":1}}]}}"#
+        r#"{{"version":{version},"routes":[{routes}],"services":[{{"name":"svc","healthPath":"/health","maxConnections":690,"protocol":"h1","tls":false}}],"limits":{LIMITS},"tenants":[{{"name":"tenant-1","apiKeys":["{keys}"],"priority":1}}]}}"#
     )
 }
 
@@ -209,8 +232,30 @@
 /// The head of a client's request; its framing is left to `last_line`.
 #[must_use]
 pub fn request_head(path: &str, id: &str, deadline_ms: u64, last_line: &str) -> String {
+    request_head_of("key-1", path, id, deadline_ms, last_line)
+}
+
+/// The head of a request with a certain key.
+#[must_use]
+pub fn request_head_of(
+    key: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    last_line: &str,
+) -> String {
     format!(
         "POST {path} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n\
-         Authorization: Bearer key-1\r\n{last_line}\r\n\r\n"
+         Authorization: Bearer {key}\r\n{last_line}\r\n\r\n"
     )
 }
+
+/// Sends a request with a body of five bytes on a new connection; the status of its answer.
+pub fn ask(addr: SocketAddr, key: &str, path: &str, id: &str) -> Result<String> {
+    const LIMIT: Duration = Duration::from_secs(2);
+    let mut stream = TcpStream::connect_timeout(&addr, LIMIT)?;
+    stream.set_read_timeout(Some(LIMIT))?;
+    let head = request_head_of(key, path, id, 2_000, "Content-Length: 5");
+    write!(stream, "{head}hello")?;
+    Ok(read_head(&mut stream, &mut Vec::new())?.second_word().to_owned())
+}
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{Result, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,20 +18,54 @@
     appended: Condvar,
 }
 
+/// An address at which a store is reached, until it is closed.
+pub struct Endpoint {
+    pub addr: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Endpoint {
+    /// Closes the port and all connections.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Release);
+        // Ends the wait for the next connection, and with it the listener.
+        let _ = TcpStream::connect(self.addr);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 impl Store {
     /// Starts a store on a free port.
     pub fn start() -> Result<(Arc<Self>, SocketAddr)> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let addr = listener.local_addr()?;
         let store = Arc::new(Self::default());
-        let serving = store.clone();
+        let endpoint = store.listen()?;
+        Ok((store, endpoint.addr))
+    }
+
+    /// Serves on one more free port.
+    pub fn listen(self: &Arc<Self>) -> Result<Endpoint> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let endpoint = Endpoint {
+            addr: listener.local_addr()?,
+            is_closed: Arc::default(),
+            streams: Arc::default(),
+        };
+        let (is_closed, streams) = (endpoint.is_closed.clone(), endpoint.streams.clone());
+        let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let store = serving.clone();
+                if is_closed.load(Ordering::Acquire) {
+                    return;
+                }
+                streams.lock().unwrap().extend(stream.try_clone());
+                let store = store.clone();
                 thread::spawn(move || store.serve(stream));
             }
         });
-        Ok((store, addr))
+        Ok(endpoint)
     }
 
     /// Writes a record with a key, as operators and servers do.
