Review: show streams joined from two versions of the weights

One of six engines is killed while 36 resumable streams run, three engines having older weights; daemons resume its streams at engines with other weights within one answer, and nothing in the answer says so.

--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Daemons as the platform runs them: the command of the deploy file, with the settings of a machine.
 
 use std::fs::{self, File};
-use std::io::{Result, Write};
+use std::io::{Error, Result, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -29,16 +29,30 @@
     pub max_fds: u64,
 }
 
-/// Three different free ports of a loopback address, the last one free for datagrams too.
+/// The ports of a machine for messages between daemons.
+const PEER_PORTS: u16 = 16;
+
+/// Three different free ports of a loopback address.
 fn free_ports(ip: &str) -> Result<[u16; 3]> {
-    let [front, ready] = [TcpListener::bind((ip, 0))?, TcpListener::bind((ip, 0))?];
-    loop {
-        let control = TcpListener::bind((ip, 0))?;
-        let port = control.local_addr()?.port();
-        if UdpSocket::bind((ip, port)).is_ok() {
-            return Ok([front.local_addr()?.port(), ready.local_addr()?.port(), port]);
-        }
-    }
+    let bind = || TcpListener::bind((ip, 0));
+    let [front, ready, control] = [bind()?, bind()?, bind()?];
+    let port = |listener: TcpListener| -> Result<u16> { Ok(listener.local_addr()?.port()) };
+    Ok([port(front)?, port(ready)?, port(control)?])
+}
+
+/// The first port of a range that is free on all machines, for connections and for datagrams.
+fn common_port(ips: &[String]) -> Result<u16> {
+    const FIRST: u16 = 20_000;
+    const LAST: u16 = 30_000;
+    let is_free = |port: u16| {
+        ips.iter().all(|ip| {
+            let ip = ip.as_str();
+            TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok()
+        })
+    };
+    let range = (FIRST..LAST).step_by(usize::from(PEER_PORTS));
+    let found = range.into_iter().find(|first| (*first..first + PEER_PORTS).all(is_free));
+    found.ok_or_else(|| Error::other("no free ports"))
 }
 
 /// A new temporary folder.
@@ -56,6 +70,7 @@
         for ip in &ips {
             ports.push(free_ports(ip)?);
         }
+        let peer_port = common_port(&ips)?;
         let seeds: Vec<_> = ips
             .iter()
             .zip(&ports)
@@ -66,7 +81,7 @@
         for (ip, [front, ready, control]) in ips.iter().zip(&ports) {
             let name = format!("front-z1-{}", machines.len() + 1);
             let settings = self.folder.join(format!("{name}.json"));
-            let text = self.settings(&name, ip, [*front, *ready, *control], &seeds);
+            let text = self.settings(&name, ip, [*front, *ready, *control, peer_port], &seeds);
             fs::write(&settings, text)?;
             machines.push(Machine {
                 front: format!("{ip}:{front}").parse().unwrap(),
@@ -82,14 +97,15 @@
     }
 
     /// The settings as the template of the deploy file renders them.
-    fn settings(&self, name: &str, ip: &str, ports: [u16; 3], seeds: &str) -> String {
+    fn settings(&self, name: &str, ip: &str, ports: [u16; 4], seeds: &str) -> String {
         let Self { store, memory_mb, max_fds, .. } = self;
-        let [front, ready, control] = ports;
+        let [front, ready, control, first_peer_port] = ports;
+        let last_peer_port = first_peer_port + PEER_PORTS - 1;
         format!(
             r#"{{"node":"{name}","role":"daemon","machineClass":"front","serves":["front","control"],
 "ip":"{ip}","zone":"z1","region":"r1","zones":{{"z1":"r1"}},
 "listen":{{"front":"{ip}:{front}","ready":"{ip}:{ready}","control":"{ip}:{control}"}},
-"portRange":[7200,7215],"seeds":[{seeds}],"bootstrap":true,"countsAsLoss":false,
+"portRange":[{first_peer_port},{last_peer_port}],"seeds":[{seeds}],"bootstrap":true,"countsAsLoss":false,
 "limits":{{"cpuShare":0.12,"cores":1,"memoryMb":{memory_mb},"maxFds":{max_fds},"linkMbps":1000.0,"diskMb":0}},
 "dataDir":null,"discovery":"platform","entry":"vip","heartbeatMs":1200,
 "contracts":["base","drain","config","cost","retry","recover","engine","stream","tenants","platform"],
@@ -259,3 +275,26 @@
     write!(stream, "{head}hello")?;
     Ok(read_head(&mut stream, &mut Vec::new())?.second_word().to_owned())
 }
+
+/// A route of the service `svc` whose streams may be resumed.
+#[must_use]
+pub fn resumable_route(prefix: &str, timeout_ms: u64) -> String {
+    format!(
+        r#"{{"name":"r-resumable","host":"a.example","pathPrefix":"/{prefix}/","kind":"streaming","resumable":true,"timeoutMs":{timeout_ms},"targetLatencyMs":1500,"gapAimMs":180,"priority":0,"service":"svc","maxAttempts":2,"public":false,"sticky":true}}"#
+    )
+}
+
+/// The first configuration, with these routes of the service `svc`, whose servers are engines.
+#[must_use]
+pub fn engine_configuration(routes: &str) -> String {
+    let engine = r#""engine":{"slots":24,"kvCapacityTokens":21948,"kvTokenBytes":18432,"linkMbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleS":5.0,"models":[{"name":"m"}]}"#;
+    let plain = r#""maxConnections":690,"#;
+    configuration(routes).replace(plain, &format!("{plain}{engine},"))
+}
+
+/// The entry that an engine of the service `svc` writes about itself, with the version of its weights.
+#[must_use]
+pub fn engine_entry(addr: SocketAddr, weights: u32) -> String {
+    let models = format!(r#""stage":"both","models":[{{"name":"m","version":{weights},"adapters":[]}}],"#);
+    server_entry(addr).replace(r#""sequence""#, &format!("{models}\"sequence\""))
+}
