--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -2,6 +2,7 @@
 //! standard library only, and listen on loopback addresses only.
 
 pub mod daemon;
+pub mod engine;
 pub mod http;
 pub mod record;
 pub mod server;
