--- a/review/standins-2/src/bin/case-10.rs
+++ b/review/standins-2/src/bin/case-10.rs
@@ -48,8 +48,12 @@
     store.put("keyed.servers", "i-1", &server_entry(server));
     let route = route("save", "unsafe", DEADLINE.as_millis() as u64);
     store.put("keyed.op", "config", &configuration(&route));
-    let deployment =
-        Deployment { store: store_addr, folder: folder.clone(), memory_mb: MEMORY_MB, max_fds: MAX_FDS };
+    let deployment = Deployment {
+        store: store_addr,
+        folder: folder.clone(),
+        memory_mb: MEMORY_MB,
+        max_fds: MAX_FDS,
+    };
     let mut machines = deployment.machines(1)?;
     let machine = &mut machines[0];
     machine.start(&root)?;
@@ -77,8 +81,10 @@
     }
     drop(machines);
     let _ = std::fs::remove_dir_all(folder);
-    record.line(&format!("{lost} of {CLIENTS} requests have run, and the daemon closed their \
-        connection before the answer was whole"));
+    record.line(&format!(
+        "{lost} of {CLIENTS} requests have run, and the daemon closed their \
+        connection before the answer was whole"
+    ));
     Ok(if lost > ALLOWED { RULE_BROKEN } else { RULE_HELD })
 }
 
@@ -96,7 +102,8 @@
     let mut stream = TcpStream::connect(addr)?;
     let deadline_ms = DEADLINE.as_millis() as u64;
     let mut buffer = Vec::new();
-    let head = request_head("/save/2", &format!("first-{number}"), deadline_ms, "Content-Length: 0");
+    let head =
+        request_head("/save/2", &format!("first-{number}"), deadline_ms, "Content-Length: 0");
     stream.write_all(head.as_bytes())?;
     let answer = read_head(&mut stream, &mut buffer)?;
     read_body(&mut stream, &mut buffer, answer.body_length())?;
@@ -135,7 +142,10 @@
         Ending::Cut => "cut",
         Ending::TooSlow => "not read in time",
     };
-    record.line(&format!("{id}: {what} after {:.1} s, {read} of {} bytes",
-        sent.elapsed().as_secs_f64(), answer.body_length()));
+    record.line(&format!(
+        "{id}: {what} after {:.1} s, {read} of {} bytes",
+        sent.elapsed().as_secs_f64(),
+        answer.body_length()
+    ));
     Ok(ending)
 }
--- a/review/standins-2/src/bin/case-6.rs
+++ b/review/standins-2/src/bin/case-6.rs
@@ -117,8 +117,12 @@
     let server = Server::start("i-1", &record)?;
     store.put("keyed.servers", "i-1", &server_entry(server));
     store.put("keyed.op", "config", &configuration(&route("save", "unsafe", 30_000)));
-    let deployment =
-        Deployment { store: store_addr, folder: folder.clone(), memory_mb: MEMORY_MB, max_fds: MAX_FDS };
+    let deployment = Deployment {
+        store: store_addr,
+        folder: folder.clone(),
+        memory_mb: MEMORY_MB,
+        max_fds: MAX_FDS,
+    };
     let mut machines = deployment.machines(MACHINES)?;
     for machine in &mut machines {
         machine.start(&root)?;
@@ -135,7 +139,9 @@
         }
     }
     let crowds = if has_trouble() {
-        record.line(&format!("{CROWD} callers to each machine send {CHUNK_BYTES} bytes in a chunk and no end"));
+        record.line(&format!(
+            "{CROWD} callers to each machine send {CHUNK_BYTES} bytes in a chunk and no end"
+        ));
         Some(Crowds::start(&machines)?)
     } else {
         None
@@ -170,14 +176,21 @@
                     Err(error) => error.kind().to_string(),
                 };
                 let open = machine.descriptors();
-                record.line(&format!("{name}: {kib} KiB, {open} descriptors, ordinary request: {status}"));
+                record.line(&format!(
+                    "{name}: {kib} KiB, {open} descriptors, ordinary request: {status}"
+                ));
             }
         }
         thread::sleep(SAMPLE);
     }
     for (machine, seen) in machines.iter().zip(&seen) {
-        record.line(&format!("{}: {} ends, {} KiB at most of {}", machine.name, seen.ends,
-            seen.peak_kib, machine.memory_mb * 1_024));
+        record.line(&format!(
+            "{}: {} ends, {} KiB at most of {}",
+            machine.name,
+            seen.ends,
+            seen.peak_kib,
+            machine.memory_mb * 1_024
+        ));
     }
     Ok(seen)
 }
@@ -200,8 +213,12 @@
     let is_over = kib > machine.memory_mb * 1_024;
     if is_over || machine.has_ended() {
         seen.ends += 1;
-        record.line(&format!("{}: end {}, {kib} KiB of {}", machine.name, seen.ends,
-            machine.memory_mb * 1_024));
+        record.line(&format!(
+            "{}: end {}, {kib} KiB of {}",
+            machine.name,
+            seen.ends,
+            machine.memory_mb * 1_024
+        ));
         machine.kill();
         seen.restarts_at = Some(Instant::now() + RESTART);
     }
--- a/review/standins-2/src/bin/case-7.rs
+++ b/review/standins-2/src/bin/case-7.rs
@@ -97,8 +97,12 @@
     store.put("keyed.servers", "i-1", &server_entry(server));
     let route = route("save", "unsafe", TIMEOUT.as_millis() as u64);
     store.put("keyed.op", "config", &configuration(&route));
-    let deployment =
-        Deployment { store: store_addr, folder: folder.clone(), memory_mb: MEMORY_MB, max_fds: MAX_FDS };
+    let deployment = Deployment {
+        store: store_addr,
+        folder: folder.clone(),
+        memory_mb: MEMORY_MB,
+        max_fds: MAX_FDS,
+    };
     let mut machines = deployment.machines(1)?;
     let machine = &mut machines[0];
     machine.start(&root)?;
@@ -136,8 +140,10 @@
     drop(crowd);
     drop(machines);
     let _ = std::fs::remove_dir_all(folder);
-    record.line(&format!("of {ORDINARY} ordinary requests {late} had no answer at timeoutMs, and {never} none \
-        half a second later"));
+    record.line(&format!(
+        "of {ORDINARY} ordinary requests {late} had no answer at timeoutMs, and {never} none \
+        half a second later"
+    ));
     let is_broken = late >= LEAST_LATE && 2 * never > late;
     Ok(if is_broken { RULE_BROKEN } else { RULE_HELD })
 }
@@ -157,7 +163,10 @@
     let after = sent.elapsed();
     let is_answered = read.as_ref().is_ok_and(|read| *read > 0);
     let first_line = String::from_utf8_lossy(&bytes[..12.min(read.unwrap_or(0))]).into_owned();
-    record.line(&format!("{id}: {} after {:.3} s", if is_answered { &first_line } else { "no answer" },
-        after.as_secs_f64()));
+    record.line(&format!(
+        "{id}: {} after {:.3} s",
+        if is_answered { &first_line } else { "no answer" },
+        after.as_secs_f64()
+    ));
     Ok(is_answered.then_some(after))
 }
--- a/review/standins-2/src/bin/case-9.rs
+++ b/review/standins-2/src/bin/case-9.rs
@@ -62,8 +62,12 @@
     }
     let route = resumable_route("draft", TIMEOUT_MS);
     store.put("keyed.op", "config", &engine_configuration(&route));
-    let deployment =
-        Deployment { store: store_addr, folder: folder.clone(), memory_mb: MEMORY_MB, max_fds: MAX_FDS };
+    let deployment = Deployment {
+        store: store_addr,
+        folder: folder.clone(),
+        memory_mb: MEMORY_MB,
+        max_fds: MAX_FDS,
+    };
     let mut machines = deployment.machines(MACHINES)?;
     for machine in &mut machines {
         machine.start(&root)?;
@@ -93,8 +97,7 @@
     for client in clients {
         match client.join().unwrap() {
             Ok(answer) => {
-                let is_whole =
-                    answer.status == "200" && answer.is_ended && answer.pieces == EVENTS;
+                let is_whole = answer.status == "200" && answer.is_ended && answer.pieces == EVENTS;
                 whole += usize::from(is_whole);
                 joined += usize::from(is_whole && answer.other_weights > 0);
             }
@@ -103,11 +106,12 @@
     }
     drop(machines);
     let _ = std::fs::remove_dir_all(folder);
-    record.line(&format!("{whole} of {STREAMS} streams are whole; {joined} of them have pieces of two \
-        versions of the weights, and nothing says so"));
+    record.line(&format!(
+        "{whole} of {STREAMS} streams are whole; {joined} of them have pieces of two \
+        versions of the weights, and nothing says so"
+    ));
     if whole == 0 {
         return Ok(NOT_RUN);
     }
     Ok(if joined > 0 { RULE_BROKEN } else { RULE_HELD })
 }
-
--- a/review/standins-2/src/daemon.rs
+++ b/review/standins-2/src/daemon.rs
@@ -295,6 +295,7 @@
 /// The entry that an engine of the service `svc` writes about itself, with the version of its weights.
 #[must_use]
 pub fn engine_entry(addr: SocketAddr, weights: u32) -> String {
-    let models = format!(r#""stage":"both","models":[{{"name":"m","version":{weights},"adapters":[]}}],"#);
+    let models =
+        format!(r#""stage":"both","models":[{{"name":"m","version":{weights},"adapters":[]}}],"#);
     server_entry(addr).replace(r#""sequence""#, &format!("{models}\"sequence\""))
 }
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -98,20 +98,32 @@
         read_body(&mut stream, &mut buffer, head.body_length())?;
         let (id, name, weights) = (head.header("x-attempt-id"), &build.name, build.weights);
         match head.second_word() {
-            "/health" => write!(stream, "HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\n\
-                Content-Length: 0\r\n\r\n")?,
+            "/health" => write!(
+                stream,
+                "HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\n\
+                Content-Length: 0\r\n\r\n"
+            )?,
             "/-/report" => {
                 let running = running.load(Ordering::Acquire);
-                let report = format!("{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\
+                let report = format!(
+                    "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\
                     \"version\":{weights},\"adapters\":[]}}],\"busy\":false,\"sequence\":0,\"queued\":0,\
                     \"running\":{running},\"kvUsed\":0,\"kvTotal\":21948,\"handles\":0,\"state\":\"ready\",\
-                    \"runs\":[]}}");
-                write!(stream, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
-                    Content-Length: {}\r\n\r\n{report}", report.len())?;
+                    \"runs\":[]}}"
+                );
+                write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
+                    Content-Length: {}\r\n\r\n{report}",
+                    report.len()
+                )?;
             }
             _ if is_meant_for_another(&head, build) => {
-                write!(stream, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\n\
-                    X-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n")?;
+                write!(
+                    stream,
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\n\
+                    X-Instance-Id: {name}\r\nContent-Length: 0\r\n\r\n"
+                )?;
             }
             _ => {
                 let last: usize = head.header("last-event-id").parse().unwrap_or(0);
@@ -135,9 +147,12 @@
 /// Writes the events after the `last` one. Each says what made it.
 fn run(stream: &mut TcpStream, id: &str, build: &Build, last: usize) -> Result<()> {
     let Build { name, weights, software, events, interval_ms } = build;
-    write!(stream, "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s.{name}.{id}\r\n\
+    write!(
+        stream,
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: s.{name}.{id}\r\n\
         X-Weight-Versions: {weights}\r\nContent-Type: text/event-stream\r\n\
-        Transfer-Encoding: chunked\r\n\r\n")?;
+        Transfer-Encoding: chunked\r\n\r\n"
+    )?;
     for number in last + 1..=*events {
         thread::sleep(Duration::from_millis(*interval_ms));
         let event = format!("id: {number}\ndata: {weights} {software} piece {number}\n\n");
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -38,22 +38,33 @@
             let (target, id) = (head.second_word(), head.header("x-attempt-id"));
             if target == "/health" {
                 let name = self.name;
-                write!(stream, "HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\n\
-                    Content-Length: 0\r\n\r\n")?;
+                write!(
+                    stream,
+                    "HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\n\
+                    Content-Length: 0\r\n\r\n"
+                )?;
                 continue;
             }
             if head.header("x-expect-instance") != self.name {
-                write!(stream, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\n\
-                    X-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n", self.name)?;
+                write!(
+                    stream,
+                    "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: {id}\r\n\
+                    X-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
+                    self.name
+                )?;
                 continue;
             }
             let length = target.rsplit('/').next().and_then(|end| end.parse().ok()).unwrap_or(2);
             // Thousands of lines of a crowd would say nothing.
             if !id.starts_with("crowd") {
-                self.record.line(&format!("server {} runs {id}, answer of {length} bytes", self.name));
+                self.record
+                    .line(&format!("server {} runs {id}, answer of {length} bytes", self.name));
             }
-            let mut answer = format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\
-                X-Server-Signature: s.{}.{id}\r\nContent-Length: {length}\r\n\r\n", self.name)
+            let mut answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\n\
+                X-Server-Signature: s.{}.{id}\r\nContent-Length: {length}\r\n\r\n",
+                self.name
+            )
             .into_bytes();
             answer.resize(answer.len() + length, b'a');
             stream.write_all(&answer)?;
